--- /dev/null
+++ b/process/consensus/core.go
@@ -0,0 +1,269 @@
+package consensus
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+)
+
+// Core is the state of one replica. See the package comment.
+type Core struct {
+	cfg  Config
+	now  time.Duration
+	err  error
+	role Role
+	log  raftLog
+
+	term   uint64
+	vote   string
+	leader string
+	// fresh is set while a founding voter's disk is empty. It gives no vote
+	// except to found the group, and stops if the group has a leader already.
+	fresh   bool
+	hsDirty bool
+
+	electionDeadline time.Duration
+	// denyVotesUntil keeps the leader's lease: no vote while a leader was heard
+	// of within the minimum election timeout.
+	denyVotesUntil time.Duration
+	votes          map[string]bool
+
+	progress      map[string]*progress
+	heartbeatDue  time.Duration
+	heartbeatSeq  uint64
+	heartbeatNow  bool
+	sentAt        []heartbeatSent
+	reads         []pendingRead
+	transferTo    string
+	transferUntil time.Duration
+	timeoutSent   bool // TIMEOUT_NOW was sent in this term, which ends the lease
+	uncommitted   int  // bytes
+
+	pendingSnapshot *wirepb.RaftSnapshot
+	messages        []*wirepb.RaftMessage
+	afterSync       []*wirepb.RaftMessage
+	readStates      []ReadState
+}
+
+type heartbeatSent struct {
+	seq uint64
+	at  time.Duration
+}
+
+type pendingRead struct {
+	id, seq, index uint64
+}
+
+// New returns a core that starts from the durable state in.
+func New(cfg Config, now time.Duration, in Initial) (*Core, error) {
+	if err := cfg.setDefaults(); err != nil {
+		return nil, err
+	}
+	c := &Core{cfg: cfg, now: now}
+	founding := &wirepb.RaftVoters{Voters: slices.Clone(cfg.Voters)}
+	c.log.memberships = []membership{{0, founding}}
+	if in.Snapshot != nil {
+		c.log.reset(in.Snapshot)
+	}
+	for _, e := range in.Entries {
+		if e.Index <= c.log.baseIndex {
+			continue
+		}
+		if err := c.log.append(e); err != nil {
+			return nil, err
+		}
+	}
+	c.log.stable = c.log.last()
+	if err := c.restoreHardState(in.HardState); err != nil {
+		return nil, err
+	}
+	empty := in.HardState == nil && c.log.last() == 0
+	c.fresh = empty && slices.Contains(cfg.Voters, cfg.ID)
+	if !empty {
+		// Its last heartbeat acknowledgement may still support a lease.
+		c.denyVotesUntil = now + cfg.ElectionTimeoutMin
+	}
+	c.resetElectionDeadline()
+	return c, nil
+}
+
+func (c *Core) restoreHardState(hs *wirepb.RaftHardState) error {
+	c.term = c.log.lastTerm()
+	if hs == nil {
+		return nil
+	}
+	if hs.Term >= c.term {
+		c.term, c.vote = hs.Term, hs.Vote
+	}
+	if hs.Commit <= c.log.commit {
+		return nil
+	}
+	return c.log.commitTo(hs.Commit)
+}
+
+// Tick tells the core the time, in durations since the caller's start.
+func (c *Core) Tick(now time.Duration) error {
+	if c.err != nil {
+		return c.err
+	}
+	c.advanceClock(now)
+	if c.role == Leader {
+		c.tickLeader()
+		return c.err
+	}
+	if c.now >= c.electionDeadline {
+		c.resetElectionDeadline()
+		c.campaign(PreCandidate, false)
+	}
+	return c.err
+}
+
+func (c *Core) advanceClock(now time.Duration) { c.now = max(c.now, now) }
+
+func (c *Core) resetElectionDeadline() {
+	spread := int64(c.cfg.ElectionTimeoutMax - c.cfg.ElectionTimeoutMin)
+	c.electionDeadline = c.now + c.cfg.ElectionTimeoutMin + time.Duration(c.cfg.Rand(spread))
+}
+
+// fail stops the core. Nothing that it produced since the last Ready is sent.
+func (c *Core) fail(err error) {
+	if err == nil || c.err != nil {
+		return
+	}
+	c.err = err
+	c.role = Follower
+	c.messages, c.afterSync = nil, nil
+}
+
+// Err returns the error that stopped the core, or nil.
+func (c *Core) Err() error { return c.err }
+
+// BrokenInvariant returns the name of the broken invariant, or "".
+func (c *Core) BrokenInvariant() string {
+	var broken *InvariantError
+	if errors.As(c.err, &broken) {
+		return broken.Name
+	}
+	return ""
+}
+
+// send queues a message. Requests of an established leader and pre-vote
+// requests promise nothing about the sender's disk, all others do.
+func (c *Core) send(m *wirepb.RaftMessage) {
+	m.Group = c.cfg.Group
+	m.From = c.cfg.ID
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	switch m.Type {
+	case wirepb.RaftMessage_TYPE_APPEND, wirepb.RaftMessage_TYPE_HEARTBEAT, wirepb.RaftMessage_TYPE_SNAPSHOT, wirepb.RaftMessage_TYPE_PRE_VOTE:
+		c.messages = append(c.messages, m)
+	default:
+		c.afterSync = append(c.afterSync, m)
+	}
+}
+
+// Ready returns the work to do now. The caller passes it to Advance once done,
+// before it calls any other method that changes the core.
+func (c *Core) Ready() Ready {
+	if c.err != nil {
+		return Ready{}
+	}
+	c.flushLeader()
+	rd := Ready{
+		Messages:  c.messages,
+		AfterSync: c.afterSync,
+		Snapshot:  c.pendingSnapshot,
+		Entries:   c.log.slice(c.log.stable+1, c.log.last()),
+		Reads:     c.readStates,
+	}
+	if c.hsDirty || len(rd.Entries) > 0 {
+		rd.HardState = &wirepb.RaftHardState{Term: c.term, Vote: c.vote, Commit: min(c.log.commit, c.log.last())}
+	}
+	if c.hsDirty {
+		rd.AfterSync = append(rd.Messages, rd.AfterSync...)
+		rd.Messages = nil
+	}
+	if hi := min(c.log.commit, c.log.stable); hi > c.log.handed {
+		rd.Committed = c.log.slice(c.log.handed+1, hi)
+	}
+	c.messages, c.afterSync, c.readStates, c.pendingSnapshot = nil, nil, nil, nil
+	c.hsDirty = false
+	return rd
+}
+
+// Advance records that the caller has carried out rd.
+func (c *Core) Advance(rd Ready) {
+	if c.err != nil {
+		return
+	}
+	if n := len(rd.Entries); n > 0 {
+		e := rd.Entries[n-1]
+		if c.log.matches(e.Index, e.Term) && e.Index > c.log.stable {
+			c.log.stable = e.Index
+		}
+	}
+	if n := len(rd.Committed); n > 0 {
+		c.log.handed = max(c.log.handed, rd.Committed[n-1].Index)
+	}
+	if c.role == Leader {
+		c.maybeCommit()
+	}
+}
+
+// Compact tells the core that the caller stored a snapshot of its state machine
+// at index, and drops the entries up to keepAfter from memory. It returns the
+// snapshot's metadata. The entries between keepAfter and index serve slow
+// followers.
+func (c *Core) Compact(index, keepAfter uint64) {
+	s := c.SnapshotMeta(index)
+	if s == nil || (c.log.snapshot != nil && s.Index <= c.log.snapshot.Index) {
+		return
+	}
+	c.log.compact(s, keepAfter)
+}
+
+// SnapshotMeta returns the metadata of a snapshot taken at an applied index, nil
+// if the index was not applied or is compacted.
+func (c *Core) SnapshotMeta(index uint64) *wirepb.RaftSnapshot {
+	term, ok := c.log.term(index)
+	if !ok || index > c.log.handed {
+		return nil
+	}
+	return &wirepb.RaftSnapshot{Index: index, Term: term, Voters: c.log.votersAt(index)}
+}
+
+// Status returns a view of the state.
+func (c *Core) Status() Status {
+	v := c.voters()
+	s := Status{
+		ID: c.cfg.ID, Leader: c.leader, Role: c.role, Term: c.term,
+		Commit: c.log.commit, Last: c.log.last(), FirstIndex: c.log.baseIndex + 1,
+		Voters: slices.Clone(v.Voters), Learners: slices.Clone(v.Learners),
+		TransferTo: c.transferTo, Fresh: c.fresh,
+		PendingChange: c.changePending(),
+		Removed:       !c.fresh && !isMember(v, c.cfg.ID) && len(v.Voters) > 0,
+	}
+	if c.role == Leader {
+		s.LeaseUntil = c.leaseUntil()
+		s.Match = make(map[string]uint64, len(c.progress))
+		for name, p := range c.progress {
+			s.Match[name] = p.match
+		}
+	}
+	return s
+}
+
+func (c *Core) voters() *wirepb.RaftVoters {
+	return c.log.memberships[len(c.log.memberships)-1].voters
+}
+
+func (c *Core) isVoter() bool { return slices.Contains(c.voters().Voters, c.cfg.ID) }
+
+func isMember(v *wirepb.RaftVoters, name string) bool {
+	return slices.Contains(v.Voters, name) || slices.Contains(v.Learners, name)
+}
+
+func (c *Core) quorum() int { return len(c.voters().Voters)/2 + 1 }
--- /dev/null
+++ b/process/consensus/membership.go
@@ -0,0 +1,180 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+)
+
+// ReadIndex starts a linearizable read. Its ReadState follows in a Ready once a
+// quorum has confirmed that this replica still leads.
+func (c *Core) ReadIndex(id uint64) error {
+	if c.err != nil {
+		return c.err
+	}
+	if c.role != Leader {
+		return &NotLeaderError{Leader: c.leader}
+	}
+	if !c.committedInTerm() {
+		return &BusyError{Reason: "the leader has not committed an entry of its term"}
+	}
+	c.heartbeatNow = true
+	c.reads = append(c.reads, pendingRead{id: id, seq: c.heartbeatSeq + 1, index: c.log.commit})
+	return nil
+}
+
+func (c *Core) committedInTerm() bool {
+	term, _ := c.log.term(c.log.commit)
+	return term == c.term
+}
+
+func (c *Core) quorumSeq() uint64 {
+	return c.quorumValue(func(name string) uint64 {
+		if name == c.cfg.ID {
+			return c.heartbeatSeq
+		}
+		return c.progress[name].ackSeq
+	})
+}
+
+func (c *Core) releaseReads() {
+	seq := c.quorumSeq()
+	n := 0
+	for n < len(c.reads) && c.reads[n].seq <= seq {
+		c.readStates = append(c.readStates, ReadState{ID: c.reads[n].id, Index: c.reads[n].index})
+		n++
+	}
+	c.reads = c.reads[n:]
+	for len(c.sentAt) > 1 && c.sentAt[1].seq <= seq {
+		c.sentAt = c.sentAt[1:]
+	}
+}
+
+// leaseUntil returns the time before which no other replica can be elected: it
+// counts from when the last heartbeat acknowledged by a quorum was sent.
+func (c *Core) leaseUntil() time.Duration {
+	if c.role != Leader || c.timeoutSent || !c.committedInTerm() {
+		return 0
+	}
+	if len(c.sentAt) == 0 || c.sentAt[0].seq > c.quorumSeq() {
+		return 0
+	}
+	return c.sentAt[0].at + c.cfg.LeaseDuration
+}
+
+// changePending reports whether the latest membership is not committed yet.
+func (c *Core) changePending() bool {
+	return c.log.memberships[len(c.log.memberships)-1].index > c.log.commit
+}
+
+// ChangeVoter appends a membership that differs by one replica and returns its
+// position. It is in force at once; the next one must wait until it is committed.
+func (c *Core) ChangeVoter(change VoterChange) (index, term uint64, err error) {
+	switch {
+	case c.err != nil:
+		return 0, 0, c.err
+	case c.role != Leader:
+		return 0, 0, &NotLeaderError{Leader: c.leader}
+	case c.transferTo != "":
+		return 0, 0, &BusyError{Reason: "leadership is being transferred"}
+	case c.changePending() || !c.committedInTerm():
+		return 0, 0, &BusyError{Reason: "an earlier entry is not committed"}
+	}
+	next, err := c.changed(change)
+	if err != nil {
+		return 0, 0, err
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
+	if err != nil {
+		return 0, 0, &InvalidChangeError{Reason: err.Error()}
+	}
+	index = c.appendLocal(wirepb.RaftEntry_TYPE_VOTERS, data)
+	c.syncProgress()
+	return index, c.term, c.err
+}
+
+func (c *Core) changed(change VoterChange) (*wirepb.RaftVoters, error) {
+	v := c.voters()
+	next := &wirepb.RaftVoters{Voters: slices.Clone(v.Voters), Learners: slices.Clone(v.Learners)}
+	without := func(names []string) []string {
+		return slices.DeleteFunc(names, func(n string) bool { return n == change.Name })
+	}
+	switch change.Kind {
+	case AddLearner:
+		if change.Name == "" || isMember(v, change.Name) {
+			return nil, &InvalidChangeError{Reason: "a learner needs a new replica name"}
+		}
+		next.Learners = append(next.Learners, change.Name)
+	case Promote:
+		if !slices.Contains(v.Learners, change.Name) {
+			return nil, &InvalidChangeError{Reason: "only a learner can be promoted"}
+		}
+		if err := c.caughtUp(change.Name); err != nil {
+			return nil, err
+		}
+		next.Learners = without(next.Learners)
+		next.Voters = append(next.Voters, change.Name)
+	case Remove:
+		if !isMember(v, change.Name) {
+			return nil, &InvalidChangeError{Reason: "the replica is not a member"}
+		}
+		next.Learners = without(next.Learners)
+		next.Voters = without(next.Voters)
+		if len(next.Voters) == 0 {
+			return nil, &InvalidChangeError{Reason: "the last voter can't be removed"}
+		}
+	default:
+		return nil, &InvalidChangeError{Reason: "unknown kind"}
+	}
+	return next, nil
+}
+
+func (c *Core) caughtUp(name string) error {
+	p := c.progress[name]
+	if p == nil {
+		return &NotCaughtUpError{Name: name, Commit: c.log.commit}
+	}
+	recent := c.now-p.lastAck < c.cfg.ElectionTimeoutMin
+	if p.match < c.log.commit || !recent {
+		return &NotCaughtUpError{Name: name, Match: p.match, Commit: c.log.commit}
+	}
+	return nil
+}
+
+// TransferLeader hands leadership to a voter once its log is complete. Proposals
+// are refused until then, at most for the minimum election timeout.
+func (c *Core) TransferLeader(to string) error {
+	if c.err != nil {
+		return c.err
+	}
+	if c.role != Leader {
+		return &NotLeaderError{Leader: c.leader}
+	}
+	if !slices.Contains(c.voters().Voters, to) {
+		return &InvalidChangeError{Reason: "leadership goes to a voter only"}
+	}
+	if to == c.cfg.ID {
+		return nil
+	}
+	if c.transferTo != "" {
+		return &BusyError{Reason: "leadership is being transferred"}
+	}
+	c.transferTo = to
+	c.transferUntil = c.now + c.cfg.ElectionTimeoutMin
+	c.maybeTransfer()
+	return nil
+}
+
+func (c *Core) maybeTransfer() {
+	if c.role != Leader || c.transferTo == "" || c.progress[c.transferTo] == nil {
+		return
+	}
+	if c.progress[c.transferTo].match != c.log.last() {
+		return
+	}
+	c.timeoutSent = true
+	c.send(&wirepb.RaftMessage{Type: wirepb.RaftMessage_TYPE_TIMEOUT_NOW, To: c.transferTo})
+}
--- /dev/null
+++ b/process/consensus/types.go
@@ -0,0 +1,236 @@
+// Package consensus is the replication core of one consensus group: elections
+// with pre-vote and check-quorum, log replication, read index, snapshots,
+// learners, voter changes and leadership transfer. It follows Ongaro's
+// dissertation "Consensus: Bridging Theory and Practice" (2014).
+//
+// The core is a pure state machine. It has no clock, goroutine, randomness or
+// I/O: the caller passes the monotonic time since its start and carries out
+// each Ready. A Core is not safe for concurrent use.
+package consensus
+
+import (
+	"fmt"
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+)
+
+// Role is the part that a replica plays in its current term.
+type Role int
+
+// The roles of a replica.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String returns the role's name.
+func (r Role) String() string {
+	return [...]string{"follower", "pre-candidate", "candidate", "leader"}[r]
+}
+
+// Config holds the parameters of a Core. Zero durations and limits take their
+// defaults.
+type Config struct {
+	ID    string
+	Group string
+	// Voters is the group's first set of voters. A replica that joins an
+	// existing group leaves it empty and becomes a learner.
+	Voters             []string
+	HeartbeatInterval  time.Duration
+	ElectionTimeoutMin time.Duration
+	ElectionTimeoutMax time.Duration
+	// LeaseDuration is the length of the leader lease, below ElectionTimeoutMin
+	// to allow for clocks that run at different rates.
+	LeaseDuration    time.Duration
+	MaxAppendBytes   int
+	MaxAppendsFlight int
+	// MaxUncommittedBytes bounds the log's uncommitted tail at the leader.
+	MaxUncommittedBytes int
+	// Rand returns a number in [0, n).
+	Rand func(n int64) int64
+}
+
+const (
+	defaultHeartbeat           = 150 * time.Millisecond
+	defaultElectionTimeoutMin  = time.Second
+	defaultMaxAppendBytes      = 1 << 20
+	defaultMaxAppendsFlight    = 32
+	defaultMaxUncommittedBytes = 64 << 20
+)
+
+func (c *Config) setDefaults() error {
+	if c.ID == "" || c.Rand == nil {
+		return fmt.Errorf("consensus: Config needs ID and Rand")
+	}
+	if c.HeartbeatInterval == 0 {
+		c.HeartbeatInterval = defaultHeartbeat
+	}
+	if c.ElectionTimeoutMin == 0 {
+		c.ElectionTimeoutMin = defaultElectionTimeoutMin
+	}
+	if c.ElectionTimeoutMax == 0 {
+		c.ElectionTimeoutMax = 2 * c.ElectionTimeoutMin
+	}
+	if c.LeaseDuration == 0 {
+		c.LeaseDuration = c.ElectionTimeoutMin * 3 / 4
+	}
+	if c.MaxAppendBytes == 0 {
+		c.MaxAppendBytes = defaultMaxAppendBytes
+	}
+	if c.MaxAppendsFlight == 0 {
+		c.MaxAppendsFlight = defaultMaxAppendsFlight
+	}
+	if c.MaxUncommittedBytes == 0 {
+		c.MaxUncommittedBytes = defaultMaxUncommittedBytes
+	}
+	if c.LeaseDuration >= c.ElectionTimeoutMin || c.HeartbeatInterval >= c.ElectionTimeoutMin || c.ElectionTimeoutMin >= c.ElectionTimeoutMax {
+		return fmt.Errorf("consensus: need lease and heartbeat < ElectionTimeoutMin < ElectionTimeoutMax")
+	}
+	return nil
+}
+
+// Initial is the durable state that a replica starts from.
+type Initial struct {
+	// HardState is nil when the disk is empty.
+	HardState *wirepb.RaftHardState
+	// Snapshot is the metadata of the latest snapshot, nil when there is none.
+	Snapshot *wirepb.RaftSnapshot
+	// Entries is the log, contiguous, starting at or before Snapshot.Index+1.
+	Entries []*wirepb.RaftEntry
+}
+
+// Ready is the work that the caller must carry out, in this order: send
+// Messages; store Snapshot, then append Entries (which replace any stored entry
+// with the same or a higher index) and HardState; sync; send AfterSync; apply
+// Snapshot and Committed; call Advance.
+type Ready struct {
+	Messages  []*wirepb.RaftMessage
+	Snapshot  *wirepb.RaftSnapshot
+	Entries   []*wirepb.RaftEntry
+	HardState *wirepb.RaftHardState
+	// AfterSync holds the messages that promise durable state: votes,
+	// acknowledgements and requests made in a new term.
+	AfterSync []*wirepb.RaftMessage
+	Committed []*wirepb.RaftEntry
+	Reads     []ReadState
+}
+
+// MustSync reports whether there is state to be synced.
+func (r *Ready) MustSync() bool {
+	return r.Snapshot != nil || len(r.Entries) > 0 || r.HardState != nil
+}
+
+// Empty reports whether there is nothing to do.
+func (r *Ready) Empty() bool {
+	return !r.MustSync() && len(r.Messages)+len(r.AfterSync)+len(r.Committed)+len(r.Reads) == 0
+}
+
+// ReadState is the answer to ReadIndex: a read is linearizable once the entry at
+// Index is applied. Failed means that leadership was lost first.
+type ReadState struct {
+	ID     uint64
+	Index  uint64
+	Failed bool
+}
+
+// ChangeKind is the kind of a VoterChange.
+type ChangeKind int
+
+// The kinds of VoterChange.
+const (
+	AddLearner ChangeKind = iota + 1
+	Promote               // a learner becomes a voter
+	Remove                // a voter or learner leaves
+)
+
+// VoterChange changes the membership of one replica.
+type VoterChange struct {
+	Kind ChangeKind
+	Name string
+}
+
+// Status is a view of the core's state.
+type Status struct {
+	ID, Leader             string
+	Role                   Role
+	Term                   uint64
+	Commit, Last           uint64
+	FirstIndex             uint64
+	Voters, Learners       []string
+	LeaseUntil             time.Duration // leader only
+	Match                  map[string]uint64
+	TransferTo             string
+	Fresh                  bool // the disk was empty and the group is not founded yet
+	PendingChange, Removed bool
+}
+
+// InvariantError reports a broken invariant. The core acts no more after it.
+type InvariantError struct {
+	Name   string
+	Detail string
+}
+
+// Error implements error.
+func (e *InvariantError) Error() string {
+	return fmt.Sprintf("consensus: invariant %s is broken: %s; stop this replica, keep its folder for analysis and replace it by a learner with a new replica name", e.Name, e.Detail)
+}
+
+// Names of the invariants.
+const (
+	InvariantSingleLeader   = "single-leader-per-term"
+	InvariantLogMatching    = "log-matching"
+	InvariantCommitMonotone = "commit-never-decreases"
+	InvariantAckedKept      = "acknowledged-entry-kept"
+	InvariantTermMonotone   = "term-never-decreases"
+)
+
+// Invariants lists the names of all asserted invariants.
+var Invariants = []string{InvariantSingleLeader, InvariantLogMatching, InvariantCommitMonotone, InvariantAckedKept, InvariantTermMonotone}
+
+// EmptyDiskError reports that a voter of a founded group started with an empty
+// disk. It may have voted or acknowledged entries that it has no record of.
+type EmptyDiskError struct{ ID string }
+
+// Error implements error.
+func (e *EmptyDiskError) Error() string {
+	return fmt.Sprintf("consensus: voter %q has an empty disk but its group already has a leader; start it with a new replica name as a learner, promote that and remove %q", e.ID, e.ID)
+}
+
+// NotLeaderError reports that the replica does not lead. Nothing was done.
+// Leader is empty when no leader is known.
+type NotLeaderError struct{ Leader string }
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	if e.Leader == "" {
+		return "not the leader, and no leader is known; retry after an election"
+	}
+	return fmt.Sprintf("not the leader; ask %q", e.Leader)
+}
+
+// BusyError reports that a proposal, change or transfer is refused for now.
+// Nothing was done.
+type BusyError struct{ Reason string }
+
+// Error implements error.
+func (e *BusyError) Error() string { return "refused for now: " + e.Reason + "; retry" }
+
+// NotCaughtUpError reports that a learner's log is too short for a promotion.
+type NotCaughtUpError struct {
+	Name          string
+	Match, Commit uint64
+}
+
+// Error implements error.
+func (e *NotCaughtUpError) Error() string {
+	return fmt.Sprintf("learner %q has entries up to %d of %d; retry once it is caught up", e.Name, e.Match, e.Commit)
+}
+
+// InvalidChangeError reports a voter change that can't be carried out.
+type InvalidChangeError struct{ Reason string }
+
+// Error implements error.
+func (e *InvalidChangeError) Error() string { return "invalid voter change: " + e.Reason }
--- /dev/null
+++ b/process/storage/fs.go
@@ -0,0 +1,91 @@
+// Package storage keeps the durable state of one consensus group in one folder:
+// the log in segments with a CRC for each record, the hard state and the latest
+// snapshot.
+//
+// A record is one batch: everything that is synced together. A crash can thus
+// damage only the last record of the last segment, which Open truncates. Any
+// other damage is an error whose message names the remedy.
+package storage
+
+import (
+	"io"
+	"os"
+	"sort"
+)
+
+// File is an open file.
+type File interface {
+	io.Writer
+	io.Closer
+	Sync() error
+	Truncate(size int64) error
+}
+
+// FS is the part of a filesystem that a Store needs. Names are full paths.
+type FS interface {
+	MkdirAll(dir string) error
+	// Append opens a file for appending and creates it if needed.
+	Append(name string) (File, error)
+	// Create opens an empty file and truncates an existing one.
+	Create(name string) (File, error)
+	ReadFile(name string) ([]byte, error)
+	Rename(from, to string) error
+	Remove(name string) error
+	// List returns the sorted base names of the files in dir.
+	List(dir string) ([]string, error)
+	SyncDir(dir string) error
+}
+
+// OS is the operating system's filesystem.
+type OS struct{}
+
+const (
+	filePerm = 0o600
+	dirPerm  = 0o700
+)
+
+// MkdirAll implements FS.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, dirPerm) }
+
+// Append implements FS.
+func (OS) Append(name string) (File, error) {
+	return os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, filePerm)
+}
+
+// Create implements FS.
+func (OS) Create(name string) (File, error) {
+	return os.OpenFile(name, os.O_TRUNC|os.O_CREATE|os.O_WRONLY, filePerm)
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(name string) error { return os.Remove(name) }
+
+// List implements FS.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.Close() }()
+	return d.Sync()
+}
