--- /dev/null
+++ b/process/consensus/property_test.go
@@ -0,0 +1,132 @@
+package consensus
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// longRunVariable is the number of cases of each property test. When it is set
+// the seed is random and printed; otherwise a few cases run with a fixed seed.
+const longRunVariable = "MARJORAMTILLER_CHECKS"
+
+const (
+	defaultChecks = "60"
+	defaultSeed   = "1"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	checks, seed := os.Getenv(longRunVariable), fmt.Sprint(time.Now().UnixNano())
+	if checks == "" {
+		checks, seed = defaultChecks, defaultSeed
+	} else if s := os.Getenv("MARJORAMTILLER_SEED"); s != "" {
+		seed = s
+	}
+	if os.Getenv(longRunVariable) != "" {
+		fmt.Printf("consensus property tests: %s cases, MARJORAMTILLER_SEED=%s\n", checks, seed)
+	}
+	for name, value := range map[string]string{"rapid.checks": checks, "rapid.seed": seed, "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var errSkipped = errors.New("skipped")
+
+// act carries out one random action of the environment.
+func act(rt *rapid.T, s *sim) {
+	name := rapid.SampledFrom(s.order).Draw(rt, "node")
+	n := s.nodes[name]
+	switch action := rapid.IntRange(0, 99).Draw(rt, "action"); {
+	case action < 40:
+		if l := s.leader(); l != nil {
+			s.propose(l)
+		}
+	case action < 50:
+		if l := s.leader(); l != nil {
+			s.read(l)
+		}
+	case action < 55:
+		s.crash(n)
+	case action < 75:
+		s.start(n)
+	case action < 80:
+		s.cut[name+">"+rapid.SampledFrom(s.order).Draw(rt, "to")] = true
+	case action < 84:
+		s.cut = map[string]bool{}
+	case action < 88:
+		n.pausedT = s.now + time.Duration(rapid.IntRange(100, 3000).Draw(rt, "pause"))*time.Millisecond
+	case action < 94:
+		_ = changeMembership(rt, s)
+	case action < 97:
+		if l := s.leader(); l != nil {
+			_ = l.core.TransferLeader(name)
+			s.process(l)
+		}
+	default:
+		s.loss = float64(rapid.IntRange(0, 3).Draw(rt, "loss")) / 10
+		s.dup = float64(rapid.IntRange(0, 3).Draw(rt, "dup")) / 10
+		s.crashing = float64(rapid.IntRange(0, 2).Draw(rt, "crashing")) / 100
+	}
+	s.step(time.Duration(rapid.IntRange(1, 150).Draw(rt, "ms")) * time.Millisecond)
+}
+
+func changeMembership(rt *rapid.T, s *sim) error {
+	const maxNodes = 7
+	l := s.leader()
+	if l == nil {
+		return errSkipped
+	}
+	st := l.core.Status()
+	var change VoterChange
+	switch kind := rapid.IntRange(0, 2).Draw(rt, "kind"); {
+	case kind == 0 && len(s.order) < maxNodes:
+		name := fmt.Sprintf("n%d", len(s.order))
+		s.add(name, nil)
+		change = VoterChange{AddLearner, name}
+	case kind == 1 && len(st.Learners) > 0:
+		change = VoterChange{Promote, rapid.SampledFrom(st.Learners).Draw(rt, "learner")}
+	case kind == 2 && len(st.Voters) > 2:
+		change = VoterChange{Remove, rapid.SampledFrom(st.Voters).Draw(rt, "voter")}
+	default:
+		return errSkipped
+	}
+	_, _, err := l.core.ChangeVoter(change)
+	s.process(l)
+	return err
+}
+
+// Guards against any sequence of lost, late, repeated and reordered messages,
+// crashes that lose unsynced data, pauses and membership changes that breaks an
+// invariant, loses an acknowledged command, serves a stale read or leaves the
+// group unable to converge.
+func TestPropertyFaultsKeepInvariants(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		voters := []string{"a", "b", "c"}
+		if rapid.Bool().Draw(rt, "five") {
+			voters = append(voters, "d", "e")
+		}
+		s := newSim(rapid.Uint64().Draw(rt, "seed"), voters...)
+		for range 200 {
+			act(rt, s)
+			if s.failure != "" {
+				rt.Fatal(s.failure)
+			}
+		}
+		healed := s.heal()
+		if s.failure != "" {
+			rt.Fatal(s.failure)
+		}
+		if !healed {
+			rt.Fatal("the group does not converge after the faults end")
+		}
+	})
+}
--- /dev/null
+++ b/process/consensus/sim_test.go
@@ -0,0 +1,419 @@
+package consensus
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+)
+
+// simDisk holds what a replica has synced.
+type simDisk struct {
+	hs       *wirepb.RaftHardState
+	snapshot *wirepb.RaftSnapshot
+	entries  []*wirepb.RaftEntry
+}
+
+func (d *simDisk) base() uint64 {
+	if d.snapshot == nil {
+		return 0
+	}
+	return d.snapshot.Index
+}
+
+func (d *simDisk) append(entries []*wirepb.RaftEntry) {
+	for _, e := range entries {
+		d.entries = slices.DeleteFunc(d.entries, func(old *wirepb.RaftEntry) bool { return old.Index >= e.Index })
+		d.entries = append(d.entries, e)
+	}
+}
+
+func (d *simDisk) last() uint64 {
+	if n := len(d.entries); n > 0 {
+		return d.entries[n-1].Index
+	}
+	return d.base()
+}
+
+type simNode struct {
+	name    string
+	voters  []string
+	core    *Core // nil while crashed
+	disk    simDisk
+	applied uint64
+	state   []string
+	pausedT time.Duration
+}
+
+type simMessage struct {
+	at time.Duration
+	m  *wirepb.RaftMessage
+}
+
+type simRead struct {
+	node  string
+	floor uint64 // highest index acknowledged anywhere when the read began
+}
+
+// sim runs replicas over a fake network, disk and clock and checks every message
+// and every applied entry.
+type sim struct {
+	rng       *rand.Rand
+	now       time.Duration
+	nodes     map[string]*simNode
+	order     []string
+	net       []simMessage
+	cut       map[string]bool // "from>to"
+	loss, dup float64
+	crashing  float64 // probability of a crash while a Ready is carried out
+	leaders   map[uint64]string
+	committed map[uint64]string // index to "term:data"
+	pending   map[string]bool   // "index:term" of proposals
+	acked     uint64
+	ackedData map[string]bool
+	reads     map[uint64]simRead
+	readID    uint64
+	proposals int
+	failure   string
+}
+
+func newSim(seed uint64, voters ...string) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*simNode{}, cut: map[string]bool{},
+		leaders: map[uint64]string{}, committed: map[uint64]string{}, pending: map[string]bool{},
+		ackedData: map[string]bool{}, reads: map[uint64]simRead{},
+	}
+	for _, name := range voters {
+		s.add(name, voters)
+	}
+	return s
+}
+
+func (s *sim) failf(format string, args ...any) {
+	if s.failure == "" {
+		s.failure = fmt.Sprintf("at %v: ", s.now) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (s *sim) add(name string, voters []string) {
+	s.nodes[name] = &simNode{name: name, voters: voters}
+	s.order = append(s.order, name)
+	s.start(s.nodes[name])
+}
+
+func (s *sim) start(n *simNode) {
+	if n.core != nil {
+		return
+	}
+	core, err := New(Config{ID: n.name, Group: "g", Voters: n.voters, Rand: s.rng.Int64N, MaxAppendBytes: 100, MaxAppendsFlight: 4},
+		s.now, Initial{HardState: n.disk.hs, Snapshot: n.disk.snapshot, Entries: n.disk.entries})
+	if err != nil {
+		s.failf("restart of %s: %v", n.name, err)
+		return
+	}
+	n.core = core
+	n.applied, n.state = 0, nil
+	if n.disk.snapshot != nil {
+		n.restore(n.disk.snapshot)
+	}
+}
+
+func (n *simNode) restore(snap *wirepb.RaftSnapshot) {
+	n.applied = snap.Index
+	n.state = nil
+	if len(snap.Data) > 0 {
+		n.state = strings.Split(string(snap.Data), ",")
+	}
+}
+
+func (s *sim) crash(n *simNode) { n.core = nil }
+
+// step advances the clock, delivers what is due and runs every live replica.
+func (s *sim) step(d time.Duration) {
+	s.now += d
+	var due []simMessage
+	s.net = slices.DeleteFunc(s.net, func(x simMessage) bool {
+		n := s.nodes[x.m.To]
+		ready := x.at <= s.now && (n == nil || n.pausedT <= s.now)
+		if ready {
+			due = append(due, x)
+		}
+		return ready
+	})
+	slices.SortStableFunc(due, func(a, b simMessage) int { return int(a.at - b.at) })
+	for _, x := range due {
+		n := s.nodes[x.m.To]
+		if n == nil || n.core == nil {
+			continue
+		}
+		s.check(n, n.core.Step(s.now, x.m))
+		s.process(n)
+	}
+	for _, name := range s.order {
+		n := s.nodes[name]
+		if n.core != nil && n.pausedT <= s.now {
+			s.check(n, n.core.Tick(s.now))
+			s.process(n)
+		}
+	}
+	s.checkLeaders()
+}
+
+func (s *sim) check(n *simNode, err error) {
+	if err != nil {
+		s.failf("%s: %v", n.name, err)
+		s.crash(n)
+	}
+}
+
+// process carries out Ready until there is none. A crash may come before the
+// sync, which then persists a prefix at most, or after it.
+func (s *sim) process(n *simNode) {
+	for n.core != nil {
+		rd := n.core.Ready()
+		if rd.Empty() {
+			return
+		}
+		s.send(n, rd.Messages)
+		if rd.MustSync() && s.rng.Float64() < s.crashing {
+			if rd.Snapshot == nil && len(rd.Entries) > 0 {
+				n.disk.append(rd.Entries[:s.rng.IntN(len(rd.Entries))])
+			}
+			s.crash(n)
+			return
+		}
+		s.persist(n, rd)
+		if s.rng.Float64() < s.crashing/4 {
+			s.crash(n)
+			return
+		}
+		s.send(n, rd.AfterSync)
+		s.apply(n, rd)
+		n.core.Advance(rd)
+		s.check(n, n.core.Err())
+	}
+}
+
+func (s *sim) persist(n *simNode, rd Ready) {
+	if rd.Snapshot != nil {
+		n.disk.snapshot = rd.Snapshot
+		n.disk.entries = nil
+	}
+	n.disk.append(rd.Entries)
+	if rd.HardState != nil {
+		n.disk.hs = rd.HardState
+	}
+}
+
+// send checks that each message's promise is on the sender's disk already.
+func (s *sim) send(n *simNode, messages []*wirepb.RaftMessage) {
+	for _, m := range messages {
+		s.checkPromise(n, m)
+		if m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT {
+			if n.disk.snapshot == nil {
+				s.failf("%s sends a snapshot that it does not have", n.name)
+				return
+			}
+			m.Snapshot = n.disk.snapshot
+		}
+		if s.cut[n.name+">"+m.To] || s.rng.Float64() < s.loss {
+			continue
+		}
+		s.post(m)
+		if s.rng.Float64() < s.dup {
+			s.post(m)
+		}
+	}
+}
+
+func (s *sim) post(m *wirepb.RaftMessage) {
+	delay := time.Duration(s.rng.IntN(20)) * time.Millisecond
+	if s.rng.Float64() < s.loss {
+		delay *= 50
+	}
+	s.net = append(s.net, simMessage{s.now + delay, m})
+}
+
+func (s *sim) checkPromise(n *simNode, m *wirepb.RaftMessage) {
+	hs := n.disk.hs
+	synced := hs != nil && hs.Term >= m.Term
+	granted := !m.Reject
+	switch m.Type {
+	case wirepb.RaftMessage_TYPE_VOTE:
+		if !synced || hs.Vote != n.name {
+			s.failf("%s campaigns in term %d before its own vote is synced", n.name, m.Term)
+		}
+	case wirepb.RaftMessage_TYPE_VOTE_RESPONSE:
+		if granted && (!synced || hs.Vote != m.To) {
+			s.failf("%s grants a vote in term %d before it is synced", n.name, m.Term)
+		}
+	case wirepb.RaftMessage_TYPE_APPEND_RESPONSE:
+		if granted && (!synced || n.disk.last() < m.Index) {
+			s.failf("%s acknowledges entry %d before it is synced", n.name, m.Index)
+		}
+	case wirepb.RaftMessage_TYPE_APPEND, wirepb.RaftMessage_TYPE_HEARTBEAT:
+		if !synced {
+			s.failf("%s leads term %d before it is synced", n.name, m.Term)
+		}
+	}
+	vote := m.Type == wirepb.RaftMessage_TYPE_VOTE_RESPONSE || m.Type == wirepb.RaftMessage_TYPE_PRE_VOTE_RESPONSE
+	if vote && granted && !slices.Contains(n.core.Status().Voters, n.name) {
+		s.failf("%s grants a vote but is not a voter", n.name)
+	}
+}
+
+func (s *sim) apply(n *simNode, rd Ready) {
+	if rd.Snapshot != nil {
+		n.restore(rd.Snapshot)
+	}
+	for _, e := range rd.Committed {
+		if e.Index != n.applied+1 {
+			s.failf("%s applies %d after %d", n.name, e.Index, n.applied)
+		}
+		n.applied = e.Index
+		content := fmt.Sprintf("%d:%s", e.Term, e.Data)
+		if known, ok := s.committed[e.Index]; ok && known != content {
+			s.failf("%s applies %q at %d, another replica %q", n.name, content, e.Index, known)
+		}
+		s.committed[e.Index] = content
+		if e.Type == wirepb.RaftEntry_TYPE_COMMAND && len(e.Data) > 0 {
+			n.state = append(n.state, string(e.Data))
+		}
+		if n.core.Status().Role == Leader && s.pending[fmt.Sprintf("%d:%d", e.Index, e.Term)] {
+			s.acked = max(s.acked, e.Index)
+			s.ackedData[string(e.Data)] = true
+		}
+	}
+	for _, r := range rd.Reads {
+		if !r.Failed && r.Index < s.reads[r.ID].floor {
+			s.failf("%s reads at %d although %d was acknowledged", n.name, r.Index, s.reads[r.ID].floor)
+		}
+	}
+	s.compact(n)
+}
+
+func (s *sim) compact(n *simNode) {
+	const every = 8
+	base := n.disk.base()
+	if n.applied < base+every {
+		return
+	}
+	// Advance comes after apply, so the entries of this Ready are not in reach.
+	index := n.core.log.handed
+	snap := n.core.SnapshotMeta(index)
+	if snap == nil || index <= base || index != n.applied {
+		return
+	}
+	snap.Data = []byte(strings.Join(n.state, ","))
+	n.disk.snapshot = snap
+	n.disk.entries = slices.DeleteFunc(n.disk.entries, func(e *wirepb.RaftEntry) bool { return e.Index <= index })
+	n.core.Compact(index, base)
+}
+
+// checkLeaders checks that a term has one leader and that nobody leads a later
+// term while a lease runs.
+func (s *sim) checkLeaders() {
+	var leases []Status
+	var leading []Status
+	for _, name := range s.order {
+		n := s.nodes[name]
+		if n.core == nil {
+			continue
+		}
+		st := n.core.Status()
+		if st.Role != Leader {
+			continue
+		}
+		if other, ok := s.leaders[st.Term]; ok && other != name {
+			s.failf("%s and %s both lead term %d", name, other, st.Term)
+		}
+		s.leaders[st.Term] = name
+		leading = append(leading, st)
+		if st.LeaseUntil > s.now {
+			leases = append(leases, st)
+		}
+	}
+	for _, lease := range leases {
+		for _, st := range leading {
+			if st.Term > lease.Term {
+				s.failf("%s leads term %d while the lease of %s for term %d runs", st.ID, st.Term, lease.ID, lease.Term)
+			}
+		}
+	}
+}
+
+// leader returns the live leader of the latest term, or nil.
+func (s *sim) leader() *simNode {
+	var found *simNode
+	var term uint64
+	for _, name := range s.order {
+		n := s.nodes[name]
+		if n.core == nil || n.pausedT > s.now {
+			continue
+		}
+		if st := n.core.Status(); st.Role == Leader && st.Term >= term {
+			found, term = n, st.Term
+		}
+	}
+	return found
+}
+
+func (s *sim) propose(n *simNode) {
+	s.proposals++
+	index, term, err := n.core.Propose([]byte(fmt.Sprintf("p%d", s.proposals)))
+	if err == nil {
+		s.pending[fmt.Sprintf("%d:%d", index, term)] = true
+	}
+	s.process(n)
+}
+
+func (s *sim) read(n *simNode) {
+	s.readID++
+	if n.core.ReadIndex(s.readID) == nil {
+		s.reads[s.readID] = simRead{n.name, s.acked}
+	}
+	s.process(n)
+}
+
+// heal ends all faults and reports whether the group then converges.
+func (s *sim) heal() bool {
+	s.cut = map[string]bool{}
+	s.loss, s.dup, s.crashing = 0, 0, 0
+	for range 4000 {
+		for _, name := range s.order {
+			s.nodes[name].pausedT = 0
+			s.start(s.nodes[name])
+		}
+		s.step(20 * time.Millisecond)
+		if s.failure != "" || s.converged() {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *sim) converged() bool {
+	l := s.leader()
+	if l == nil {
+		return false
+	}
+	st := l.core.Status()
+	if st.Commit != st.Last || !l.core.committedInTerm() {
+		return false
+	}
+	for _, name := range slices.Concat(st.Voters, st.Learners) {
+		n := s.nodes[name]
+		if n.core == nil || n.applied != st.Last || !slices.Equal(n.state, l.state) {
+			return false
+		}
+	}
+	for data := range s.ackedData {
+		if !slices.Contains(l.state, data) {
+			s.failf("acknowledged command %s is lost", data)
+		}
+	}
+	return true
+}
