--- /dev/null
+++ b/request/ledger/ledger.go
@@ -0,0 +1,313 @@
+// Package ledger is the replicated state machine of a ledger group: records
+// that let a non-idempotent request run at most once.
+//
+// It is a pure core: time enters as the leader's wall clock in each command,
+// and the greatest value seen is the replicated now.
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/request/key"
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
+)
+
+const (
+	// DefaultMaxRecords bounds the records of one group.
+	DefaultMaxRecords = 1 << 20
+	// MaxBodyBytes is the largest response body that is stored.
+	MaxBodyBytes = 16 << 10
+	// MaxHeaderBytes is the largest sum of header names and values that is stored.
+	MaxHeaderBytes = 16 << 10
+)
+
+// stateAborted marks a record whose attempt was withdrawn. It is kept so that a
+// delayed Begin of the same attempt does not start a request that its entry
+// has given up.
+const stateAborted = ledgerpb.RecordState_RECORD_STATE_UNSPECIFIED
+
+// InvariantError says that a named invariant is broken. The ledger refuses
+// every command after it.
+type InvariantError struct {
+	Name   string
+	Detail string
+}
+
+func (e *InvariantError) Error() string {
+	return fmt.Sprintf("ledger invariant %s is broken: %s; stop this replica and keep its data folder", e.Name, e.Detail)
+}
+
+// Names of the invariants.
+const (
+	InvariantAtMostOnce     = "ledger-at-most-once"
+	InvariantAnswerFixed    = "ledger-answer-fixed"
+	InvariantRecordsBounded = "ledger-records-bounded"
+	InvariantExpiryComplete = "ledger-expiry-complete"
+)
+
+// Ledger is the state machine of one group. It is not safe for concurrent use.
+type Ledger struct {
+	nowUnixMs  int64
+	maxRecords int
+	records    map[key.Key]*record
+	expiry     expiryHeap
+	running    map[string]map[key.Key]struct{} // entry to its running records
+	boots      map[string]string
+	names      map[string]string // shared copies of entry, boot and service names
+	broken     *InvariantError
+}
+
+// New returns an empty ledger that holds up to maxRecords records;
+// DefaultMaxRecords when maxRecords is 0. All replicas need the same value.
+func New(maxRecords int) *Ledger {
+	if maxRecords <= 0 {
+		maxRecords = DefaultMaxRecords
+	}
+	l := &Ledger{maxRecords: maxRecords}
+	l.reset()
+	return l
+}
+
+func (l *Ledger) reset() {
+	l.nowUnixMs = 0
+	l.records = make(map[key.Key]*record)
+	l.expiry = nil
+	l.running = make(map[string]map[key.Key]struct{})
+	l.boots = make(map[string]string)
+	l.names = make(map[string]string)
+	l.broken = nil
+}
+
+// Broken returns the *InvariantError that stopped the ledger, or nil.
+func (l *Ledger) Broken() error {
+	if l.broken == nil {
+		return nil
+	}
+	return l.broken
+}
+
+// Len returns the number of records.
+func (l *Ledger) Len() int { return len(l.records) }
+
+// NowUnixMs returns the replicated now.
+func (l *Ledger) NowUnixMs() int64 { return l.nowUnixMs }
+
+// Apply executes a marshalled ledgerpb.Command and returns a marshalled
+// ledgerpb.Result. Equal sequences of commands give equal results and states.
+func (l *Ledger) Apply(_ uint64, command []byte) []byte {
+	return marshal(l.apply(command))
+}
+
+func (l *Ledger) apply(command []byte) *ledgerpb.Result {
+	if l.broken != nil {
+		return invalid(l.broken.Error())
+	}
+	var c ledgerpb.Command
+	if err := proto.Unmarshal(command, &c); err != nil {
+		return invalid("the command cannot be decoded: run the same version on every process")
+	}
+	l.advance(c.NowUnixMs)
+	result := l.execute(&c)
+	l.checkBounds()
+	if l.broken != nil {
+		return invalid(l.broken.Error())
+	}
+	return result
+}
+
+func (l *Ledger) execute(c *ledgerpb.Command) *ledgerpb.Result {
+	switch body := c.Body.(type) {
+	case *ledgerpb.Command_Begin:
+		return l.begin(body.Begin)
+	case *ledgerpb.Command_Finish:
+		return l.finish(body.Finish)
+	case *ledgerpb.Command_Abort:
+		return l.abort(body.Abort)
+	case *ledgerpb.Command_EntryBoot:
+		return l.entryBoot(body.EntryBoot)
+	case *ledgerpb.Command_Query:
+		return l.Lookup(body.Query.GetKey())
+	}
+	return invalid("the command has no known body: run the same version on every process")
+}
+
+// admit parses a key and checks its age against the replicated now.
+func (l *Ledger) admit(text string) (key.Key, *ledgerpb.Result) {
+	k, err := key.Parse(text)
+	if err != nil {
+		return k, invalid(err.Error())
+	}
+	err = k.CheckAge(l.nowUnixMs)
+	if errors.Is(err, key.ErrExpired) {
+		return k, &ledgerpb.Result{Kind: ledgerpb.Result_KIND_EXPIRED, Message: err.Error()}
+	}
+	if err != nil {
+		return k, invalid(err.Error())
+	}
+	return k, nil
+}
+
+func (l *Ledger) begin(b *ledgerpb.Begin) *ledgerpb.Result {
+	k, refusal := l.admit(b.Key)
+	if refusal != nil {
+		return refusal
+	}
+	if b.Entry == "" || b.BootId == "" {
+		return invalid("entry and boot_id are needed")
+	}
+	if !l.currentBoot(b.Entry, b.BootId) {
+		return invalid("the entry has a later boot: send EntryBoot before Begin")
+	}
+	r := l.records[k]
+	if r == nil {
+		if len(l.records) >= l.maxRecords {
+			return full()
+		}
+		r = l.add(k)
+		r.fingerprint = bytes.Clone(b.Fingerprint)
+		return l.start(k, r, b)
+	}
+	if len(r.fingerprint) > 0 && !bytes.Equal(r.fingerprint, b.Fingerprint) {
+		return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_MISMATCH, Message: "the key was used with another request: use a new key"}
+	}
+	same := r.isAttempt(b.Entry, b.BootId, b.Attempt)
+	switch r.state {
+	case stateAborted:
+		if same {
+			return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_ABORTED, Entry: r.entry}
+		}
+		r.fingerprint = bytes.Clone(b.Fingerprint)
+		return l.start(k, r, b)
+	case ledgerpb.RecordState_RECORD_STATE_RUNNING:
+		if same {
+			return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_GO_AHEAD, Entry: r.entry}
+		}
+	}
+	return r.result()
+}
+
+// start gives the right to run to the attempt of b. Only a record that is new
+// or aborted may start.
+func (l *Ledger) start(k key.Key, r *record, b *ledgerpb.Begin) *ledgerpb.Result {
+	if r.state != stateAborted {
+		l.fail(InvariantAtMostOnce, "key "+k.String()+" started in state "+r.state.String())
+		return nil
+	}
+	l.boots[l.name(b.Entry)] = l.name(b.BootId)
+	r.service = l.name(b.Service)
+	r.setAttempt(l.name(b.Entry), l.name(b.BootId), b.Attempt)
+	l.setState(k, r, ledgerpb.RecordState_RECORD_STATE_RUNNING)
+	return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_GO_AHEAD, Entry: r.entry}
+}
+
+func (l *Ledger) finish(f *ledgerpb.Finish) *ledgerpb.Result {
+	k, refusal := l.admit(f.Key)
+	if refusal != nil {
+		return refusal
+	}
+	if !f.Unknown && f.Answer == nil {
+		return invalid("answer is needed unless unknown is set")
+	}
+	r := l.records[k]
+	if r == nil {
+		if len(l.records) >= l.maxRecords {
+			return full()
+		}
+		r = l.add(k)
+		r.setAttempt(l.name(f.Entry), l.name(f.BootId), f.Attempt)
+	} else if !r.isAttempt(f.Entry, f.BootId, f.Attempt) {
+		return invalid("another attempt holds the record: only the attempt that was told to go ahead may finish it")
+	}
+	if r.state == ledgerpb.RecordState_RECORD_STATE_FINISHED {
+		return r.result()
+	}
+	if f.Unknown {
+		l.setState(k, r, ledgerpb.RecordState_RECORD_STATE_UNKNOWN)
+		return r.result()
+	}
+	if r.answer != nil {
+		l.fail(InvariantAnswerFixed, "key "+k.String()+" has a stored answer before its first Finish")
+		return nil
+	}
+	r.answer = bounded(f.Answer)
+	l.setState(k, r, ledgerpb.RecordState_RECORD_STATE_FINISHED)
+	return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_FINISHED, Entry: r.entry}
+}
+
+// abort also takes effect before the Begin that it withdraws, because the two
+// may be reordered when the leader changes.
+func (l *Ledger) abort(a *ledgerpb.Abort) *ledgerpb.Result {
+	k, refusal := l.admit(a.Key)
+	if refusal != nil {
+		return refusal
+	}
+	r := l.records[k]
+	if r == nil {
+		if len(l.records) >= l.maxRecords {
+			return full()
+		}
+		r = l.add(k)
+		r.setAttempt(l.name(a.Entry), l.name(a.BootId), a.Attempt)
+	}
+	if !r.isAttempt(a.Entry, a.BootId, a.Attempt) || r.state == ledgerpb.RecordState_RECORD_STATE_FINISHED {
+		return r.result()
+	}
+	l.setState(k, r, stateAborted)
+	return r.result()
+}
+
+func (l *Ledger) entryBoot(e *ledgerpb.EntryBoot) *ledgerpb.Result {
+	if e.Entry == "" {
+		return invalid("entry is needed")
+	}
+	l.boots[l.name(e.Entry)] = l.name(e.BootId)
+	for k := range l.running[e.Entry] {
+		r := l.records[k]
+		if r.boot != e.BootId {
+			l.setState(k, r, ledgerpb.RecordState_RECORD_STATE_UNKNOWN)
+		}
+	}
+	return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_GO_AHEAD, Entry: e.Entry}
+}
+
+// currentBoot reports whether boot may begin requests. An entry that was
+// declared lost, or has sent no EntryBoot yet, may begin with any boot.
+func (l *Ledger) currentBoot(entry, boot string) bool {
+	known := l.boots[entry]
+	return known == "" || known == boot
+}
+
+// Lookup returns the outcome of a key without changing anything.
+func (l *Ledger) Lookup(text string) *ledgerpb.Result {
+	k, refusal := l.admit(text)
+	if refusal != nil {
+		return refusal
+	}
+	r := l.records[k]
+	if r == nil {
+		return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_NO_RECORD}
+	}
+	return r.result()
+}
+
+func invalid(message string) *ledgerpb.Result {
+	return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_INVALID, Message: message}
+}
+
+func full() *ledgerpb.Result {
+	return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_FULL, Message: "the group holds its greatest number of records: retry later or configure more ledger groups"}
+}
+
+func marshal(m proto.Message) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		// Every string of a result comes from a decoded message or a constant,
+		// so it is valid UTF-8 and marshalling has no other cause to fail.
+		return nil
+	}
+	return data
+}
