--- /dev/null
+++ b/version/fleet/configure.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+// target returns the object that a change names.
+func target(c *fleetpb.Change) objectID {
+	switch o := c.Object.(type) {
+	case *fleetpb.Change_Pool:
+		return objectID{fleetpb.Tombstone_KIND_POOL, o.Pool.GetName()}
+	case *fleetpb.Change_Host:
+		return objectID{fleetpb.Tombstone_KIND_HOST, o.Host.GetName()}
+	case *fleetpb.Change_Job:
+		return objectID{fleetpb.Tombstone_KIND_JOB, o.Job.GetName()}
+	case *fleetpb.Change_Wave:
+		return objectID{fleetpb.Tombstone_KIND_WAVE, o.Wave.GetName()}
+	case *fleetpb.Change_Team:
+		return objectID{fleetpb.Tombstone_KIND_TEAM, o.Team.GetName()}
+	case *fleetpb.Change_DeletePool:
+		return objectID{fleetpb.Tombstone_KIND_POOL, o.DeletePool}
+	case *fleetpb.Change_DeleteHost:
+		return objectID{fleetpb.Tombstone_KIND_HOST, o.DeleteHost}
+	case *fleetpb.Change_DeleteJob:
+		return objectID{fleetpb.Tombstone_KIND_JOB, o.DeleteJob}
+	case *fleetpb.Change_DeleteWave:
+		return objectID{fleetpb.Tombstone_KIND_WAVE, o.DeleteWave}
+	case *fleetpb.Change_DeleteTeam:
+		return objectID{fleetpb.Tombstone_KIND_TEAM, o.DeleteTeam}
+	}
+	return objectID{}
+}
+
+// conflict returns the first object of a change that was declared or moved
+// after its base version, with the winner. Steps that leave a declared field as
+// it is, such as a host's maintenance, are no conflict.
+func (f *Fleet) conflict(cfg *fleetpb.Configure) *fleetpb.Conflict {
+	for _, c := range cfg.Changes {
+		id := target(c)
+		origin := f.origins[id.String()]
+		if origin != nil && origin.Version > cfg.BaseVersion {
+			return &fleetpb.Conflict{Object: id.String(), Winner: origin.Actor, WinnerRequestId: origin.RequestId, WinnerVersion: origin.Version}
+		}
+		if origin == nil && !f.exists(id) && cfg.BaseVersion < f.floor {
+			// A tombstone from after base_version was dropped, and it may have
+			// been the one of this object.
+			return &fleetpb.Conflict{Object: id.String(), WinnerVersion: f.floor}
+		}
+	}
+	return nil
+}
+
+// configure executes an operator's change. It returns the objects that were
+// declared anew.
+func (t *tx) configure(c *fleetpb.Command, cfg *fleetpb.Configure) []objectID {
+	if c.RequestId == "" {
+		t.faults = append(t.faults, &fleetpb.Fault{Object: "command", Field: "request_id", Message: "it is needed: send a new unique id"})
+	}
+	if c.Actor == "" {
+		t.faults = append(t.faults, &fleetpb.Fault{Object: "command", Field: "actor", Message: "it is needed: name the operator"})
+	}
+	if cfg.BaseVersion > t.f.version {
+		t.faults = append(t.faults, &fleetpb.Fault{Object: "command", Field: "base_version", Message: "it is above the current version: read the configuration again"})
+	}
+	seen := make(map[objectID]bool)
+	var moves []*fleetpb.Host
+	for _, ch := range cfg.Changes {
+		id := target(ch)
+		if id.name == "" {
+			t.faults = append(t.faults, &fleetpb.Fault{Object: id.String(), Field: "name", Message: "it is empty: name the object"})
+			continue
+		}
+		if seen[id] {
+			t.fault(id, "name", "it is changed twice: send each object once")
+			continue
+		}
+		seen[id] = true
+		if move := t.change(id, ch); move != nil {
+			moves = append(moves, move)
+		}
+	}
+	t.validate()
+	for _, move := range moves {
+		t.startMove(move)
+	}
+	return t.declared(seen)
+}
+
+// declared returns the touched objects that the change itself names.
+func (t *tx) declared(seen map[objectID]bool) []objectID {
+	var ids []objectID
+	for _, id := range t.touched {
+		if seen[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// change applies one upsert or delete. It returns the desired host when the
+// host must first drain to another pool.
+func (t *tx) change(id objectID, c *fleetpb.Change) *fleetpb.Host {
+	switch o := c.Object.(type) {
+	case *fleetpb.Change_Pool:
+		t.upsertPool(o.Pool)
+	case *fleetpb.Change_Host:
+		return t.upsertHost(o.Host)
+	case *fleetpb.Change_Job:
+		t.upsertJob(o.Job)
+	case *fleetpb.Change_Wave:
+		t.upsertWave(o.Wave)
+	case *fleetpb.Change_Team:
+		t.upsertTeam(o.Team)
+	default:
+		t.deleteObject(id)
+	}
+	return nil
+}
+
+func (t *tx) upsertPool(p *fleetpb.Pool) {
+	old := t.f.Pool(p.Name)
+	if old != nil {
+		p.ModifiedVersion = old.ModifiedVersion
+		if proto.Equal(old, p) {
+			return
+		}
+	}
+	t.setPool(p.Name, p)
+}
+
+func (t *tx) upsertTeam(v *fleetpb.Team) {
+	old := t.f.Team(v.Name)
+	if old != nil {
+		v.ModifiedVersion = old.ModifiedVersion
+		if proto.Equal(old, v) {
+			return
+		}
+	}
+	t.setTeam(v.Name, v)
+}
+
+func (t *tx) upsertJob(j *fleetpb.Job) {
+	old := t.f.Job(j.Name)
+	if old != nil {
+		j.ModifiedVersion = old.ModifiedVersion
+		if proto.Equal(old, j) {
+			return
+		}
+	}
+	t.setJob(j.Name, j)
+}
+
+// upsertWave takes the declared fields of a wave and keeps its progress.
+func (t *tx) upsertWave(declared *fleetpb.Wave) {
+	w := &fleetpb.Wave{State: fleetpb.WaveState_WAVE_STATE_PENDING}
+	old := t.f.Wave(declared.Name)
+	if old != nil {
+		w = proto.Clone(old).(*fleetpb.Wave)
+	}
+	w.Name = declared.Name
+	w.Hosts = declared.Hosts
+	w.NotBeforeUnixMs = declared.NotBeforeUnixMs
+	w.DeadlineUnixMs = declared.DeadlineUnixMs
+	if old != nil && proto.Equal(old, w) {
+		return
+	}
+	if old != nil && old.State == fleetpb.WaveState_WAVE_STATE_DONE {
+		t.fault(objectID{fleetpb.Tombstone_KIND_WAVE, w.Name}, "state", "the wave is done: declare a wave of another name")
+		return
+	}
+	t.setWave(w.Name, w)
+}
+
+// upsertHost takes the declared fields of a host. State, epoch and moves belong
+// to the host steps. It returns the declared host when its pool differs.
+func (t *tx) upsertHost(declared *fleetpb.Host) *fleetpb.Host {
+	old := t.f.Host(declared.Name)
+	h := &fleetpb.Host{
+		Pool:             declared.Pool,
+		State:            fleetpb.HostState_HOST_STATE_ACTIVE,
+		Epoch:            1,
+		StateSinceUnixMs: t.f.nowMs,
+	}
+	if old != nil {
+		h = proto.Clone(old).(*fleetpb.Host)
+	}
+	h.Name = declared.Name
+	h.Rack = declared.Rack
+	h.Zone = declared.Zone
+	h.Region = declared.Region
+	h.Cores = declared.Cores
+	h.MemoryGb = declared.MemoryGb
+	h.Accelerators = declared.Accelerators
+	if old == nil || !proto.Equal(old, h) {
+		t.setHost(h.Name, h)
+	}
+	if old != nil && old.Pool != declared.Pool {
+		return declared
+	}
+	return nil
+}
+
+// startMove drains a host to the pool that an operator declared for it.
+func (t *tx) startMove(declared *fleetpb.Host) {
+	id := objectID{fleetpb.Tombstone_KIND_HOST, declared.Name}
+	h := t.f.Host(declared.Name)
+	if h == nil || h.MoveTo == declared.Pool {
+		return
+	}
+	if h.State != fleetpb.HostState_HOST_STATE_ACTIVE {
+		t.fault(id, "pool", fmt.Sprintf("the host is %s: wait until it is active, then move it", stateName(h.State)))
+		return
+	}
+	t.drain(h, declared.Pool, "")
+}
+
+// deleteObject removes an object. References to it are checked by validate.
+func (t *tx) deleteObject(id objectID) {
+	if !t.f.exists(id) {
+		return
+	}
+	switch id.kind {
+	case fleetpb.Tombstone_KIND_POOL:
+		t.setPool(id.name, nil)
+	case fleetpb.Tombstone_KIND_TEAM:
+		t.setTeam(id.name, nil)
+	case fleetpb.Tombstone_KIND_WAVE:
+		t.setWave(id.name, nil)
+	case fleetpb.Tombstone_KIND_JOB:
+		t.setJob(id.name, nil)
+		t.removeFinishedTasks(id.name)
+	case fleetpb.Tombstone_KIND_HOST:
+		t.deleteHost(id)
+	}
+}
+
+// deleteHost removes a host that carries nothing: one out of service, or one of
+// the spare pool. Any other host has to be moved there first.
+func (t *tx) deleteHost(id objectID) {
+	h := t.f.Host(id.name)
+	pool := t.f.Pool(h.Pool)
+	faultsBefore := len(t.faults)
+	active := h.State == fleetpb.HostState_HOST_STATE_ACTIVE || h.State == fleetpb.HostState_HOST_STATE_DRAINING
+	if active && !pool.GetSpare() {
+		t.fault(id, "state", "the host serves its pool: move it to the spare pool first")
+	}
+	if len(t.f.hostTasks[id.name]) > 0 {
+		t.fault(id, "tasks", "the host has unfinished tasks: wait until they have ended or moved")
+	}
+	for s := range t.f.HostServers(id.name) {
+		if !s.Leaving && active {
+			t.fault(id, "servers", "backend server "+s.Name+" runs on the host: stop it first")
+		}
+	}
+	if len(t.faults) > faultsBefore {
+		return
+	}
+	t.removeServers(id.name, "")
+	t.setHost(id.name, nil)
+}
+
+// removeServers removes a host's backend servers of any service but keep.
+func (t *tx) removeServers(host, keep string) {
+	names := append([]string(nil), t.f.hostServers[host]...)
+	for _, name := range names {
+		if keep == "" || t.f.Server(name).Service != keep {
+			t.setServer(name, nil)
+		}
+	}
+}
+
+func (t *tx) removeFinishedTasks(job string) {
+	names := append([]string(nil), t.f.jobTasks[job]...)
+	for _, name := range names {
+		if finished(t.f.Task(name).State) {
+			t.setTask(name, nil)
+		}
+	}
+}
