--- a/connection/lease/serving.go
+++ b/connection/lease/serving.go
@@ -119,7 +119,9 @@
 		s.unlist(name)
 	}
 	if y.Full {
-		s.unlistAllBut(y.Live)
+		s.unlistAllBut(y.Live, y.SentAt)
+	} else {
+		s.renewListed(y.SentAt)
 	}
 	for _, live := range y.Live {
 		s.list(live, y.SentAt)
@@ -147,13 +149,31 @@
 	}
 }
 
-func (s *Serving) unlistAllBut(live []LiveServer) {
+// renewListed renews the servers that an earlier sync listed: an answer that is
+// not full names only changes, so it lists again all that it does not take away.
+func (s *Serving) renewListed(sentAt time.Duration) {
+	for _, v := range s.servers {
+		if v.listed {
+			v.end = max(v.end, sentAt+ServerLease)
+		}
+	}
+}
+
+// unlistAllBut forgets the servers that a full answer does not name. One that
+// was revoked after the request was sent is kept, so that no other answer to an
+// early request lists it again.
+func (s *Serving) unlistAllBut(live []LiveServer, sentAt time.Duration) {
 	keep := make(map[string]bool, len(live))
 	for _, v := range live {
 		keep[v.Name] = true
 	}
-	for name := range s.servers {
-		if !keep[name] {
+	for name, v := range s.servers {
+		if keep[name] {
+			continue
+		}
+		v.listed = false
+		v.end = 0
+		if v.revoked < sentAt {
 			delete(s.servers, name)
 		}
 	}
