--- /dev/null
+++ b/request/queue/queue.go
@@ -0,0 +1,428 @@
+// Package queue is the admission and dispatch core of one entry host. It holds
+// bounded queues of requests per service and caller, learns which routes are
+// long, keeps slots for short work and chooses backend servers. It has no
+// clock, goroutine, randomness or I/O: every call passes the time since the
+// driver's start. It is not safe for concurrent use.
+//
+// After any call that changes state the driver calls Next until it returns
+// false, and again at the time that Wake returns.
+package queue
+
+import (
+	"container/list"
+	"fmt"
+	"time"
+)
+
+// ID names one submitted request.
+type ID uint64
+
+// Class is the run-time class of a request.
+type Class int
+
+// Classes of requests.
+const (
+	Short Class = iota
+	Long
+	classes
+)
+
+// Lanes of a service.
+const (
+	laneShort   = iota
+	laneUnknown // routes that are not known yet
+	laneLong
+	laneLate // deferrable work
+	lanes
+)
+
+// ServiceConfig holds the limits of one service.
+type ServiceConfig struct {
+	ShortSlotsPercent int           // share of the slots kept for short work, 0-100
+	LongThreshold     time.Duration // work that runs longer is long
+	MaxPerCaller      int           // queued requests of one caller
+	MaxQueued         int           // queued requests of all callers
+	Deferrable        bool          // requests may wait up to their deadline in favour of other work
+}
+
+// Request is submitted by the driver.
+type Request struct {
+	Service    string
+	Caller     string
+	Route      string        // method and first two path segments
+	Deadline   time.Duration // absolute; 0: none
+	Deferrable bool          // in addition to the service's setting
+}
+
+// Rejection is the reason why a request was not queued or left the queue.
+type Rejection struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Reason names why a request was rejected.
+type Reason int
+
+// Reasons of rejections.
+const (
+	UnknownService Reason = iota + 1
+	NoSlots               // the entry has no slot of the service
+	CallerFull
+	ServiceFull
+	DeadlineMissed // the estimate, or the deadline itself, has passed
+)
+
+// ActionKind tells what the driver must do.
+type ActionKind int
+
+// Kinds of actions.
+const (
+	Start  ActionKind = iota + 1 // send the request to Server
+	Expire                       // reject the request; its deadline passed in the queue
+)
+
+// Action is returned by Next.
+type Action struct {
+	Kind       ActionKind
+	ID         ID
+	Server     string
+	Waited     time.Duration
+	Class      Class
+	RetryAfter time.Duration
+}
+
+// state of a request.
+type state int
+
+const (
+	queued state = iota
+	running
+)
+
+type item struct {
+	id         ID
+	svc        *service
+	caller     string
+	route      *route
+	deadline   time.Duration // noDeadline: none
+	deferrable bool
+	enqueued   time.Duration
+	state      state
+	class      Class
+	lane       *lane // the lane it waits in
+	owner      *callerQueue
+	avoid      string
+	pos        [positions]int // index in each heap, -1: absent
+	// running only
+	server  *server
+	started time.Duration
+	crossed bool // longer than the threshold; observed as long
+	guess   bool // started before its route was known
+	runElem *list.Element
+}
+
+const noDeadline = time.Duration(1<<63 - 1)
+
+type service struct {
+	name    string
+	cfg     ServiceConfig
+	lanes   [lanes]*lane
+	callers map[string]int
+	// deadlines orders all queued items that have one.
+	deadlines itemHeap
+	routes    map[string]*route
+	// recent holds running items that have not crossed the threshold, oldest first.
+	recent  *list.List
+	running int
+	long    int // running as long
+	guessed int // running before their route was known, and not crossed
+	queued  int
+	slots   int
+	servers []*server
+	mean    [classes]float64 // run time in seconds, moving average; 0 until one was seen
+	arrived uint64
+	// unsettled is set when items were left in the lane of an earlier class.
+	unsettled bool
+}
+
+// Core is the queue core of one entry host.
+type Core struct {
+	services map[string]*service
+	names    []*service // in order of configuration, for determinism
+	servers  map[string]*server
+	items    map[ID]*item
+	nextID   ID
+	sequence uint64
+	turn     int // service that is looked at first
+}
+
+// New returns an empty core.
+func New() *Core {
+	return &Core{
+		services: make(map[string]*service),
+		servers:  make(map[string]*server),
+		items:    make(map[ID]*item),
+	}
+}
+
+// Defaults of unset limits.
+const (
+	defaultMaxPerCaller  = 64
+	defaultMaxQueued     = 4096
+	defaultLongThreshold = time.Second
+)
+
+// SetService adds a service or changes its limits. Work already queued stays.
+func (c *Core) SetService(name string, cfg ServiceConfig) {
+	if cfg.MaxPerCaller <= 0 {
+		cfg.MaxPerCaller = defaultMaxPerCaller
+	}
+	if cfg.MaxQueued <= 0 {
+		cfg.MaxQueued = defaultMaxQueued
+	}
+	if cfg.LongThreshold <= 0 {
+		cfg.LongThreshold = defaultLongThreshold
+	}
+	cfg.ShortSlotsPercent = max(0, min(100, cfg.ShortSlotsPercent))
+	if s := c.services[name]; s != nil {
+		s.cfg = cfg
+		return
+	}
+	s := &service{
+		name:    name,
+		cfg:     cfg,
+		callers: make(map[string]int),
+		routes:  make(map[string]*route),
+		recent:  list.New(),
+	}
+	s.deadlines.slot = posDeadline
+	for k := range s.lanes {
+		s.lanes[k] = newLane()
+	}
+	c.services[name] = s
+	c.names = append(c.names, s)
+}
+
+// Submit queues a request. The driver then calls Next.
+func (c *Core) Submit(now time.Duration, r Request) (ID, *Rejection) {
+	s := c.services[r.Service]
+	if s == nil {
+		return 0, &Rejection{Reason: UnknownService}
+	}
+	s.arrived++
+	it := &item{
+		svc:        s,
+		caller:     r.Caller,
+		route:      s.routeOf(r.Route),
+		deadline:   r.Deadline,
+		deferrable: r.Deferrable || s.cfg.Deferrable,
+		enqueued:   now,
+		pos:        [positions]int{-1, -1, -1},
+	}
+	if it.deadline <= 0 {
+		it.deadline = noDeadline
+	}
+	it.class = it.route.lasting()
+	if rej := c.admit(now, s, it); rej != nil {
+		return 0, rej
+	}
+	c.nextID++
+	it.id = c.nextID
+	c.items[it.id] = it
+	s.enqueue(it)
+	return it.id, nil
+}
+
+func (c *Core) admit(now time.Duration, s *service, it *item) *Rejection {
+	wait := s.estimate(it)
+	switch {
+	case s.slots == 0 && !it.deferrable:
+		return &Rejection{Reason: NoSlots, RetryAfter: time.Second}
+	case s.callers[it.caller] >= s.cfg.MaxPerCaller:
+		return &Rejection{Reason: CallerFull, RetryAfter: atLeastASecond(wait)}
+	case s.queued >= s.cfg.MaxQueued:
+		return &Rejection{Reason: ServiceFull, RetryAfter: atLeastASecond(wait)}
+	case it.deadline == noDeadline:
+		return nil
+	case it.deadline <= now:
+		return &Rejection{Reason: DeadlineMissed, RetryAfter: atLeastASecond(wait)}
+	}
+	// A request that need not wait is always tried: otherwise a route whose
+	// learned run time exceeds its deadline would never be observed again.
+	need := wait + it.route.run()
+	if wait > 0 && now+need > it.deadline {
+		return &Rejection{Reason: DeadlineMissed, RetryAfter: atLeastASecond(now + need - it.deadline)}
+	}
+	return nil
+}
+
+func atLeastASecond(d time.Duration) time.Duration {
+	return max(d, time.Second)
+}
+
+// Cancel withdraws a queued request. It returns false if the request is
+// running or gone; a running request ends with Done.
+func (c *Core) Cancel(id ID) bool {
+	it := c.items[id]
+	if it == nil || it.state != queued {
+		return false
+	}
+	it.svc.dequeue(it)
+	delete(c.items, id)
+	return true
+}
+
+// Requeue puts a started request back, after an attempt at which nothing was
+// written or that may be retried. The server it was sent to is avoided. The
+// run time of the attempt is not learned.
+func (c *Core) Requeue(now time.Duration, id ID) bool {
+	it := c.items[id]
+	if it == nil || it.state != running {
+		return false
+	}
+	it.avoid = it.server.name
+	it.release()
+	c.dropIfGone(it.server)
+	it.server = nil
+	it.crossed = false
+	it.guess = false
+	it.state = queued
+	it.class = it.route.lasting()
+	it.enqueued = now
+	it.svc.enqueue(it)
+	return true
+}
+
+// Done ends a started request and learns its run time. learn is false for
+// attempts that tell nothing about the route, such as a refused connection.
+func (c *Core) Done(now time.Duration, id ID, learn bool) bool {
+	it := c.items[id]
+	if it == nil || it.state != running {
+		return false
+	}
+	run := now - it.started
+	it.release()
+	c.dropIfGone(it.server)
+	if learn {
+		it.svc.learn(it, run)
+	}
+	delete(c.items, id)
+	return true
+}
+
+// Next returns the next thing to do at time now, or false if there is none.
+func (c *Core) Next(now time.Duration) (Action, bool) {
+	for _, s := range c.names {
+		if a, ok := c.expire(now, s); ok {
+			return a, true
+		}
+		s.reclass(now)
+		s.unsettled = false
+	}
+	for phase := range phases {
+		for k := range c.names {
+			s := c.names[(c.turn+k)%len(c.names)]
+			if a, ok := c.start(now, s, phase); ok {
+				c.turn = (c.turn + k + 1) % len(c.names)
+				return a, true
+			}
+		}
+	}
+	return Action{}, false
+}
+
+func (c *Core) expire(now time.Duration, s *service) (Action, bool) {
+	it := s.deadlines.head()
+	if it == nil || it.deadline > now {
+		return Action{}, false
+	}
+	s.dequeue(it)
+	delete(c.items, it.id)
+	retry := atLeastASecond(s.estimate(it))
+	return Action{Kind: Expire, ID: it.id, Class: it.class, Waited: now - it.enqueued, RetryAfter: retry}, true
+}
+
+// Phases of the search for the next request. Deferrable work that must start
+// now goes first; deferrable work that can wait goes last.
+const (
+	phaseDue = iota
+	phaseShort
+	phaseUnknown
+	phaseLong
+	phaseLate
+	phases
+)
+
+func (c *Core) start(now time.Duration, s *service, phase int) (Action, bool) {
+	it := s.candidate(now, phase)
+	if it == nil || !s.mayStart(it) {
+		return Action{}, false
+	}
+	class := it.route.lasting()
+	srv := s.choose(now, class, it.avoid)
+	if srv == nil {
+		return Action{}, false
+	}
+	l := it.lane
+	s.dequeue(it)
+	l.rotate(it)
+	it.state = running
+	it.class = class
+	it.started = now
+	it.server = srv
+	it.guess = !it.route.known()
+	c.sequence++
+	srv.last = c.sequence
+	it.acquire()
+	return Action{Kind: Start, ID: it.id, Server: srv.name, Waited: now - it.enqueued, Class: class}, true
+}
+
+// Wake returns when Next must be called again if nothing else happens. It is
+// asked after Next has returned false at time now.
+func (c *Core) Wake(now time.Duration) (time.Duration, bool) {
+	wake := noDeadline
+	for _, s := range c.names {
+		if it := s.deadlines.head(); it != nil {
+			wake = min(wake, it.deadline)
+		}
+		if s.unsettled {
+			return now, true
+		}
+		if it := s.lanes[laneLate].first.head(); it != nil && it.deadline != noDeadline {
+			// Work that is due already waits for a slot, not for a time.
+			if at := s.latestStart(it); at > now {
+				wake = min(wake, at)
+			}
+		}
+		if e := s.recent.Front(); e != nil {
+			wake = min(wake, e.Value.(*item).started+s.cfg.LongThreshold)
+		}
+	}
+	return wake, wake != noDeadline
+}
+
+// Check returns an error that names the first invariant that does not hold.
+func (c *Core) Check() error {
+	for _, s := range c.names {
+		waiting := 0
+		for _, n := range s.callers {
+			waiting += n
+		}
+		inLanes := 0
+		for _, l := range s.lanes {
+			inLanes += l.count
+		}
+		if waiting != s.queued || inLanes != s.queued {
+			return fmt.Errorf("queue: service %s counts %d queued, callers hold %d, lanes hold %d", s.name, s.queued, waiting, inLanes)
+		}
+		if s.long < 0 || s.guessed < 0 || s.long+s.guessed > s.running {
+			return fmt.Errorf("queue: service %s runs %d, of these %d long and %d of unknown routes", s.name, s.running, s.long, s.guessed)
+		}
+	}
+	for _, srv := range c.servers {
+		if srv.running < 0 || srv.long < 0 || srv.long > srv.running || srv.running > srv.peak {
+			return fmt.Errorf("queue: server %s runs %d of at most %d, %d long", srv.name, srv.running, srv.peak, srv.long)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/request/queue/queue_test.go
@@ -0,0 +1,321 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func newCore(slots int, cfg ServiceConfig) *Core {
+	c := New()
+	c.SetService("ledger", cfg)
+	c.SetServer("b1", "ledger", slots)
+	return c
+}
+
+// drain returns all actions due at now.
+func drain(c *Core, now time.Duration) []Action {
+	var out []Action
+	for {
+		a, ok := c.Next(now)
+		if !ok {
+			return out
+		}
+		out = append(out, a)
+	}
+}
+
+func submit(t *testing.T, c *Core, now time.Duration, r Request) ID {
+	t.Helper()
+	r.Service = "ledger"
+	id, rej := c.Submit(now, r)
+	if rej != nil {
+		t.Fatalf("rejected: %+v", rej)
+	}
+	return id
+}
+
+// teach makes a route known with the given run time.
+func teach(t *testing.T, c *Core, route string, run time.Duration) {
+	t.Helper()
+	for range 6 {
+		id := submit(t, c, 0, Request{Caller: "teacher", Route: route})
+		if a := drain(c, 0); len(a) != 1 || a[0].ID != id {
+			t.Fatalf("teaching %s: %+v", route, a)
+		}
+		drain(c, run)
+		c.Done(run, id, true)
+	}
+}
+
+// Guards against a caller whose burst holds up the single request of another.
+func TestCallersTakeTurns(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, ServiceConfig{LongThreshold: time.Second})
+	teach(t, c, "r", ms)
+	busy := submit(t, c, 10*ms, Request{Caller: "x", Route: "r"})
+	drain(c, 10*ms)
+	for range 10 {
+		submit(t, c, 10*ms, Request{Caller: "a", Route: "r"})
+	}
+	only := submit(t, c, 10*ms, Request{Caller: "b", Route: "r"})
+	c.Done(11*ms, busy, true)
+	first := drain(c, 11*ms)
+	c.Done(12*ms, first[0].ID, true)
+	second := drain(c, 12*ms)
+	is.Equal(second[0].ID, only)
+}
+
+// Guards against first-come order that lets an urgent request miss its deadline.
+func TestEarliestDeadlineFirst(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, ServiceConfig{LongThreshold: time.Second})
+	teach(t, c, "r", ms)
+	busy := submit(t, c, 0, Request{Caller: "x", Route: "r"})
+	drain(c, 0)
+	submit(t, c, 0, Request{Caller: "a", Route: "r", Deadline: 500 * ms})
+	urgent := submit(t, c, 0, Request{Caller: "a", Route: "r", Deadline: 100 * ms})
+	c.Done(ms, busy, true)
+	is.Equal(drain(c, ms)[0].ID, urgent)
+}
+
+// Guards against long work that takes every slot and holds up short work.
+func TestSlotsAreKeptForShortWork(t *testing.T) {
+	is := is.New(t)
+	c := newCore(4, ServiceConfig{ShortSlotsPercent: 50, LongThreshold: 100 * ms})
+	teach(t, c, "long", time.Second)
+	teach(t, c, "short", ms)
+	for range 8 {
+		submit(t, c, 0, Request{Caller: "a", Route: "long"})
+	}
+	is.Equal(len(drain(c, 0)), 2)
+	short := submit(t, c, 0, Request{Caller: "a", Route: "short"})
+	is.Equal(drain(c, 0)[0].ID, short)
+}
+
+// Guards against an unknown route that fills the slots kept for short work
+// before its run time is learned.
+func TestUnknownRouteLeavesKeptSlots(t *testing.T) {
+	is := is.New(t)
+	c := newCore(4, ServiceConfig{ShortSlotsPercent: 50, LongThreshold: 100 * ms})
+	teach(t, c, "short", ms)
+	for range 8 {
+		submit(t, c, 0, Request{Caller: "a", Route: "new"})
+	}
+	is.Equal(len(drain(c, 0)), 2)
+	submit(t, c, 0, Request{Caller: "a", Route: "short"})
+	is.Equal(len(drain(c, 0)), 1)
+}
+
+// Guards against stragglers of a short route that are not counted as long, so
+// that further long work takes the slots kept for short work.
+func TestRunningWorkIsReclassed(t *testing.T) {
+	is := is.New(t)
+	c := newCore(4, ServiceConfig{ShortSlotsPercent: 50, LongThreshold: 100 * ms})
+	teach(t, c, "short", ms)
+	teach(t, c, "long", time.Second)
+	submit(t, c, 0, Request{Caller: "a", Route: "short"})
+	submit(t, c, 0, Request{Caller: "a", Route: "short"})
+	is.Equal(len(drain(c, 0)), 2)
+	at, ok := c.Wake(0)
+	is.True(ok)
+	is.Equal(at, 100*ms)
+	submit(t, c, 100*ms, Request{Caller: "a", Route: "long"})
+	is.Equal(len(drain(c, 100*ms)), 0) // both long slots are held by stragglers
+	is.Equal(c.Services()[0].Long, 2)
+}
+
+// Guards against a request that waits although it must miss its deadline.
+func TestEarlyRejection(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, ServiceConfig{LongThreshold: time.Second})
+	teach(t, c, "r", 100*ms)
+	submit(t, c, 0, Request{Caller: "a", Route: "r"})
+	drain(c, 0)
+	for range 20 {
+		submit(t, c, 0, Request{Caller: "a", Route: "r"})
+	}
+	_, rej := c.Submit(0, Request{Service: "ledger", Caller: "a", Route: "r", Deadline: 300 * ms})
+	is.True(rej != nil)
+	is.Equal(rej.Reason, DeadlineMissed)
+	is.True(rej.RetryAfter >= time.Second)
+}
+
+// Guards against a queue that grows without bound.
+func TestQueuesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, ServiceConfig{MaxPerCaller: 2, MaxQueued: 3})
+	submit(t, c, 0, Request{Caller: "a"})
+	submit(t, c, 0, Request{Caller: "a"})
+	_, rej := c.Submit(0, Request{Service: "ledger", Caller: "a"})
+	is.Equal(rej.Reason, CallerFull)
+	submit(t, c, 0, Request{Caller: "b"})
+	_, rej = c.Submit(0, Request{Service: "ledger", Caller: "c"})
+	is.Equal(rej.Reason, ServiceFull)
+}
+
+// Guards against deferrable work that delays other work, and against
+// deferrable work that waits past its deadline.
+func TestDeferrableYieldsAndStartsInTime(t *testing.T) {
+	is := is.New(t)
+	c := newCore(1, ServiceConfig{LongThreshold: time.Second})
+	teach(t, c, "r", 100*ms)
+	run := submit(t, c, 0, Request{Caller: "a", Route: "r"})
+	drain(c, 0)
+	late := submit(t, c, 0, Request{Caller: "a", Route: "r", Deferrable: true, Deadline: time.Second})
+	var started time.Duration
+	for now := 100 * ms; started == 0; now += 100 * ms {
+		submit(t, c, now, Request{Caller: "a", Route: "r"})
+		c.Done(now, run, true)
+		run = drain(c, now)[0].ID
+		if run == late {
+			started = now
+		}
+	}
+	is.True(started >= 700*ms) // it yielded while it could
+	is.True(started < time.Second)
+}
+
+// Guards against work sent to the busier of two backend servers, to one that
+// is full of long work or to one that has just failed.
+func TestChoice(t *testing.T) {
+	is := is.New(t)
+	c := newCore(4, ServiceConfig{LongThreshold: 100 * ms})
+	teach(t, c, "short", ms)
+	c.SetServer("b2", "ledger", 4)
+	submit(t, c, 0, Request{Caller: "a", Route: "short"})
+	submit(t, c, 0, Request{Caller: "a", Route: "short"})
+	a := drain(c, 0)
+	is.True(a[0].Server != a[1].Server) // least loaded
+	c.Done(ms, a[0].ID, true)
+	drain(c, 200*ms) // the work of a[1] is long now
+	for range 2 {
+		submit(t, c, 200*ms, Request{Caller: "a", Route: "short"})
+	}
+	for _, b := range drain(c, 200*ms) {
+		is.Equal(b.Server, a[0].Server) // the other runs only long work
+	}
+	c.Failed(200*ms, a[0].Server)
+	submit(t, c, 200*ms, Request{Caller: "a", Route: "short"})
+	is.Equal(drain(c, 200*ms)[0].Server, a[1].Server)
+	c.RemoveServer(a[1].Server)
+	submit(t, c, 200*ms, Request{Caller: "a", Route: "short"})
+	is.Equal(drain(c, 200*ms)[0].Server, a[0].Server) // a failed server is better than none
+}
+
+// Guards against a retry that is sent to the server that has just failed it.
+func TestRequeueAvoidsTheServer(t *testing.T) {
+	is := is.New(t)
+	c := newCore(4, ServiceConfig{})
+	c.SetServer("b2", "ledger", 1)
+	id := submit(t, c, 0, Request{Caller: "a"})
+	first := drain(c, 0)[0]
+	is.True(c.Requeue(ms, id))
+	second := drain(c, ms)[0]
+	is.Equal(second.ID, id)
+	is.True(second.Server != first.Server)
+}
+
+// Guards against counters that drift, slots used beyond their share, requests
+// lost or started twice, and shares or long work beyond their limits, under
+// any order of operations.
+func TestCoreProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		services := []string{"accrual", "statement"}
+		for _, s := range services {
+			c.SetService(s, ServiceConfig{ShortSlotsPercent: rapid.IntRange(0, 100).Draw(t, "percent"), LongThreshold: 50 * ms, MaxPerCaller: 4, MaxQueued: 9, Deferrable: s == "statement"})
+		}
+		now := time.Duration(0)
+		waiting, started := map[ID]bool{}, map[ID]string{}
+		use, share := map[string]int{}, map[string]int{}
+		pick := func() (ID, bool) {
+			for id := range c.nextID {
+				if started[id+1] != "" && rapid.Bool().Draw(t, "this") {
+					return id + 1, true
+				}
+			}
+			return 0, false
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * ms
+			switch rapid.IntRange(0, 5).Draw(t, "op") {
+			case 0, 1:
+				r := Request{Service: rapid.SampledFrom(services).Draw(t, "service"), Caller: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "caller"), Route: rapid.SampledFrom([]string{"r", "s"}).Draw(t, "route")}
+				if rapid.Bool().Draw(t, "has deadline") {
+					r.Deadline = now + time.Duration(rapid.IntRange(1, 300).Draw(t, "deadline"))*ms
+				}
+				if id, rej := c.Submit(now, r); rej == nil {
+					waiting[id] = true
+				}
+			case 2:
+				if id, ok := pick(); ok {
+					c.Done(now, id, rapid.Bool().Draw(t, "learn"))
+					use[started[id]]--
+					delete(started, id)
+				}
+			case 3:
+				if id, ok := pick(); ok {
+					c.Requeue(now, id)
+					use[started[id]]--
+					delete(started, id)
+					waiting[id] = true
+				}
+			case 4:
+				k := rapid.IntRange(0, 3).Draw(t, "server")
+				name := string(rune('p' + k))
+				share[name] = rapid.IntRange(0, 3).Draw(t, "slots")
+				if rapid.Bool().Draw(t, "remove") {
+					c.RemoveServer(name)
+					share[name] = 0
+				} else {
+					c.SetServer(name, services[k%2], share[name])
+				}
+			case 5:
+				for id := range c.nextID {
+					if waiting[id+1] && rapid.Bool().Draw(t, "cancel") {
+						if !c.Cancel(id + 1) {
+							t.Fatalf("request %d waits but cannot be cancelled", id+1)
+						}
+						delete(waiting, id+1)
+					}
+				}
+			}
+			for _, a := range drain(c, now) {
+				if !waiting[a.ID] {
+					t.Fatalf("%+v: the request does not wait", a)
+				}
+				delete(waiting, a.ID)
+				if a.Kind == Start {
+					started[a.ID] = a.Server
+					use[a.Server]++
+					if use[a.Server] > share[a.Server] {
+						t.Fatalf("server %s runs %d with a share of %d", a.Server, use[a.Server], share[a.Server])
+					}
+				}
+			}
+			if err := c.Check(); err != nil {
+				t.Fatal(err)
+			}
+			if len(c.items) != len(waiting)+len(started) {
+				t.Fatalf("core holds %d requests; %d wait and %d run", len(c.items), len(waiting), len(started))
+			}
+			if at, ok := c.Wake(now); ok && at <= now && !unsettled(c) {
+				t.Fatalf("wake at %v is not after %v", at, now)
+			}
+		}
+	})
+}
+
+func unsettled(c *Core) bool {
+	for _, s := range c.names {
+		if s.unsettled {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/request/queue/service.go
@@ -0,0 +1,316 @@
+package queue
+
+import (
+	"time"
+)
+
+// route is what is known about one method and path prefix of a service.
+type route struct {
+	class    Class
+	longness float64 // moving share of work that exceeded the threshold
+	seen     int
+	seconds  float64 // moving average of run times
+}
+
+const (
+	// maxRoutes bounds the routes learned per service; a path that carries an
+	// identifier in its first two segments would otherwise grow the map for ever.
+	maxRoutes = 1024
+	// knownAfter observations a route's class is relied upon.
+	knownAfter = 3
+	// weight of a new observation in a moving average.
+	weight = 0.2
+	// A route is long from longFrom on and short again below shortBelow. The gap
+	// keeps a route with a few stragglers from changing class back and forth.
+	longFrom   = 0.5
+	shortBelow = 0.25
+	// maxMoves bounds the queued items that one call moves to another lane after
+	// their route changed class, so that the cost of a call stays bounded.
+	maxMoves = 16
+)
+
+func (r *route) known() bool { return r.seen >= knownAfter }
+
+// lasting returns the class that work of the route is started in: short until
+// the route is known.
+func (r *route) lasting() Class {
+	if r.known() {
+		return r.class
+	}
+	return Short
+}
+
+// run returns the expected run time, 0 if the route is not known.
+func (r *route) run() time.Duration {
+	if !r.known() {
+		return 0
+	}
+	return seconds(r.seconds)
+}
+
+func (r *route) observe(long bool) {
+	value := 0.0
+	if long {
+		value = 1
+	}
+	if r.seen == 0 {
+		r.longness = shortBelow
+	}
+	r.seen++
+	r.longness += weight * (value - r.longness)
+	if r.longness >= longFrom {
+		r.class = Long
+	}
+	if r.longness < shortBelow {
+		r.class = Short
+	}
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// overflowRoute collects the routes beyond maxRoutes.
+const overflowRoute = "*"
+
+func (s *service) routeOf(name string) *route {
+	r := s.routes[name]
+	if r != nil {
+		return r
+	}
+	if len(s.routes) >= maxRoutes {
+		name = overflowRoute
+		if r = s.routes[name]; r != nil {
+			return r
+		}
+	}
+	r = &route{}
+	s.routes[name] = r
+	return r
+}
+
+// laneOf returns the lane an item belongs in. Unknown routes have a lane of
+// their own: as they may not use the slots kept for short work, they would
+// otherwise hold up known short work behind them.
+func (s *service) laneOf(it *item) *lane {
+	switch {
+	case it.deferrable:
+		return s.lanes[laneLate]
+	case !it.route.known():
+		return s.lanes[laneUnknown]
+	case it.route.class == Long:
+		return s.lanes[laneLong]
+	}
+	return s.lanes[laneShort]
+}
+
+func (s *service) enqueue(it *item) {
+	it.state = queued
+	s.laneOf(it).add(it)
+	if it.deadline != noDeadline {
+		s.deadlines.add(it)
+	}
+	s.callers[it.caller]++
+	s.queued++
+}
+
+func (s *service) dequeue(it *item) {
+	it.lane.remove(it)
+	s.deadlines.remove(it)
+	s.queued--
+	s.callers[it.caller]--
+	if s.callers[it.caller] == 0 {
+		delete(s.callers, it.caller)
+	}
+}
+
+// longLimit is the number of slots that long work may hold at once. With a
+// single slot, long work may use it: otherwise it would never run.
+func (s *service) longLimit() int {
+	kept := (s.slots*s.cfg.ShortSlotsPercent + 99) / 100
+	return max(1, s.slots-kept)
+}
+
+// mayStart keeps slots for short work. Work of an unknown route is not yet
+// known to be short, so it does not use the slots kept for short work.
+func (s *service) mayStart(it *item) bool {
+	if it.route.known() && it.route.class == Short {
+		return true
+	}
+	return s.long+s.guessed < s.longLimit()
+}
+
+// candidate returns the item that may start in a phase.
+func (s *service) candidate(now time.Duration, phase int) *item {
+	late := s.lanes[laneLate]
+	switch phase {
+	case phaseDue:
+		it := late.first.head()
+		if it == nil || it.deadline == noDeadline || now < s.latestStart(it) {
+			return nil
+		}
+		return it
+	case phaseShort:
+		return s.settled(laneShort)
+	case phaseUnknown:
+		return s.settled(laneUnknown)
+	case phaseLong:
+		return s.settled(laneLong)
+	}
+	it := late.head()
+	if it == nil || s.lanes[laneShort].count+s.lanes[laneUnknown].count > 0 {
+		return nil
+	}
+	if s.lanes[laneLong].count > 0 && it.route.lasting() == Long {
+		return nil
+	}
+	return it
+}
+
+// settled returns the head of a lane after moving items whose route has
+// changed class to their new lane.
+func (s *service) settled(k int) *item {
+	l := s.lanes[k]
+	for range maxMoves {
+		it := l.head()
+		if it == nil || s.laneOf(it) == l {
+			return it
+		}
+		l.remove(it)
+		it.class = it.route.lasting()
+		s.laneOf(it).add(it)
+	}
+	s.unsettled = true
+	return nil
+}
+
+// latestStart is when deferrable work must be preferred so that all of it
+// starts before the earliest deadline: the time that the queued deferrable
+// work takes on the slots it may use, and one run to wait for a slot.
+func (s *service) latestStart(it *item) time.Duration {
+	slots := s.slots
+	if it.route.lasting() == Long || !it.route.known() {
+		slots = s.longLimit()
+	}
+	mean := s.expected(it)
+	rounds := float64(s.lanes[laneLate].count)/float64(max(1, slots)) + 1
+	return it.deadline - seconds(rounds*mean)
+}
+
+func (s *service) expected(it *item) float64 {
+	if it.route.known() {
+		return it.route.seconds
+	}
+	return s.mean[it.route.lasting()]
+}
+
+// estimate is the expected wait of an item if it were queued now.
+func (s *service) estimate(it *item) time.Duration {
+	if s.slots == 0 {
+		return time.Second
+	}
+	shortSlots := float64(max(1, s.slots-min(s.long, s.slots)))
+	longSlots := float64(s.longLimit())
+	short := s.ahead(s.lanes[laneShort], it) + s.ahead(s.lanes[laneUnknown], it)
+	long := s.ahead(s.lanes[laneLong], it)
+	forShort := short * s.mean[Short] / shortSlots
+	forLong := forShort + long*s.mean[Long]/longSlots
+	switch {
+	case it.deferrable:
+		late := s.ahead(s.lanes[laneLate], it) * s.expected(it) / longSlots
+		return seconds(forLong + late)
+	case it.class == Long:
+		if s.long+s.guessed >= s.longLimit() {
+			forLong += s.mean[Long] / longSlots
+		}
+		return seconds(forLong)
+	}
+	if s.running >= s.slots {
+		forShort += s.mean[Short] / shortSlots
+	}
+	return seconds(forShort)
+}
+
+// ahead counts the items that start before it: as callers take turns, no more
+// than its own caller's items times the callers that wait.
+func (s *service) ahead(l *lane, it *item) float64 {
+	own := 0
+	if q := l.callers[it.caller]; q != nil {
+		own = q.heap.Len()
+	}
+	return float64(min(l.count, (own+1)*len(l.callers)))
+}
+
+// reclass counts running work that has crossed the threshold as long.
+func (s *service) reclass(now time.Duration) {
+	for e := s.recent.Front(); e != nil; e = s.recent.Front() {
+		it := e.Value.(*item)
+		if now-it.started < s.cfg.LongThreshold {
+			return
+		}
+		s.recent.Remove(e)
+		it.runElem = nil
+		it.crossed = true
+		it.route.observe(true)
+		if it.class == Short {
+			it.class = Long
+			s.long++
+			it.server.long++
+		}
+		if it.guess {
+			it.guess = false
+			s.guessed--
+		}
+	}
+}
+
+func (s *service) learn(it *item, run time.Duration) {
+	r := it.route
+	if !it.crossed {
+		r.observe(run >= s.cfg.LongThreshold)
+	}
+	if r.seconds == 0 {
+		r.seconds = run.Seconds()
+	}
+	r.seconds += weight * (run.Seconds() - r.seconds)
+	class := Short
+	if run >= s.cfg.LongThreshold {
+		class = Long
+	}
+	if s.mean[class] == 0 {
+		s.mean[class] = run.Seconds()
+	}
+	s.mean[class] += weight * (run.Seconds() - s.mean[class])
+}
+
+// acquire counts a request that starts.
+func (it *item) acquire() {
+	s := it.svc
+	s.running++
+	it.server.running++
+	it.server.peak = max(it.server.peak, it.server.running)
+	it.runElem = s.recent.PushBack(it)
+	if it.class == Long {
+		s.long++
+		it.server.long++
+	}
+	if it.guess {
+		s.guessed++
+	}
+}
+
+// release counts a request that ends.
+func (it *item) release() {
+	s := it.svc
+	s.running--
+	it.server.running--
+	if it.runElem != nil {
+		s.recent.Remove(it.runElem)
+		it.runElem = nil
+	}
+	if it.class == Long {
+		s.long--
+		it.server.long--
+	}
+	if it.guess {
+		s.guessed--
+	}
+}
