Add settings, sheet, report, observe, daemon and HTTP interfaces

Cause: operators and planners need the parts around the cores. Change: INI settings checked as a whole, CSV sheet with differences, monthly report, metrics and dump listener, the daemons' shared main, and the HTTP interfaces of operators and announcements. The Prometheus registry is behind the build tag prometheus, because go.mod lacks client_golang's dependencies.

--- /dev/null
+++ b/process/observe/metrics.go
@@ -0,0 +1,40 @@
+//go:build prometheus
+
+// The build tag exists because go.mod lacks the dependencies of client_golang;
+// without it the package would not build. Remove the tag together with adding
+// them.
+
+package observe
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// maxScrapes bounds the concurrent scrapes of one process.
+const maxScrapes = 4
+
+// NewRegistry returns a registry with the metrics of the Go runtime, of the
+// process and of the build.
+func NewRegistry() *prometheus.Registry {
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector())
+	r.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	b := ReadBuild()
+	info := prometheus.NewGauge(prometheus.GaugeOpts{
+		Name:        "marjoramtiller_build_info",
+		Help:        "Always 1; the labels describe the build.",
+		ConstLabels: prometheus.Labels{"version": b.Version, "revision": b.Revision, "go": b.Go},
+	})
+	info.Set(1)
+	r.MustRegister(info)
+	return r
+}
+
+// MetricsHandler serves the registry's metrics.
+func MetricsHandler(r *prometheus.Registry) http.Handler {
+	return promhttp.HandlerFor(r, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
+}
--- /dev/null
+++ b/process/observe/observe.go
@@ -0,0 +1,149 @@
+// Package observe provides JSON-line logs and the HTTP listener for metrics,
+// health and the state dump.
+package observe
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// Bounds of the HTTP server.
+const (
+	readTimeout    = 5 * time.Second
+	writeTimeout   = 30 * time.Second
+	idleTimeout    = 60 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Build describes the running binary.
+type Build struct {
+	Version  string `json:"version"`
+	Revision string `json:"revision"`
+	Modified bool   `json:"modified"` // built with uncommitted changes
+	Go       string `json:"go"`
+}
+
+// ReadBuild returns the build information that the Go tool has recorded.
+func ReadBuild() Build {
+	b := Build{Version: "unknown", Go: runtime.Version()}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return b
+	}
+	b.Version = info.Main.Version
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			b.Revision = s.Value
+		case "vcs.modified":
+			b.Modified = s.Value == "true"
+		}
+	}
+	return b
+}
+
+// NewLogger returns a logger of JSON lines with a timestamp and the names of
+// program, cluster and process.
+func NewLogger(w io.Writer, level, program, cluster, process string) (zerolog.Logger, error) {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		return zerolog.Nop(), errors.Wrapf(err, "log level %q; use debug, info, warn or error", level)
+	}
+	return zerolog.New(w).Level(l).With().Timestamp().
+		Str("program", program).Str("cluster", cluster).Str("process", process).Logger(), nil
+}
+
+// Options configure the server. Metrics, Dump and Health may be nil.
+type Options struct {
+	Address netip.AddrPort
+	Logger  zerolog.Logger
+	Metrics http.Handler                              // for example MetricsHandler
+	Dump    func(ctx context.Context) ([]byte, error) // the process's state as JSON
+	Health  func() error                              // nil while the process can serve
+}
+
+// Server serves /metrics, /dump and /healthz.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+	done     chan struct{}
+}
+
+// Handler returns the handler of the three paths.
+func Handler(o Options) http.Handler {
+	mux := http.NewServeMux()
+	if o.Metrics != nil {
+		mux.Handle("GET /metrics", o.Metrics)
+	}
+	mux.HandleFunc("GET /dump", o.serveDump)
+	mux.HandleFunc("GET /healthz", o.serveHealth)
+	return mux
+}
+
+func (o Options) serveDump(w http.ResponseWriter, r *http.Request) {
+	if o.Dump == nil {
+		http.Error(w, "this process has no state dump", http.StatusNotFound)
+		return
+	}
+	data, err := o.Dump(r.Context())
+	if err != nil {
+		http.Error(w, "the state cannot be dumped now, retry: "+err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data)
+}
+
+func (o Options) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if o.Health != nil {
+		if err := o.Health(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+	}
+	fmt.Fprintln(w, "ok")
+}
+
+// Listen starts the server.
+func Listen(o Options) (*Server, error) {
+	l, err := net.Listen("tcp", o.Address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for metrics; correct [listeners] observe in the settings or free the port")
+	}
+	s := &Server{listener: l, done: make(chan struct{}), server: &http.Server{
+		Handler: Handler(o), ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
+	go func() {
+		defer close(s.done)
+		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			o.Logger.Error().Err(err).Msg("the metrics listener has failed; restart the process")
+		}
+	}()
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Close stops the server after exchanges in flight have ended or ctx is done.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		_ = s.server.Close()
+	}
+	<-s.done
+	return errors.Wrap(err, "stop the metrics listener")
+}
--- /dev/null
+++ b/process/operator/http.go
@@ -0,0 +1,150 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+)
+
+// Bounds of a request.
+const (
+	MaxBodyBytes      = 32 << 20 // a sheet of MaxBytes as JSON
+	MaxSmallBodyBytes = 16 << 10 // every other request
+	maxHeaderBytes    = 16 << 10
+)
+
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
+
+// newApplication returns an iris application whose own log and error pages are
+// replaced.
+func newApplication(logger zerolog.Logger) *iris.Application {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
+	app.OnErrorCode(http.StatusNotFound, func(ctx iris.Context) {
+		writeProblem(ctx, logger, &NotFoundError{Kind: "path", Name: ctx.Path()})
+	})
+	app.OnErrorCode(http.StatusMethodNotAllowed, func(ctx iris.Context) {
+		writeProblem(ctx, logger, &Problem{Type: TypeMalformed, Title: "method is not allowed", Status: http.StatusMethodNotAllowed, Remedy: "see docs/operators.md for the methods of each path"})
+	})
+	app.UseRouter(func(ctx iris.Context) {
+		defer func() {
+			if fault := recover(); fault != nil {
+				writeProblem(ctx, logger, errors.Errorf("panic: %v", fault))
+			}
+		}()
+		ctx.Next()
+	})
+	return app
+}
+
+// readBody reads at most limit bytes.
+func readBody(ctx iris.Context, limit int64) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, limit))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, tooLarge()
+	}
+	if err != nil {
+		return nil, malformed("the body cannot be read: "+err.Error(), "send it again with the same request id")
+	}
+	return data, nil
+}
+
+// readJSON reads one JSON object and rejects unknown members, which are
+// usually misspelt ones.
+func readJSON(ctx iris.Context, into any) error {
+	data, err := readBody(ctx, MaxSmallBodyBytes)
+	if err != nil {
+		return err
+	}
+	return decodeStrict(data, into)
+}
+
+func writeJSON(ctx iris.Context, v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	ctx.ContentType("application/json")
+	_, _ = ctx.Write(data)
+	return nil
+}
+
+func writeProto(ctx iris.Context, m proto.Message) error {
+	data, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		return err
+	}
+	ctx.ContentType("application/json")
+	_, _ = ctx.Write(data)
+	return nil
+}
+
+func checkID(field, value string) error {
+	if !idPattern.MatchString(value) {
+		return malformed(fmt.Sprintf("%s %q is missing or not a name", field, value), "use 1 to 128 letters, digits, '-', '_' and '.'")
+	}
+	return nil
+}
+
+// Server serves one of the two interfaces on its own listener.
+type Server struct {
+	listener net.Listener
+	server   *http.Server
+	done     chan struct{}
+}
+
+// ListenOptions bound a server.
+type ListenOptions struct {
+	Address        netip.AddrPort
+	RequestTimeout time.Duration // reading and answering one request
+	IdleTimeout    time.Duration
+	Logger         zerolog.Logger
+}
+
+// Listen serves handler.
+func Listen(o ListenOptions, handler http.Handler) (*Server, error) {
+	l, err := net.Listen("tcp", o.Address.String())
+	if err != nil {
+		return nil, errors.Wrap(err, "listen; correct [listeners] in the settings or free the port")
+	}
+	s := &Server{listener: l, done: make(chan struct{}), server: &http.Server{
+		Handler: handler, ReadTimeout: o.RequestTimeout, WriteTimeout: 2 * o.RequestTimeout,
+		IdleTimeout: o.IdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}}
+	go func() {
+		defer close(s.done)
+		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			o.Logger.Error().Err(err).Str("address", o.Address.String()).Msg("listener has failed; restart the process")
+		}
+	}()
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Close waits until requests in flight have ended or ctx is done.
+func (s *Server) Close(ctx context.Context) error {
+	err := s.server.Shutdown(ctx)
+	if err != nil {
+		_ = s.server.Close()
+	}
+	<-s.done
+	return errors.Wrap(err, "stop the listener")
+}
--- /dev/null
+++ b/process/settings/settings_test.go
@@ -0,0 +1,145 @@
+package settings
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"marjoramtiller.example/marjoramtiller/examples"
+)
+
+var update = flag.Bool("update", false, "write docs/settings.md")
+
+func example(t testing.TB, path string) []byte {
+	data, err := examples.Files.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Guards against a documentation page that differs from the keys in code.
+func TestDocumentIsCurrent(t *testing.T) {
+	is := is.New(t)
+	const path = "../../docs/settings.md"
+	if *update {
+		is.NoErr(os.WriteFile(path, []byte(Document()), 0o644))
+	}
+	page, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(string(page), Document())
+}
+
+// Guards against defaults that their own check rejects and against keys
+// without documentation.
+func TestKeysAreComplete(t *testing.T) {
+	is := is.New(t)
+	seen := map[string]bool{}
+	for _, k := range Keys() {
+		id := k.Section + "." + k.Name
+		is.True(!seen[id])
+		seen[id] = true
+		is.True(k.Doc != "" && k.Remedy != "" && k.Programs != 0 && k.parse != nil)
+		if !k.Required && k.Name != "*" {
+			_, err := k.parse(k.Default)
+			is.NoErr(err)
+		}
+	}
+}
+
+// Guards against sample files that no longer pass the check.
+func TestExamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	for _, user := range []string{"savings", "eventos"} {
+		c, err := ParseControl(example(t, user+"/control.ini"))
+		is.NoErr(err)
+		is.Equal(len(c.Voters), 3)
+		is.Equal(len(c.Peers), 3)
+		is.Equal(c.Cluster, user)
+		is.Equal(c.OperatorsListener.String(), "10.0.1.10:7401")
+		e, err := ParseEntry(example(t, user+"/entry.ini"))
+		is.NoErr(err)
+		is.Equal(e.RetryBudgetPercent, 10)
+		is.Equal(e.LedgerGroups, c.LedgerGroups)
+		l, err := ParseClient(example(t, user+"/client.ini"))
+		is.NoErr(err)
+		is.Equal(len(l.Control), 3)
+		is.True(l.SheetTitles["kind"] != "kind")
+	}
+}
+
+// Guards against a check that stops at the first fault, or whose fault does
+// not name key, value and remedy.
+func TestAllFaultsAtOnce(t *testing.T) {
+	is := is.New(t)
+	text := string(example(t, "savings/control.ini"))
+	text = strings.Replace(text, "address = 10.0.1.10\n", "address = control-a.example\n", 1)
+	text = strings.Replace(text, "peers = 10.0.1.10:7400\n", "peers = 10.0.1.10:7401\n", 1)
+	text = strings.Replace(text, "buffer_weight = 1", "buffer_weight = -1", 1)
+	text = strings.Replace(text, "voters = control-a control-b", "voters = control-a control-x", 1)
+	text = strings.Replace(text, "data_folder", "data_foldr", 1)
+	text += "\n[surprise]\nkey = 1\n[process]\nzone = ub-z\n"
+	c, err := ParseControl([]byte(text))
+	is.True(c == nil)
+	var faults *FaultsError
+	is.True(errors.As(err, &faults))
+	for _, want := range []string{
+		`[process] address = "control-a.example" is not an IP address`,
+		`[listeners] operators = "10.0.1.10:7401" is also the address of the listener peers`,
+		`[policy] buffer_weight = "-1"`,
+		`names control-x, which has no line in [peers]; add its address`,
+		`[control] data_foldr = "/var/lib/marjoramtiller" is an unknown key`,
+		`[control] data_folder = "" is missing; write an absolute path`,
+		`[surprise]  = "" is an unknown section`,
+		`[process] zone = "ub-a, ub-z" is written more than once`,
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("no fault %q in:\n%v", want, err)
+		}
+	}
+	is.Equal(len(faults.Faults), 8)
+}
+
+// Guards against a file that is not INI, empty or too large being accepted.
+func TestUnreadableFiles(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"", "no key", "[open", strings.Repeat("; comment\n", MaxBytes/10+1)} {
+		_, err := ParseEntry([]byte(text))
+		var faults *FaultsError
+		is.True(errors.As(err, &faults))
+	}
+}
+
+// Guards against two columns of one title, which a sheet could not tell apart.
+func TestTitlesAreUnique(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(string(example(t, "eventos/client.ini")), "rack = Rack", "rack = Zona", 1)
+	_, err := ParseClient([]byte(text))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), `[sheet-titles] zone = "Zona" is also the title of rack`))
+}
+
+// Guards against a panic on any file and against settings besides an error.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"control", "entry", "client"} {
+		f.Add(example(f, "savings/"+name+".ini"))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c, err := ParseControl(data)
+		if (c == nil) == (err == nil) {
+			t.Fatal("control: settings and error exclude each other")
+		}
+		e, err := ParseEntry(data)
+		if (e == nil) == (err == nil) {
+			t.Fatal("entry: settings and error exclude each other")
+		}
+		l, err := ParseClient(data)
+		if (l == nil) == (err == nil) {
+			t.Fatal("client: settings and error exclude each other")
+		}
+	})
+}
--- /dev/null
+++ b/version/sheet/sheet_test.go
@@ -0,0 +1,236 @@
+package sheet_test
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/examples"
+	"marjoramtiller.example/marjoramtiller/process/settings"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+	"marjoramtiller.example/marjoramtiller/version/sheet"
+)
+
+const small = `kind,name,pool,service,spare,promised_hosts,rack,zone,cores,memory_gb,team,count,hosts,not_before,deadline
+pool,p,,s,,1,,,,,,,,,
+pool,free,,,yes,,,,,,,,,,
+team,t,,,,,,,64,256,,,,,
+host,h1,p,,,,r1,z1,64,256,,,,,
+host,h2,p,,,,r2,z1,64,256,,,,,
+host,h3,free,,,,r2,z1,64,256,,,,,
+job,j,p,,,,,,4,8,t,2,,,
+wave,w,,,,,,,,,,,h1 h2,2026-12-04T22:00:00+08:00,2026-12-05T06:00:00+08:00
+`
+
+func parse(t *testing.T, text string) *sheet.Sheet {
+	t.Helper()
+	s, err := sheet.Parse(strings.NewReader(text), sheet.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// apply is a minimal model of the control group: it applies changes to declared
+// objects.
+func apply(t *testing.T, n *fleetpb.Snapshot, changes []*fleetpb.Change) *fleetpb.Snapshot {
+	t.Helper()
+	n = proto.CloneOf(n)
+	n.Version++
+	for _, c := range changes {
+		switch o := c.Object.(type) {
+		case *fleetpb.Change_Pool:
+			n.Pools = upsert(n.Pools, o.Pool)
+		case *fleetpb.Change_Host:
+			if o.Host.State == fleetpb.HostState_HOST_STATE_UNSPECIFIED {
+				o.Host.State = fleetpb.HostState_HOST_STATE_ACTIVE
+			}
+			n.Hosts = upsert(n.Hosts, o.Host)
+		case *fleetpb.Change_Job:
+			n.Jobs = upsert(n.Jobs, o.Job)
+		case *fleetpb.Change_Wave:
+			n.Waves = upsert(n.Waves, o.Wave)
+		case *fleetpb.Change_Team:
+			n.Teams = upsert(n.Teams, o.Team)
+		case *fleetpb.Change_DeletePool:
+			n.Pools = remove(n.Pools, o.DeletePool)
+		case *fleetpb.Change_DeleteHost:
+			n.Hosts = remove(n.Hosts, o.DeleteHost)
+		case *fleetpb.Change_DeleteJob:
+			n.Jobs = remove(n.Jobs, o.DeleteJob)
+		case *fleetpb.Change_DeleteWave:
+			n.Waves = remove(n.Waves, o.DeleteWave)
+		case *fleetpb.Change_DeleteTeam:
+			n.Teams = remove(n.Teams, o.DeleteTeam)
+		}
+	}
+	return n
+}
+
+type named interface{ GetName() string }
+
+func upsert[T named](list []T, o T) []T { return append(remove(list, o.GetName()), o) }
+
+func remove[T named](list []T, name string) []T {
+	var kept []T
+	for _, o := range list {
+		if o.GetName() != name {
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
+
+func find[T named](list []T, name string) (found T) {
+	for _, o := range list {
+		if o.GetName() == name {
+			return o
+		}
+	}
+	return found
+}
+
+// Guards against sample sheets that no longer parse with the office's titles,
+// and against a second application of the same sheet that changes something.
+func TestExamples(t *testing.T) {
+	is := is.New(t)
+	for _, user := range []string{"savings", "eventos"} {
+		ini, err := examples.Files.ReadFile(user + "/client.ini")
+		is.NoErr(err)
+		client, err := settings.ParseClient(ini)
+		is.NoErr(err)
+		data, err := examples.Files.ReadFile(user + "/sheet.csv")
+		is.NoErr(err)
+		s, err := sheet.Parse(bytes.NewReader(data), sheet.Options{Titles: client.SheetTitles})
+		is.NoErr(err)
+		is.Equal(len(s.Pools), 5)
+		is.Equal(len(s.Hosts), 48)
+		first := s.Diff(&fleetpb.Snapshot{})
+		is.Equal(len(first), len(s.Pools)+len(s.Hosts)+len(s.Jobs)+len(s.Waves)+len(s.Teams))
+		is.Equal(len(s.Diff(apply(t, &fleetpb.Snapshot{}, first))), 0)
+	}
+}
+
+// Guards against a fault that is not reported, or without row and column.
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{"kind,name", "kind,title", `row 1, column "title": is an unknown column`},
+		{"kind,name", "kind,kind", `row 1, column "kind": is there twice`},
+		{"host,h1,p,", "host,h1,q,", `row 5, column "pool": pool "q" is not in the sheet`},
+		{"host,h2,p", "host,h1,p", `row 6, column "name": host "h1" is already in row 5`},
+		{"r2,z1,64,256,,,,,\njob", "r2,z2,64,256,,,,,\njob", `row 7, column "rack": rack "r2" is in availability zone "z1"`},
+		{"pool,p,,s,,1", "pool,p,,s,,3", `row 2, column "promised_hosts": 3 hosts are promised but the sheet gives the pool 2`},
+		{"pool,p,,s,,1", "pool,p,,s,,-1", `row 2, column "promised_hosts": "-1" is not a whole number`},
+		{"pool,p,,s,", "pool,p,,s,maybe", `row 2, column "spare": "maybe" is neither yes nor no`},
+		{"pool,p,,s", "pool,p,,", `row 2, column "service": a pool has either a service or is the spare pool`},
+		{"pool,p,,s,,1,,", "pool,p,,s,,1,r1,", `row 2, column "rack": has a value, but a pool does not use it`},
+		{"job,j,p", "jobs,j,p", `row 8, column "kind": "jobs" is no kind of row`},
+		{"t,2,,,", "u,2,,,", `row 8, column "team": team "u" is not in the sheet`},
+		{"h1 h2", "h1 h9", `row 9, column "hosts": host "h9" is not in the sheet`},
+		{"h1 h2", "h1 h1", `row 9, column "hosts": "h1" is there twice`},
+		{"2026-12-05T06:00:00+08:00", "2026-12-03T06:00:00+08:00", `row 9, column "deadline": is not after`},
+		{"2026-12-05T06:00:00+08:00", "tomorrow", `row 9, column "deadline": "tomorrow" is not a time`},
+		{"job,j,p,", "job,j,p", `row 8: has 14 cells but the header has 15`},
+		{"job,j", "job,\"j", `row 8: is not CSV`},
+		{"team,t", "team,a/b", `row 4, column "name": "a/b" is not a name`},
+		{small, small[:strings.Index(small, "\n")+1], "sheet: has no rows"},
+		{small, "", "row 1: has no readable header"},
+		{small, "kind,name\n\xff,x\n", "sheet: is not UTF-8"},
+		{small, strings.Repeat("x", sheet.MaxBytes+1), "sheet: is larger than"},
+	} {
+		text := strings.Replace(small, c.from, c.to, 1)
+		s, err := sheet.Parse(strings.NewReader(text), sheet.Options{})
+		var faults *sheet.FaultsError
+		if s != nil || !errors.As(err, &faults) || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("want %q, got %v", c.want, err)
+		}
+	}
+}
+
+// Guards against a check that stops at the first fault, and against an error
+// text that grows with the sheet.
+func TestManyFaults(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	b.WriteString("kind,name,pool\n")
+	for i := range 1000 {
+		fmt.Fprintf(&b, "chair,n%d,\n", i)
+	}
+	_, err := sheet.Parse(strings.NewReader(b.String()), sheet.Options{})
+	var faults *sheet.FaultsError
+	is.True(errors.As(err, &faults))
+	is.Equal(faults.Total, 1000)
+	is.Equal(len(faults.Faults), sheet.MaxFaults)
+}
+
+// Guards against a sheet that overwrites runtime fields or a wave in progress,
+// changes a host's pool without a drain, or deletes what is in use.
+func TestDiffKeepsRuntimeState(t *testing.T) {
+	is := is.New(t)
+	s := parse(t, small)
+	current := apply(t, &fleetpb.Snapshot{}, s.Diff(&fleetpb.Snapshot{}))
+	h1, h2, h3 := find(current.Hosts, "h1"), find(current.Hosts, "h2"), find(current.Hosts, "h3")
+	h1.State, h1.Epoch, h1.Wave, h1.ModifiedVersion = fleetpb.HostState_HOST_STATE_DRAINING, 7, "w", 9
+	h2.State = fleetpb.HostState_HOST_STATE_FAILED
+	h3.Epoch = 3
+	find(current.Waves, "w").State = fleetpb.WaveState_WAVE_STATE_RUNNING
+	current.Hosts = append(current.Hosts,
+		&fleetpb.Host{Name: "old-used", Pool: "old", State: fleetpb.HostState_HOST_STATE_ACTIVE},
+		&fleetpb.Host{Name: "old-out", Pool: "gone", State: fleetpb.HostState_HOST_STATE_OUT})
+	current.Pools = append(current.Pools, &fleetpb.Pool{Name: "old"}, &fleetpb.Pool{Name: "gone"})
+	current.Waves = append(current.Waves, &fleetpb.Wave{Name: "old", State: fleetpb.WaveState_WAVE_STATE_PAUSED})
+	is.Equal(len(s.Deferred(current)), 3) // host old-used, pool old, wave old
+
+	text := strings.Replace(small, "host,h1,p", "host,h1,free", 1)
+	text = strings.Replace(text, "host,h3,free", "host,h3,p", 1)
+	text = strings.Replace(text, "h1 h2,", "h2,", 1)
+	s = parse(t, text)
+	changes := s.Diff(current)
+	next := apply(t, current, changes)
+	is.True(proto.Equal(find(next.Hosts, "h1"), h1)) // draining: waits
+	is.Equal(find(next.Hosts, "h3").Pool, "free")
+	is.Equal(find(next.Hosts, "h3").MoveTo, "p")
+	is.Equal(find(next.Hosts, "h3").Epoch, uint64(3))
+	is.True(proto.Equal(find(next.Waves, "w"), find(current.Waves, "w")))
+	is.True(find(next.Waves, "old") != nil)
+	is.True(find(next.Hosts, "old-used") != nil)
+	is.True(find(next.Pools, "old") != nil)
+	is.True(find(next.Hosts, "old-out") == nil)
+	is.True(find(next.Pools, "gone") == nil)
+	is.Equal(len(s.Diff(next)), 0)
+}
+
+// Guards against a host of a wave in progress being deleted while it is out.
+func TestDiffKeepsHostsOfWaves(t *testing.T) {
+	is := is.New(t)
+	s := parse(t, small)
+	current := apply(t, &fleetpb.Snapshot{}, s.Diff(&fleetpb.Snapshot{}))
+	current.Hosts = append(current.Hosts, &fleetpb.Host{Name: "h9", Pool: "p", State: fleetpb.HostState_HOST_STATE_OUT})
+	current.Waves = append(current.Waves, &fleetpb.Wave{Name: "w9", Hosts: []string{"h9"}, State: fleetpb.WaveState_WAVE_STATE_RUNNING})
+	is.Equal(len(s.Diff(current)), 0)
+}
+
+// Guards against a panic on any input, against a sheet besides an error, and
+// against a second application that changes something.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(small))
+	f.Add([]byte("\xef\xbb\xbfkind,name\nteam,t\n"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s, err := sheet.Parse(bytes.NewReader(data), sheet.Options{})
+		if (s == nil) == (err == nil) {
+			t.Fatal("sheet and error exclude each other")
+		}
+		if err != nil {
+			return
+		}
+		next := apply(t, &fleetpb.Snapshot{}, s.Diff(&fleetpb.Snapshot{}))
+		if changes := s.Diff(next); len(changes) != 0 {
+			t.Fatalf("the second application has %d changes", len(changes))
+		}
+	})
+}
