--- /dev/null
+++ b/process/observe/metrics_test.go
@@ -0,0 +1,18 @@
+//go:build prometheus
+
+package observe
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a scrape without the build's metric.
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	code, body := get(Handler(Options{Metrics: MetricsHandler(NewRegistry())}), "/metrics")
+	is.Equal(code, 200)
+	is.True(strings.Contains(body, "marjoramtiller_build_info{"))
+}
--- a/process/operator/http.go
+++ b/process/operator/http.go
@@ -32,7 +32,7 @@
 func newApplication(logger zerolog.Logger) *iris.Application {
 	app := iris.New()
 	app.Logger().SetLevel("disable")
-	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
+	app.Configure(iris.WithoutStartupLog, iris.WithFireMethodNotAllowed, iris.WithoutBodyConsumptionOnUnmarshal)
 	app.OnErrorCode(http.StatusNotFound, func(ctx iris.Context) {
 		writeProblem(ctx, logger, &NotFoundError{Kind: "path", Name: ctx.Path()})
 	})
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	ctx.ContentType("application/json")
+	ctx.ResponseWriter().Header().Set("Content-Type", "application/json")
 	_, _ = ctx.Write(data)
 	return nil
 }
@@ -88,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	ctx.ContentType("application/json")
+	ctx.ResponseWriter().Header().Set("Content-Type", "application/json")
 	_, _ = ctx.Write(data)
 	return nil
 }
--- a/process/operator/operators.go
+++ b/process/operator/operators.go
@@ -290,7 +290,7 @@
 	if err != nil {
 		return err
 	}
-	ctx.ContentType("application/json")
+	ctx.ResponseWriter().Header().Set("Content-Type", "application/json")
 	_, _ = ctx.Write(data)
 	return nil
 }
--- a/process/operator/problem.go
+++ b/process/operator/problem.go
@@ -134,6 +134,6 @@
 	}
 	body, _ := json.Marshal(p)
 	ctx.StatusCode(p.Status)
-	ctx.ContentType("application/problem+json")
+	ctx.ResponseWriter().Header().Set("Content-Type", "application/problem+json")
 	_, _ = ctx.Write(body)
 }
