Add the command-line tool

Cause: operators need sheet, waves, moves, voters and reports from a shell. Change: cmd/marjoramtiller with one request id for all resends of a change, tried over all control addresses.

--- /dev/null
+++ b/cmd/marjoramtiller/main_test.go
@@ -0,0 +1,351 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/examples"
+	"marjoramtiller.example/marjoramtiller/process/operator"
+	"marjoramtiller.example/marjoramtiller/process/settings"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+// standIn is a control group of one version that answers a request id once.
+type standIn struct {
+	state    *fleetpb.Snapshot
+	results  map[string]*fleetpb.Result
+	applied  int
+	requests []string // request ids in the order of arrival
+	loseNext int      // answers to lose after the change was applied
+	conflict *fleetpb.Conflict
+	waves    []operator.WaveRequest
+	voters   []operator.VoterChange
+	steps    []*fleetpb.HostStep
+}
+
+func (s *standIn) Configure(_ context.Context, c *fleetpb.Command) (*fleetpb.Result, error) {
+	s.requests = append(s.requests, c.RequestId)
+	result, answered := s.results[c.RequestId]
+	if !answered {
+		result = s.apply(c)
+		s.results[c.RequestId] = result
+	}
+	if s.loseNext > 0 {
+		s.loseNext--
+		return nil, &operator.OutcomeUnknownError{Reason: "the leader was lost"}
+	}
+	return result, nil
+}
+
+func (s *standIn) apply(c *fleetpb.Command) *fleetpb.Result {
+	if s.conflict != nil {
+		return &fleetpb.Result{Kind: fleetpb.Result_KIND_CONFLICT, Conflict: s.conflict}
+	}
+	s.applied++
+	s.state.Version++
+	if step := c.GetHostStep(); step != nil {
+		s.steps = append(s.steps, step)
+	}
+	for _, change := range c.GetConfigure().GetChanges() {
+		switch o := change.Object.(type) {
+		case *fleetpb.Change_Pool:
+			s.state.Pools = append(s.state.Pools, o.Pool)
+		case *fleetpb.Change_Host:
+			o.Host.State = fleetpb.HostState_HOST_STATE_ACTIVE
+			s.state.Hosts = append(s.state.Hosts, o.Host)
+		case *fleetpb.Change_Job:
+			s.state.Jobs = append(s.state.Jobs, o.Job)
+		case *fleetpb.Change_Wave:
+			s.state.Waves = append(s.state.Waves, o.Wave)
+		case *fleetpb.Change_Team:
+			s.state.Teams = append(s.state.Teams, o.Team)
+		}
+	}
+	return &fleetpb.Result{Kind: fleetpb.Result_KIND_APPLIED, Version: s.state.Version}
+}
+
+func (s *standIn) Snapshot(context.Context) (*fleetpb.Snapshot, error) {
+	return proto.CloneOf(s.state), nil
+}
+
+func (s *standIn) InForce(context.Context) (uint64, uint64, error) {
+	return s.state.Version, s.state.Version, nil
+}
+
+func (s *standIn) PauseWave(_ context.Context, w operator.WaveRequest) (*fleetpb.Result, error) {
+	s.waves = append(s.waves, w)
+	return &fleetpb.Result{Kind: fleetpb.Result_KIND_APPLIED}, nil
+}
+
+func (s *standIn) ResumeWave(ctx context.Context, w operator.WaveRequest) (*fleetpb.Result, error) {
+	return s.PauseWave(ctx, w)
+}
+
+func (s *standIn) Voters(context.Context) ([]operator.Voter, error) {
+	return []operator.Voter{{Group: "control", ID: "control-a", Leader: true}}, nil
+}
+
+func (s *standIn) ChangeVoter(_ context.Context, c operator.VoterChange) error {
+	s.voters = append(s.voters, c)
+	if s.loseNext > 0 {
+		s.loseNext--
+		return &operator.OutcomeUnknownError{Reason: "the leader was lost"}
+	}
+	return nil
+}
+
+func (s *standIn) Dump(context.Context) ([]byte, error) { return []byte(`{"term":3}`), nil }
+
+// fixture runs the tool against a stand-in behind the real HTTP interface.
+type fixture struct {
+	*standIn
+	t         *testing.T
+	settings  string
+	addresses []netip.AddrPort
+	rounds    int // rounds over all addresses before the tool gives up
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{t: t, rounds: 3, standIn: &standIn{
+		state: &fleetpb.Snapshot{Version: 4}, results: map[string]*fleetpb.Result{},
+	}}
+	h, err := operator.NewOperators(operator.Options{
+		Control: f, Logger: zerolog.Nop(), Timeout: time.Minute, Now: time.Now,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	f.addresses = []netip.AddrPort{server.Listener.Addr().(*net.TCPAddr).AddrPort()}
+	f.settings = f.write("client.ini", f.example("client.ini"))
+	return f
+}
+
+func (f *fixture) example(name string) string {
+	data, err := examples.Files.ReadFile("savings/" + name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return string(data)
+}
+
+func (f *fixture) write(name, text string) string {
+	path := filepath.Join(f.t.TempDir(), name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	return path
+}
+
+// run runs a command of one or two words and returns its exit code and output.
+func (f *fixture) run(words string, args ...string) (int, string) {
+	f.t.Helper()
+	var out strings.Builder
+	ids := 0
+	t := &tool{out: &out, errs: &out,
+		newID: func() string { ids++; return "id-" + strings.Repeat("x", ids) },
+		open: func(s *settings.Client) *client {
+			c := newClient(s)
+			c.addresses = f.addresses
+			rounds := 0
+			c.pause = func(context.Context) error {
+				if rounds++; rounds >= f.rounds {
+					return context.DeadlineExceeded
+				}
+				return nil
+			}
+			return c
+		},
+	}
+	all := append(strings.Fields(words), "-settings", f.settings)
+	code := t.main(context.Background(), append(all, args...))
+	return code, out.String()
+}
+
+// Guards against an apply without -yes that changes something, and against a
+// second apply that does.
+func TestSheetApply(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	sheet := f.write("sheet.csv", f.example("sheet.csv"))
+	code, out := f.run("sheet apply", sheet)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "+ pool ledger\n"))
+	is.True(strings.Contains(out, "not applied; add -yes"))
+	is.Equal(f.applied, 0)
+	code, out = f.run("sheet apply", "-yes", sheet)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "accepted; version 5; request id-x"))
+	code, out = f.run("sheet apply", "-yes", sheet)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "nothing to change; version 5"))
+	is.Equal(f.applied, 1)
+}
+
+// Guards against a lost answer that makes the tool apply the sheet twice or
+// report a failure.
+func TestResendKeepsRequestID(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.loseNext = 2
+	code, _ := f.run("sheet apply", "-yes", f.write("sheet.csv", f.example("sheet.csv")))
+	is.Equal(code, exitOK)
+	is.Equal(f.applied, 1)
+	is.Equal(f.requests, []string{"id-x", "id-x", "id-x"})
+}
+
+// Guards against a tool that gives up at the first control process that is
+// down, is not the leader, or is no control process at all.
+func TestOtherAddresses(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	down, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	closed := down.Addr().(*net.TCPAddr).AddrPort()
+	is.NoErr(down.Close())
+	follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(operator.Problem{Title: "this process is not the leader", Remedy: "ask another"})
+	}))
+	defer follower.Close()
+	f.addresses = append([]netip.AddrPort{closed, follower.Listener.Addr().(*net.TCPAddr).AddrPort()}, f.addresses...)
+	code, out := f.run("wave pause", "-reason", "rack work", "2026-12-ub-a")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "accepted"))
+	is.Equal(f.waves[0].Reason, "rack work")
+
+	f.addresses = f.addresses[1:2]
+	code, out = f.run("wave resume", "w")
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(out, "nothing was done"))
+}
+
+// Guards against an outcome that is unknown being reported as a plain failure.
+func TestOutcomeUnknown(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.loseNext = 100
+	code, out := f.run("sheet apply", "-yes", f.write("sheet.csv", f.example("sheet.csv")))
+	is.Equal(code, exitUnknown)
+	is.True(strings.Contains(out, "may or may not take effect"))
+	is.Equal(len(f.requests), f.rounds)
+}
+
+// Guards against a voter change, which has no request id, being sent twice.
+func TestVoterChangeIsNotResent(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	code, out := f.run("voters add-learner", "control-d")
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "leader"))
+	f.loseNext = 1
+	code, _ = f.run("voters remove", "control-a")
+	is.Equal(code, exitUnknown)
+	is.Equal(len(f.voters), 2)
+}
+
+// Guards against a conflict that does not name the winner.
+func TestConflict(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t)
+	f.conflict = &fleetpb.Conflict{Object: "pool/ledger", Winner: "other", WinnerRequestId: "r-9", WinnerVersion: 5}
+	code, out := f.run("sheet apply", "-yes", f.write("sheet.csv", f.example("sheet.csv")))
+	is.Equal(code, exitConflict)
+	is.True(strings.Contains(out, "pool/ledger was changed by other in version 5 (request r-9)"))
+}
+
+// Guards against a faulty sheet, settings file or argument that reaches the
+// control processes.
+func TestFaultsChangeNothing(t *testing.T) {
+	f := newFixture(t)
+	sheet := f.write("sheet.csv", strings.Replace(f.example("sheet.csv"), "host,", "chair,", 1))
+	for _, c := range []struct {
+		words string
+		args  []string
+		want  string
+	}{
+		{"sheet apply", []string{"-yes", sheet}, `"chair" is no kind of row`},
+		{"sheet check", []string{sheet}, `"chair" is no kind of row`},
+		{"sheet apply", []string{"-yes", "/nonexistent"}, "open the sheet"},
+		{"sheet apply", nil, "needs 1 argument(s)"},
+		{"sheet apply", []string{"-maybe"}, "-maybe"},
+		{"report", []string{"-month", "November"}, "YYYY-MM"},
+		{"host move", []string{"h"}, "needs -to POOL"},
+		{"host move", []string{"-to", "p", "h"}, "there is no host"},
+		{"settings check", []string{"-program", "client", sheet}, "fault(s)"},
+		{"settings check", []string{"-program", "worker", f.settings}, "is not control, entry or client"},
+		{"nothing", nil, "unknown command"},
+	} {
+		code, out := f.run(c.words, c.args...)
+		if code != exitUsage || !strings.Contains(out, c.want) {
+			t.Errorf("%s %v: exit code %d, %s", c.words, c.args, code, out)
+		}
+	}
+	if len(f.requests) > 0 {
+		t.Errorf("the control group got %v", f.requests)
+	}
+}
+
+// Guards against commands that print nothing of the state.
+func TestReads(t *testing.T) {
+	f := newFixture(t)
+	f.state = &fleetpb.Snapshot{
+		Version: 7,
+		Pools:   []*fleetpb.Pool{{Name: "ledger", PromisedHosts: 6}},
+		Hosts:   []*fleetpb.Host{{Name: "h", Pool: "ledger", Epoch: 3, State: fleetpb.HostState_HOST_STATE_OUT}},
+		Waves:   []*fleetpb.Wave{{Name: "w", State: fleetpb.WaveState_WAVE_STATE_PAUSED, PauseReason: "hosts did not return"}},
+		Figures: []*fleetpb.MonthFigures{{Month: "2026-11", Pool: "ledger"}},
+	}
+	for _, c := range []struct {
+		words string
+		args  []string
+		want  string
+	}{
+		{"status", nil, "hosts did not return"},
+		{"status", nil, "accepted version 7, in force everywhere 7"},
+		{"config show", nil, `"HOST_STATE_OUT"`},
+		{"dump", nil, `"term": 3`},
+		{"report", []string{"-month", "2026-11", "-csv"}, "Сар,Бүлэг"},
+		{"report", []string{"-month", "2026-11"}, "ledger"},
+		{"voters list", nil, "control-a"},
+		{"host move", []string{"-to", "spare", "h"}, "accepted"},
+		{"settings check", []string{f.settings}, "settings are valid"},
+		{"help", nil, "usage"},
+	} {
+		code, out := f.run(c.words, c.args...)
+		if code != exitOK || !strings.Contains(out, c.want) {
+			t.Errorf("%s %v: exit code %d, %s", c.words, c.args, code, out)
+		}
+	}
+	if len(f.steps) != 1 || f.steps[0].ExpectedEpoch != 3 {
+		t.Errorf("host move sent %v", f.steps)
+	}
+}
+
+// Guards against a difference that hides what changes.
+func TestDescribe(t *testing.T) {
+	is := is.New(t)
+	known := objects(&fleetpb.Snapshot{
+		Pools: []*fleetpb.Pool{{Name: "p", PromisedHosts: 3}},
+		Waves: []*fleetpb.Wave{{Name: "w", Hosts: []string{"a", "b"}}},
+	})
+	pool := &fleetpb.Change{Object: &fleetpb.Change_Pool{Pool: &fleetpb.Pool{Name: "p", PromisedHosts: 4}}}
+	is.Equal(describe(pool, known), `~ pool p: promised_hosts "3" to "4"`)
+	wave := &fleetpb.Change{Object: &fleetpb.Change_Wave{Wave: &fleetpb.Wave{Name: "w", Hosts: []string{"b", "c"}}}}
+	is.Equal(describe(wave, known), `~ wave w: hosts +c -a`)
+	is.Equal(describe(&fleetpb.Change{Object: &fleetpb.Change_DeleteHost{DeleteHost: "h"}}, known), `- host h`)
+}
