--- a/connection/slots/slots.go
+++ b/connection/slots/slots.go
@@ -211,7 +211,7 @@
 func (h *holder) set(server string, slots uint32, number uint64) {
 	was := h.current[server]
 	if slots < was {
-		h.pending[server] = append(h.pending[server], decrease{grant: number, slots: was})
+		h.await(server, decrease{grant: number, slots: was})
 	}
 	if slots == 0 {
 		delete(h.current, server)
@@ -220,6 +220,16 @@
 	h.current[server] = slots
 }
 
+// await keeps a decrease until it is acknowledged. Of several in one grant the
+// first one has the most slots and stands for all.
+func (h *holder) await(server string, d decrease) {
+	list := h.pending[server]
+	if n := len(list); n > 0 && list[n-1].grant == d.grant {
+		return
+	}
+	h.pending[server] = append(list, d)
+}
+
 // Report takes an entry's use, demand and acknowledgement. Shares held from an
 // earlier leader are adopted as they are at the entry's first report.
 func (a *Allocator) Report(r Report) {
@@ -227,12 +237,40 @@
 	if h == nil {
 		h = a.admit(r)
 	}
-	h.acknowledge(r.AckedGrant)
-	h.reported = make(map[string]uint32, len(r.Uses))
-	for _, u := range r.Uses {
-		h.reported[u.Server] = max(u.Held, u.InFlight)
+	a.acknowledge(h, r.AckedGrant)
+	a.setReported(h, r.Uses)
+	for service := range a.services {
+		if h.demand[service] != r.Demand[service] {
+			a.dirty[service] = true
+		}
 	}
 	h.demand = r.Demand
+}
+
+func (a *Allocator) setReported(h *holder, uses []Use) {
+	old := h.reported
+	h.reported = make(map[string]uint32, len(uses))
+	for _, u := range uses {
+		n := max(u.Held, u.InFlight)
+		h.reported[u.Server] = n
+		if n != old[u.Server] {
+			a.touch(u.Server)
+		}
+	}
+	for server := range old {
+		if _, still := h.reported[server]; !still {
+			a.touch(server)
+		}
+	}
+}
+
+func (a *Allocator) touch(server string) {
+	if s, known := a.servers[server]; known {
+		a.dirty[s.Service] = true
+	}
+}
+
+func (a *Allocator) touchAll() {
 	for service := range a.services {
 		a.dirty[service] = true
 	}
@@ -244,6 +282,7 @@
 			old.retired = true
 		}
 	}
+	a.touchAll()
 	h := &holder{id: r.Holder, current: make(map[string]uint32), pending: make(map[string][]decrease)}
 	a.holders[r.Holder] = h
 	if !a.silent[r.Holder.Entry] {
@@ -261,12 +300,13 @@
 }
 
 // acknowledge frees the decreases up to a grant.
-func (h *holder) acknowledge(grant uint64) {
+func (a *Allocator) acknowledge(h *holder, grant uint64) {
 	if grant <= h.acked || grant > h.number {
 		return
 	}
 	h.acked = grant
 	for server, list := range h.pending {
+		a.touch(server)
 		list = slices.DeleteFunc(list, func(d decrease) bool { return d.grant <= grant })
 		if len(list) == 0 {
 			delete(h.pending, server)
@@ -283,9 +323,7 @@
 		delete(a.silent, id.Entry)
 	}
 	delete(a.holders, id)
-	for service := range a.services {
-		a.dirty[service] = true
-	}
+	a.touchAll()
 }
 
 // Grant returns the number and the full list of an entry's shares in server
--- /dev/null
+++ b/version/fleet/fleet_test.go
@@ -0,0 +1,297 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+// Guards against a change that silently overwrites a concurrent one.
+func TestConflictNamesWinner(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	base := r.f.Version()
+	first := r.configureAt(base, pool(&fleetpb.Pool{Name: "booking", Service: "booking", PromisedHosts: 2}))
+	is.Equal(first.Kind, applied)
+	second := r.configureAt(base, pool(&fleetpb.Pool{Name: "booking", Service: "booking", PromisedHosts: 3}))
+	is.Equal(second.Kind, conflict)
+	is.Equal(second.Conflict.Object, "pool/booking")
+	is.Equal(second.Conflict.Winner, "operator")
+	is.Equal(second.Conflict.WinnerRequestId, "id-2")
+	is.Equal(second.Conflict.WinnerVersion, first.Version)
+	is.Equal(r.f.Pool("booking").PromisedHosts, uint32(2))
+	other := r.configureAt(base, pool(&fleetpb.Pool{Name: "inquiry"}))
+	is.Equal(other.Kind, applied) // another object on the same base is no conflict
+}
+
+// Guards against a delete that an upsert on an older base undoes.
+func TestConflictWithDelete(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.configure(pool(&fleetpb.Pool{Name: "a"}))
+	base := r.f.Version()
+	is.Equal(r.configureAt(base, deletePool("a")).Kind, applied)
+	is.Equal(r.configureAt(base, pool(&fleetpb.Pool{Name: "a"})).Kind, conflict)
+}
+
+// Guards against a change that takes effect twice when its response was lost.
+func TestSameRequestSameAnswer(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	command := func(promised uint32, nowMs int64) *fleetpb.Command {
+		return &fleetpb.Command{RequestId: "r", Actor: "a", NowUnixMs: nowMs, Body: &fleetpb.Command_Configure{Configure: &fleetpb.Configure{
+			Changes: []*fleetpb.Change{pool(&fleetpb.Pool{Name: "p", PromisedHosts: promised})},
+		}}}
+	}
+	first := r.apply(command(1, startMs))
+	r.configure(pool(&fleetpb.Pool{Name: "q"}))
+	day := AnswerRetention.Milliseconds()
+	is.True(proto.Equal(r.apply(command(1, startMs+day)), first))
+	is.Equal(r.apply(command(2, startMs+day)).Faults[0].Field, "request_id")
+	is.Equal(r.f.Pool("p").PromisedHosts, uint32(1))
+	is.Equal(r.apply(command(1, startMs+day+1)).Kind, conflict) // forgotten after 24 h
+}
+
+// Guards against a partly applied change, and one that hides all faults but the first.
+func TestInvalidChangeRefusedWhole(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	before, _ := r.f.Snapshot()
+	result := r.configure(
+		pool(&fleetpb.Pool{Name: "ok"}),
+		pool(&fleetpb.Pool{Name: "spare", Spare: true, PromisedHosts: 1}),
+		host("h", "missing", "r", "z"),
+		job(&fleetpb.Job{Name: "j", Pool: "missing", Team: "missing"}),
+		wave("w", "h", "h", "nobody"),
+	)
+	is.Equal(result.Kind, refused)
+	is.Equal(len(result.Faults), 6)
+	for _, f := range result.Faults {
+		is.True(f.Object != "" && f.Field != "" && f.Message != "")
+	}
+	is.Equal(r.f.Version(), uint64(0))
+	is.Equal(r.f.Pool("ok"), nil)
+	r.f.answers.Init()
+	clear(r.f.answered)
+	r.f.nowMs = 0
+	after, _ := r.f.Snapshot()
+	is.Equal(after, before)
+}
+
+// Guards against deleting what other objects still name.
+func TestReferencedObjectStays(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	is.Equal(r.configure(deletePool("booking")).Kind, refused)
+	is.Equal(r.configure(deleteHost("h0")).Kind, refused) // serves its pool
+	r.configure(wave("w", "s0"))
+	is.Equal(r.configure(deleteHost("s0")).Faults[0].Field, "wave")
+}
+
+// Guards against two leaders that both take a step planned for the same state.
+func TestStaleStepRefused(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	stale := &fleetpb.HostStep{Host: "h0", Kind: drain, ExpectedEpoch: 1, ExpectedState: fleetpb.HostState_HOST_STATE_ACTIVE, MoveTo: "spare"}
+	command := func() *fleetpb.Command {
+		return &fleetpb.Command{Body: &fleetpb.Command_HostStep{HostStep: stale}}
+	}
+	is.Equal(r.apply(command()).Kind, applied)
+	is.Equal(r.apply(command()).Faults[0].Field, "state")
+	is.Equal(r.step("h0", release, "", "").Kind, applied)
+	is.Equal(r.step("h0", assign, "", "").Kind, applied)
+	is.Equal(r.f.Host("h0").Pool, "spare")
+	is.Equal(r.f.Host("h0").Epoch, uint64(2))
+	is.Equal(r.apply(command()).Faults[0].Field, "epoch")
+}
+
+// Guards against a move that takes a pool below its promise after a rack loss.
+func TestBudgetRefusesMove(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(12, &fleetpb.Pool{PromisedHosts: 7, SurviveRack: true})
+	b := Budget(r.f, "booking")
+	is.Equal(b.Spare(), 1) // 12 hosts, a rack of 4 may be lost, 7 promised
+	is.Equal(r.step("h0", drain, "spare", "").Kind, applied)
+	is.Equal(r.step("h1", drain, "spare", "").Kind, refused)
+	result := r.configure(host("h1", "spare", "rack-0", "zone-0"))
+	is.Equal(result.Kind, refused) // an operator's edit is subject to the same rule
+	is.Equal(r.f.Host("h1").State, fleetpb.HostState_HOST_STATE_ACTIVE)
+}
+
+// Guards against a wave that takes a pool below its promise, or past max_out.
+func TestBudgetRefusesWave(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(16, &fleetpb.Pool{PromisedHosts: 6, SurviveZone: true, MaxOut: 2, SurviveWave: true})
+	is.Equal(Budget(r.f, "booking").Spare(), 0) // 16 - zone of 8 - 2 for the wave - 6
+	r.configure(wave("w", "h0", "h8", "h9"))
+	is.Equal(r.step("h0", drain, "", "w").Faults[0].Field, "wave") // not running
+	is.Equal(r.waveStep("w", fleetpb.WaveState_WAVE_STATE_RUNNING).Kind, applied)
+	is.Equal(r.step("h1", drain, "spare", "").Kind, refused) // a move may not use the wave's reserve
+	is.Equal(r.step("h1", drain, "", "w").Faults[0].Field, "wave")
+	is.Equal(r.step("h0", drain, "", "w").Kind, applied)
+	is.Equal(r.step("h8", drain, "", "w").Kind, applied)
+	is.Equal(r.step("h9", drain, "", "w").Kind, refused)
+	r.step("h15", failStep, "", "")
+	r.step("h0", fleetpb.HostStep_KIND_CANCEL, "", "")
+	is.Equal(r.step("h9", drain, "", "w").Kind, refused) // an involuntary loss counts
+}
+
+// Guards against counting a rack of the lost zone a second time.
+func TestWorstLossIsUnion(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(20, &fleetpb.Pool{SurviveZone: true, SurviveRack: true})
+	is.Equal(Budget(r.f, "booking").WorstLoss, 12) // a zone of 8 and a rack of 4 elsewhere
+	one := bookingFleet(8, &fleetpb.Pool{SurviveZone: true, SurviveRack: true})
+	is.Equal(Budget(one.f, "booking").WorstLoss, 8)
+}
+
+// Guards against a host that changes pool without drain and release.
+func TestConfigureDrainsToNewPool(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	is.Equal(r.configure(host("h0", "spare", "rack-0", "zone-0")).Kind, applied)
+	h := r.f.Host("h0")
+	is.Equal(h.Pool, "booking")
+	is.Equal(h.MoveTo, "spare")
+	is.Equal(h.State, fleetpb.HostState_HOST_STATE_DRAINING)
+	is.Equal(h.DrainVersion, r.f.Version())
+	is.Equal(r.configure(host("h0", "spare", "rack-0", "zone-0")).Kind, unchanged)
+}
+
+// Guards against a backend server that takes work of a service its host left.
+func TestServerOfOwnPoolOnly(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	is.Equal(r.register(server("b0", "h0", "inquiry", "1")).Faults[0].Field, "service")
+	is.Equal(r.register(server("b0", "h0", "booking", "1")).Kind, applied)
+	is.Equal(r.register(server("b0", "h0", "booking", "1")).Kind, unchanged)
+	is.Equal(r.register(server("b0", "h0", "booking", "2")).Kind, applied) // restarted
+	is.Equal(r.configure(pool(&fleetpb.Pool{Name: "booking", Service: "badge"})).Kind, refused)
+	r.step("h0", drain, "spare", "")
+	r.step("h0", release, "", "")
+	is.Equal(r.step("h0", assign, "", "").Kind, applied)
+	is.Equal(r.f.Server("b0"), nil)
+}
+
+// Guards against a delayed announcement that puts a leaving server back to work.
+func TestLeavingNotUndone(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	s := server("b0", "h0", "booking", "1")
+	r.register(s)
+	is.Equal(r.unregister("b0", "0", false).Kind, unchanged) // of an earlier boot
+	is.Equal(r.unregister("b0", "1", false).Kind, applied)
+	is.Equal(r.register(s).Faults[0].Field, "leaving")
+	is.Equal(r.unregister("b0", "1", true).Kind, applied)
+	is.Equal(r.register(s).Faults[0].Field, "boot_id")
+	is.Equal(r.register(server("b0", "h0", "booking", "2")).Kind, applied)
+	r.unregister("b0", "2", true) // its lease was lost
+	is.Equal(r.register(server("b0", "h0", "booking", "2")).Kind, applied)
+}
+
+// Guards against two running attempts of a task, and a release that interrupts one.
+func TestTaskAttempts(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	r.configure(job(&fleetpb.Job{Name: "j", Pool: "booking"}))
+	task := func(host string, attempt uint64, state fleetpb.TaskState) *fleetpb.Task {
+		return &fleetpb.Task{Name: "j/0", Job: "j", Host: host, Attempt: attempt, State: state}
+	}
+	is.Equal(r.tasks(task("h0", 1, fleetpb.TaskState_TASK_STATE_PLACED)).Kind, applied)
+	is.Equal(r.tasks(task("h1", 2, fleetpb.TaskState_TASK_STATE_PLACED)).Faults[0].Field, "attempt")
+	is.Equal(r.tasks(task("h0", 1, fleetpb.TaskState_TASK_STATE_RUNNING)).Kind, applied)
+	is.Equal(r.step("h0", drain, "spare", "").Kind, applied)
+	is.Equal(r.step("h0", release, "", "").Faults[0].Field, "tasks")
+	is.Equal(r.tasks(task("h0", 1, fleetpb.TaskState_TASK_STATE_STOPPED)).Kind, applied)
+	is.Equal(r.step("h0", release, "", "").Kind, applied)
+	is.Equal(r.tasks(task("h0", 2, fleetpb.TaskState_TASK_STATE_PLACED)).Faults[0].Field, "host")
+	is.Equal(r.tasks(task("h1", 2, fleetpb.TaskState_TASK_STATE_PLACED)).Kind, applied)
+	is.Equal(r.tasks(task("h0", 1, fleetpb.TaskState_TASK_STATE_RUNNING)).Faults[0].Field, "attempt")
+}
+
+// Guards against a copy that misses a delete whose tombstone was dropped.
+func TestDroppedTombstoneGivesFullDelta(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	r.f.maxTombstones = 3
+	for i := range 6 {
+		r.configure(pool(&fleetpb.Pool{Name: fmt.Sprintf("p%d", i)}))
+	}
+	base := r.f.Version()
+	for i := range 5 {
+		r.configure(deletePool(fmt.Sprintf("p%d", i)))
+	}
+	is.Equal(len(r.f.Full().Deleted), 4) // three, and the floor
+	is.True(r.f.Delta(base, false).Full)
+	is.True(!r.f.Delta(base+2, false).Full)
+	is.True(r.f.Delta(r.f.Version()+1, false).Full) // a copy ahead of the fleet
+	is.Equal(r.configureAt(base, pool(&fleetpb.Pool{Name: "p0"})).Kind, conflict)
+	snapshot, err := r.f.Snapshot()
+	is.NoErr(err)
+	restored := New()
+	is.NoErr(restored.Restore(snapshot))
+	is.True(restored.Delta(base, false).Full)
+}
+
+// Guards against wrong figures in the monthly review.
+func TestFigures(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(8, &fleetpb.Pool{})
+	sample := func(available uint32) {
+		r.apply(&fleetpb.Command{Body: &fleetpb.Command_Sample{Sample: &fleetpb.Sample{Pools: []*fleetpb.PoolSample{
+			{Pool: "booking", Seconds: 60, PromisedHosts: 5, AvailableHosts: available, TotalHosts: 8, Requests: 10, ShortWaitP99Ms: available},
+			{Pool: "gone", Seconds: 60},
+		}}}})
+	}
+	sample(8)
+	sample(4)
+	r.configure(wave("w", "h0"))
+	r.waveStep("w", fleetpb.WaveState_WAVE_STATE_RUNNING)
+	r.step("h0", drain, "", "w")
+	r.step("h0", release, "", "")
+	is.Equal(r.waveStep("w", fleetpb.WaveState_WAVE_STATE_DONE).Kind, refused) // a host is out
+	r.step("h0", out, "", "")
+	is.Equal(r.step("h0", backIn, "", "").Kind, applied)
+	r.now += 90_000
+	is.Equal(r.waveStep("w", fleetpb.WaveState_WAVE_STATE_DONE).Kind, applied)
+	is.Equal(r.f.Wave("w").DoneHosts, []string{"h0"})
+	want := &fleetpb.MonthFigures{
+		Month: "2026-11", Pool: "booking", ObservedSeconds: 120, PromisedHostSeconds: 600, TotalHostSeconds: 960,
+		BelowPromiseSeconds: 60, LeastAvailableHosts: 4, Requests: 20, ShortWaitP99Ms: 8,
+		WavesDone: 1, WaveSeconds: 90, HostsMaintained: 1,
+	}
+	is.Equal(len(r.f.Figures()), 1)
+	is.True(proto.Equal(r.f.Figures()[0], want))
+}
+
+// Guards against a broken invariant that lets a replica go on.
+func TestBrokenInvariantStops(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	damaged := proto.Clone(r.f.Host("h0")).(*fleetpb.Host)
+	damaged.Pool = "nowhere"
+	r.f.storeHost("h0", damaged)
+	is.Equal(r.step("h0", failStep, "", "").Faults[0].Object, "invariant/"+InvariantOnePool)
+	is.Equal(r.configure(pool(&fleetpb.Pool{Name: "p"})).Faults[0].Object, "invariant/"+InvariantOnePool)
+	_, err := r.f.Snapshot()
+	is.True(err != nil && r.f.Broken() != nil)
+}
+
+// Guards against a panic on bytes that are no command.
+func TestMalformedCommandRefused(t *testing.T) {
+	is := is.New(t)
+	r := newRig()
+	var result fleetpb.Result
+	is.NoErr(proto.Unmarshal(r.f.Apply(1, []byte{0xff}), &result))
+	is.Equal(result.Kind, refused)
+	is.Equal(r.apply(&fleetpb.Command{}).Kind, refused)
+	is.Equal(r.apply(&fleetpb.Command{Body: &fleetpb.Command_Register{}}).Kind, refused)
+	is.Equal(r.apply(&fleetpb.Command{Body: &fleetpb.Command_HostStep{}}).Kind, refused)
+	is.Equal(r.apply(&fleetpb.Command{Body: &fleetpb.Command_WaveStep{}}).Kind, refused)
+	is.Equal(r.apply(&fleetpb.Command{Body: &fleetpb.Command_Unregister{}}).Kind, unchanged)
+	is.Equal(r.apply(&fleetpb.Command{Body: &fleetpb.Command_TaskSteps{}}).Kind, unchanged)
+}
--- /dev/null
+++ b/version/fleet/random_test.go
@@ -0,0 +1,197 @@
+package fleet
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+// copyOf is an entry's copy that deltas keep up to date.
+type copyOf struct {
+	version uint64
+	objects map[string]proto.Message
+}
+
+func (c *copyOf) take(d *fleetpb.Delta) {
+	if d.Full {
+		c.objects = make(map[string]proto.Message)
+	}
+	for _, p := range d.Pools {
+		c.objects["pool/"+p.Name] = p
+	}
+	for _, h := range d.Hosts {
+		c.objects["host/"+h.Name] = h
+	}
+	for _, s := range d.Servers {
+		c.objects["server/"+s.Name] = s
+	}
+	for _, t := range d.Deleted {
+		delete(c.objects, objectID{t.Kind, t.Name}.String())
+	}
+	c.version = d.ToVersion
+}
+
+func (c *copyOf) equal(f *Fleet) bool {
+	want := &copyOf{}
+	want.take(f.Delta(0, true))
+	if len(want.objects) != len(c.objects) {
+		return false
+	}
+	for name, m := range want.objects {
+		if !proto.Equal(m, c.objects[name]) {
+			return false
+		}
+	}
+	return true
+}
+
+func drawName(t *rapid.T, prefix string, n int) string {
+	return fmt.Sprintf("%s%d", prefix, rapid.IntRange(0, n-1).Draw(t, prefix))
+}
+
+func drawChange(t *rapid.T) *fleetpb.Change {
+	switch rapid.IntRange(0, 7).Draw(t, "change") {
+	case 0:
+		name := drawName(t, "p", 3)
+		return pool(&fleetpb.Pool{
+			Name: name, Service: name, PromisedHosts: uint32(rapid.IntRange(0, 3).Draw(t, "promised")),
+			SurviveRack: rapid.Bool().Draw(t, "rack"), SurviveZone: rapid.Bool().Draw(t, "zone"),
+			SurviveWave: rapid.Bool().Draw(t, "wave"), MaxOut: uint32(rapid.IntRange(0, 2).Draw(t, "max")),
+		})
+	case 1, 2, 3:
+		i := rapid.IntRange(0, 11).Draw(t, "host")
+		return host(fmt.Sprintf("h%d", i), drawName(t, "p", 3), fmt.Sprintf("r%d", i/2), fmt.Sprintf("z%d", i/4))
+	case 4:
+		return wave(drawName(t, "w", 2), drawName(t, "h", 12), drawName(t, "h", 12))
+	case 5:
+		return job(&fleetpb.Job{Name: drawName(t, "j", 2), Pool: drawName(t, "p", 3)})
+	case 6:
+		return deletePool(drawName(t, "p", 3))
+	}
+	return deleteHost(drawName(t, "h", 12))
+}
+
+func drawCommand(t *rapid.T, r *rig) *fleetpb.Command {
+	c := &fleetpb.Command{Actor: "a", NowUnixMs: r.now}
+	switch rapid.IntRange(0, 8).Draw(t, "command") {
+	case 0, 1:
+		c.RequestId = drawName(t, "id", 400)
+		base := max(0, int(r.f.Version())-rapid.IntRange(0, 2).Draw(t, "behind"))
+		c.Body = &fleetpb.Command_Configure{Configure: &fleetpb.Configure{
+			BaseVersion: uint64(base), Changes: rapid.SliceOfN(rapid.Custom(drawChange), 1, 4).Draw(t, "changes"),
+		}}
+	case 2, 3, 4, 5:
+		name := drawName(t, "h", 12)
+		s := &fleetpb.HostStep{Host: name, ExpectedEpoch: r.f.Host(name).GetEpoch(), ExpectedState: r.f.Host(name).GetState()}
+		s.Kind = fleetpb.HostStep_Kind(rapid.IntRange(1, 8).Draw(t, "kind"))
+		if rapid.Bool().Draw(t, "forWave") {
+			s.Wave = drawName(t, "w", 2)
+		} else {
+			s.MoveTo = drawName(t, "p", 3)
+		}
+		c.Body = &fleetpb.Command_HostStep{HostStep: s}
+	case 6:
+		c.Body = &fleetpb.Command_WaveStep{WaveStep: &fleetpb.WaveStep{
+			Wave: drawName(t, "w", 2), State: fleetpb.WaveState(rapid.IntRange(1, 4).Draw(t, "state")),
+		}}
+	case 7:
+		s := server(drawName(t, "b", 4), drawName(t, "h", 12), drawName(t, "p", 3), drawName(t, "boot", 3))
+		if rapid.Bool().Draw(t, "leave") {
+			c.Body = &fleetpb.Command_Unregister{Unregister: &fleetpb.Unregister{Server: s.Name, Remove: rapid.Bool().Draw(t, "remove")}}
+		} else {
+			c.Body = &fleetpb.Command_Register{Register: &fleetpb.Register{Server: s}}
+		}
+	case 8:
+		v := &fleetpb.Task{Job: drawName(t, "j", 2), Host: drawName(t, "h", 12), State: fleetpb.TaskState(rapid.IntRange(1, 6).Draw(t, "task"))}
+		v.Name = v.Job + "/0"
+		v.Attempt = uint64(rapid.IntRange(0, 3).Draw(t, "attempt"))
+		c.Body = &fleetpb.Command_TaskSteps{TaskSteps: &fleetpb.TaskSteps{Tasks: []*fleetpb.Task{v}}}
+	}
+	return c
+}
+
+// activeHosts returns the active hosts of each pool.
+func activeHosts(f *Fleet) map[string]string {
+	active := make(map[string]string)
+	for h := range f.Hosts() {
+		if h.State == fleetpb.HostState_HOST_STATE_ACTIVE {
+			active[h.Name] = h.Pool
+		}
+	}
+	return active
+}
+
+// checkDrains compares with a count of the rule that is independent of Budget:
+// after a voluntary step, any one rack and zone may be lost.
+func checkDrains(t *rapid.T, f *Fleet, before map[string]string) {
+	for h := range f.Inactive() {
+		if before[h.Name] == "" || h.State != fleetpb.HostState_HOST_STATE_DRAINING {
+			continue
+		}
+		p := f.Pool(before[h.Name])
+		for lost := range f.Hosts() {
+			for other := range f.Hosts() {
+				left := 0
+				for survivor := range f.PoolHosts(p.Name) {
+					gone := p.SurviveZone && survivor.Zone == lost.Zone || p.SurviveRack && survivor.Rack == other.Rack
+					if survivor.State == fleetpb.HostState_HOST_STATE_ACTIVE && !gone {
+						left++
+					}
+				}
+				if left < int(p.PromisedHosts) {
+					t.Fatalf("drain of %s leaves pool %s with %d of %d hosts", h.Name, p.Name, left, p.PromisedHosts)
+				}
+			}
+		}
+	}
+}
+
+// Guards against replicas that differ, deltas that lose a change, budgets that
+// a step breaks, and servers on hosts of other services, under random commands.
+func TestRandomCommands(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig()
+		r.f.maxTombstones = rapid.IntRange(1, 5).Draw(t, "tombstones")
+		other := New()
+		other.maxTombstones = r.f.maxTombstones
+		entry := &copyOf{objects: make(map[string]proto.Message)}
+		for range rapid.IntRange(20, 80).Draw(t, "commands") {
+			r.now += int64(rapid.IntRange(0, 1000).Draw(t, "ms"))
+			command := marshal(drawCommand(t, r))
+			before := activeHosts(r.f)
+			version := r.f.Version()
+			result := r.f.Apply(0, command)
+			if !bytes.Equal(result, other.Apply(0, command)) {
+				t.Fatal("replicas answer differently")
+			}
+			if r.f.Broken() != nil {
+				t.Fatal(r.f.Broken())
+			}
+			if r.f.Version() > version+1 || r.f.Version() < version {
+				t.Fatal("version does not follow")
+			}
+			checkDrains(t, r.f, before)
+			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
+				entry.take(r.f.Delta(entry.version, false))
+				if !entry.equal(r.f) {
+					t.Fatal("the copy differs after a delta")
+				}
+			}
+			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				snapshot, _ := r.f.Snapshot()
+				if err := other.Restore(snapshot); err != nil {
+					t.Fatal(err)
+				}
+				again, _ := other.Snapshot()
+				if !bytes.Equal(snapshot, again) {
+					t.Fatal("a restored replica has another snapshot")
+				}
+			}
+		}
+	})
+}
