--- /dev/null
+++ b/request/ledger/history_test.go
@@ -0,0 +1,211 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"pgregory.net/rapid"
+
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
+)
+
+// historyInput is one command of an entry for one key.
+type historyInput struct {
+	op      string // begin, finish, unknown, abort, boot
+	entry   string
+	boot    string
+	attempt uint64
+}
+
+type historyOutput struct {
+	kind   ledgerpb.Result_Kind
+	status uint32
+}
+
+// historyState is the abstract record of one key: who was told to go ahead and
+// what came of it.
+type historyState struct {
+	holder string
+	entry  string
+	state  string // "", running, unknown, finished, aborted
+	status uint32
+}
+
+func holderOf(in historyInput) string { return fmt.Sprintf("%s/%s/%d", in.entry, in.boot, in.attempt) }
+
+var historyModel = porcupine.Model{
+	Init: func() any { return historyState{} },
+	Step: func(state, input, output any) (bool, any) {
+		s := state.(historyState)
+		in := input.(historyInput)
+		got := output.(historyOutput)
+		mine := s.holder == holderOf(in)
+		switch in.op {
+		case "begin":
+			if got.kind == goAhead {
+				fresh := s.state == "" || (s.state == "aborted" && !mine)
+				if fresh {
+					return true, historyState{holder: holderOf(in), entry: in.entry, state: "running"}
+				}
+				return s.state == "running" && mine, s
+			}
+			if got.kind == wrong { // an earlier boot of the entry
+				return true, s
+			}
+		case "finish", "unknown":
+			if s.state != "" && !mine {
+				return got.kind == wrong, s
+			}
+			if s.state != "finished" {
+				s = historyState{holder: holderOf(in), entry: in.entry, state: "unknown"}
+				if in.op == "finish" {
+					s.state = "finished"
+					s.status = uint32(in.attempt)
+					return got.kind == finished, s
+				}
+			}
+		case "abort":
+			if s.state == "" || (mine && s.state != "finished") {
+				return got.kind == aborted, historyState{holder: holderOf(in), entry: in.entry, state: "aborted"}
+			}
+		case "boot":
+			if s.entry == in.entry && s.state == "running" && got.kind == goAhead {
+				s.state = "unknown"
+			}
+			return true, s
+		}
+		return got.kind == kindOf(s.state) && (got.status == s.status || got.status == 0 && in.op == "finish"), s
+	},
+}
+
+func kindOf(state string) ledgerpb.Result_Kind {
+	return map[string]ledgerpb.Result_Kind{
+		"running": running, "unknown": unknown, "finished": finished, "aborted": aborted,
+	}[state]
+}
+
+// Guards against histories in which a request resent through several entries,
+// with lost responses, crashes and delayed duplicates, runs twice or changes
+// its answer.
+func TestResendHistoryLinearizable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(0)
+		k := keyAt(startMs, 1)
+		boots := map[string]int{"a": 1, "b": 1, "c": 1}
+		var sent []historyInput
+		var history []porcupine.Operation
+		clock := int64(0)
+		right := make(map[string]bool) // attempts told to go ahead and not aborted
+		for range rapid.IntRange(2, 12).Draw(t, "rounds") {
+			called := clock
+			clock++
+			for client := range 3 {
+				entry := string(rune('a' + client))
+				in := drawInput(t, entry, boots, sent)
+				sent = append(sent, in)
+				out := r.call(k, in)
+				if in.op == "begin" && out.kind == goAhead {
+					right[holderOf(in)] = true
+				}
+				if in.op == "abort" && out.kind == aborted {
+					delete(right, holderOf(in))
+				}
+				if len(right) > 1 {
+					t.Fatalf("two attempts may run: %v", right)
+				}
+				history = append(history, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: called, Return: clock})
+				clock++
+			}
+		}
+		if porcupine.CheckOperationsTimeout(historyModel, history, 10*time.Second) == porcupine.Illegal {
+			t.Fatalf("no order explains the history %v", history)
+		}
+	})
+}
+
+// drawInput sends something new from an entry, or an earlier message again.
+func drawInput(t *rapid.T, entry string, boots map[string]int, sent []historyInput) historyInput {
+	if len(sent) > 0 && rapid.IntRange(0, 3).Draw(t, "again") == 0 {
+		earlier := sent[rapid.IntRange(0, len(sent)-1).Draw(t, "which")]
+		if earlier.op != "boot" {
+			return earlier
+		}
+	}
+	in := historyInput{entry: entry, op: rapid.SampledFrom([]string{"begin", "begin", "begin", "finish", "unknown", "abort", "boot"}).Draw(t, "op")}
+	if in.op == "boot" {
+		boots[entry]++
+	}
+	in.boot = fmt.Sprint(boots[entry])
+	in.attempt = uint64(rapid.IntRange(1, 4).Draw(t, "attempt"))
+	if in.op == "finish" || in.op == "unknown" || in.op == "abort" {
+		// Only an attempt that was begun ends.
+		for _, earlier := range sent {
+			if earlier.op == "begin" && earlier.entry == entry {
+				in.boot = earlier.boot
+				in.attempt = earlier.attempt
+				return in
+			}
+		}
+		in.op = "begin"
+	}
+	return in
+}
+
+func (r *rig) call(k string, in historyInput) historyOutput {
+	var result *ledgerpb.Result
+	switch in.op {
+	case "begin":
+		result = r.begin(k, in.entry, in.boot, in.attempt)
+	case "finish":
+		result = r.finish(k, in.entry, in.boot, in.attempt, uint32(in.attempt))
+	case "unknown":
+		result = r.finishWith(k, in.entry, in.boot, in.attempt, nil)
+	case "abort":
+		result = r.abort(k, in.entry, in.boot, in.attempt)
+	case "boot":
+		result = r.boot(in.entry, in.boot)
+	}
+	return historyOutput{kind: result.Kind, status: result.GetAnswer().GetStatus()}
+}
+
+// Guards against replicas that differ and snapshots that lose a record.
+func TestReplicasAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRig(8)
+		other := New(8)
+		for range rapid.IntRange(10, 60).Draw(t, "commands") {
+			r.now += int64(rapid.IntRange(0, 3_600_000).Draw(t, "ms"))
+			k := keyAt(r.now-int64(rapid.IntRange(-10_000, 90_000_000).Draw(t, "age")), rapid.IntRange(0, 3).Draw(t, "key"))
+			c := &ledgerpb.Command{NowUnixMs: r.now}
+			switch rapid.IntRange(0, 3).Draw(t, "op") {
+			case 0, 1:
+				c.Body = &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{Key: k, Entry: "a", BootId: "1", Attempt: 1}}
+			case 2:
+				c.Body = &ledgerpb.Command_Finish{Finish: &ledgerpb.Finish{Key: k, Entry: "a", BootId: "1", Attempt: 1, Answer: &ledgerpb.Answer{Status: 200}}}
+			case 3:
+				c.Body = &ledgerpb.Command_EntryBoot{EntryBoot: &ledgerpb.EntryBoot{Entry: "a", BootId: rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "boot")}}
+			}
+			command := marshal(c)
+			if !bytes.Equal(r.l.Apply(0, command), other.Apply(0, command)) {
+				t.Fatal("replicas answer differently")
+			}
+			if r.l.Broken() != nil {
+				t.Fatal(r.l.Broken())
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restore") > 0 {
+				continue
+			}
+			snapshot, _ := r.l.Snapshot()
+			if err := other.Restore(snapshot); err != nil {
+				t.Fatal(err)
+			}
+			again, _ := other.Snapshot()
+			if !bytes.Equal(snapshot, again) {
+				t.Fatal("a restored replica has another snapshot")
+			}
+		}
+	})
+}
