--- /dev/null
+++ b/version/drainer/drainer_test.go
@@ -0,0 +1,184 @@
+package drainer
+
+import (
+	"fmt"
+	"iter"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"marjoramtiller.example/marjoramtiller/version/fleet"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+type view struct {
+	hosts []*fleetpb.Host
+	tasks []*fleetpb.Task
+}
+
+func (v *view) Inactive() iter.Seq[*fleetpb.Host] {
+	return func(yield func(*fleetpb.Host) bool) {
+		for _, h := range v.hosts {
+			if !yield(h) {
+				return
+			}
+		}
+	}
+}
+
+func (v *view) UnfinishedTasks(host string) iter.Seq[*fleetpb.Task] {
+	return func(yield func(*fleetpb.Task) bool) {
+		for _, t := range v.tasks {
+			if t.Host == host && !yield(t) {
+				return
+			}
+		}
+	}
+}
+
+func draining() *fleetpb.Host {
+	return &fleetpb.Host{Name: "h", Pool: "p", State: fleetpb.HostState_HOST_STATE_DRAINING, Epoch: 3, DrainVersion: 10, MoveTo: "q"}
+}
+
+func entries(list ...Entry) Input {
+	return Input{Fleet: &view{hosts: []*fleetpb.Host{draining()}}, Entries: list, DrainDeadline: time.Minute}
+}
+
+// Guards against a release while an entry may still send work to the host.
+func TestReleaseWaitsForEveryEntry(t *testing.T) {
+	is := is.New(t)
+	done := Entry{Name: "a", AckedVersion: 10}
+	waiting := func(in Input) Reason {
+		out := Next(in)
+		if len(out.Steps) > 0 {
+			return ""
+		}
+		return out.Waiting[0].Reason
+	}
+	is.Equal(waiting(entries()), ReasonNoEntries)
+	is.Equal(waiting(entries(done, Entry{Name: "b", AckedVersion: 9})), ReasonAcknowledge)
+	is.Equal(waiting(entries(done, Entry{Name: "b", AckedVersion: 10, InFlight: map[string]uint32{"h": 1}})), ReasonInFlight)
+	is.Equal(waiting(entries(done, Entry{Name: "b", AckedVersion: 12, InFlight: map[string]uint32{"other": 1}})), Reason(""))
+	out := Next(entries(done, Entry{Name: "b", LeaseOver: true, InFlight: map[string]uint32{"h": 1}}))
+	want := &fleetpb.HostStep{Host: "h", Kind: fleetpb.HostStep_KIND_RELEASE, ExpectedEpoch: 3, ExpectedState: fleetpb.HostState_HOST_STATE_DRAINING, MoveTo: "q"}
+	is.True(proto.Equal(out.Steps[0], want))
+}
+
+// Guards against a straggler that is interrupted, or never asked to move.
+func TestStragglerAskedToMove(t *testing.T) {
+	is := is.New(t)
+	in := entries(Entry{Name: "a", AckedVersion: 10})
+	running := &fleetpb.Task{Name: "j/0", Host: "h", Attempt: 2, State: fleetpb.TaskState_TASK_STATE_RUNNING}
+	saving := &fleetpb.Task{Name: "j/1", Host: "h", Attempt: 1, State: fleetpb.TaskState_TASK_STATE_CHECKPOINTING}
+	in.Fleet.(*view).tasks = []*fleetpb.Task{running, saving}
+	in.NowMs = 59_999
+	early := Next(in)
+	is.Equal(len(early.Steps)+len(early.Tasks), 0)
+	is.Equal(early.Waiting, []Waiting{{Host: "h", Reason: ReasonTasks, Detail: "j/0"}})
+	in.NowMs = 60_000
+	late := Next(in)
+	is.Equal(len(late.Steps), 0)
+	is.Equal(late.Tasks, []TaskRequest{{Task: "j/0", Host: "h", Attempt: 2}})
+	is.True(late.Waiting[0].Overdue)
+}
+
+// Guards against a host that stays out of service, or returns before its worker.
+func TestStepsAfterRelease(t *testing.T) {
+	is := is.New(t)
+	next := func(h *fleetpb.Host, up bool, nowMs int64) fleetpb.HostStep_Kind {
+		out := Next(Input{
+			Fleet: &view{hosts: []*fleetpb.Host{h}}, WorkerUp: func(string) bool { return up },
+			NowMs: nowMs, ReturnDeadline: time.Second,
+		})
+		if len(out.Steps) == 0 {
+			return fleetpb.HostStep_KIND_UNSPECIFIED
+		}
+		return out.Steps[0].Kind
+	}
+	released := fleetpb.HostState_HOST_STATE_RELEASED
+	outState := fleetpb.HostState_HOST_STATE_OUT
+	failed := fleetpb.HostState_HOST_STATE_FAILED
+	is.Equal(next(&fleetpb.Host{State: released, Wave: "w"}, false, 0), fleetpb.HostStep_KIND_OUT)
+	is.Equal(next(&fleetpb.Host{State: released, MoveTo: "q"}, false, 0), fleetpb.HostStep_KIND_ASSIGN)
+	is.Equal(next(&fleetpb.Host{State: released}, false, 0), fleetpb.HostStep_KIND_UNSPECIFIED)
+	is.Equal(next(&fleetpb.Host{State: outState}, false, 999), fleetpb.HostStep_KIND_UNSPECIFIED)
+	is.Equal(next(&fleetpb.Host{State: outState}, false, 1000), fleetpb.HostStep_KIND_FAIL)
+	is.Equal(next(&fleetpb.Host{State: outState}, true, 1000), fleetpb.HostStep_KIND_RETURN)
+	is.Equal(next(&fleetpb.Host{State: failed}, false, 0), fleetpb.HostStep_KIND_UNSPECIFIED)
+	is.Equal(next(&fleetpb.Host{State: failed}, true, 0), fleetpb.HostStep_KIND_RECOVER)
+}
+
+func apply(f *fleet.Fleet, c *fleetpb.Command) *fleetpb.Result {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		panic(err)
+	}
+	var result fleetpb.Result
+	if err := proto.Unmarshal(f.Apply(0, data), &result); err != nil {
+		panic(err)
+	}
+	return &result
+}
+
+func stepCommand(s *fleetpb.HostStep) *fleetpb.Command {
+	return &fleetpb.Command{Body: &fleetpb.Command_HostStep{HostStep: s}}
+}
+
+// Guards against a new leader that repeats, skips or loses a step: steps of
+// several leaders are applied late, twice or never, and every host arrives.
+func TestRerunByNewLeaders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleet.New()
+		changes := []*fleetpb.Change{
+			{Object: &fleetpb.Change_Pool{Pool: &fleetpb.Pool{Name: "a"}}},
+			{Object: &fleetpb.Change_Pool{Pool: &fleetpb.Pool{Name: "b"}}},
+		}
+		wave := &fleetpb.Wave{Name: "w"}
+		for i := range 6 {
+			name := fmt.Sprintf("h%d", i)
+			changes = append(changes, &fleetpb.Change{Object: &fleetpb.Change_Host{Host: &fleetpb.Host{Name: name, Pool: "a"}}})
+			wave.Hosts = append(wave.Hosts, name)
+		}
+		changes = append(changes, &fleetpb.Change{Object: &fleetpb.Change_Wave{Wave: wave}})
+		apply(f, &fleetpb.Command{RequestId: "r", Actor: "o", Body: &fleetpb.Command_Configure{Configure: &fleetpb.Configure{Changes: changes}}})
+		apply(f, &fleetpb.Command{Body: &fleetpb.Command_WaveStep{WaveStep: &fleetpb.WaveStep{Wave: "w", State: fleetpb.WaveState_WAVE_STATE_RUNNING}}})
+		for i := range 6 {
+			s := &fleetpb.HostStep{Host: fmt.Sprintf("h%d", i), Kind: fleetpb.HostStep_KIND_DRAIN, ExpectedEpoch: 1, ExpectedState: fleetpb.HostState_HOST_STATE_ACTIVE}
+			if i < 3 {
+				s.MoveTo = "b"
+			} else {
+				s.Wave = "w"
+			}
+			if r := apply(f, stepCommand(s)); r.Kind != fleetpb.Result_KIND_APPLIED {
+				t.Fatal(r)
+			}
+		}
+		in := Input{Fleet: f, WorkerUp: func(string) bool { return true }}
+		var delayed []*fleetpb.HostStep
+		for range 40 {
+			in.Entries = []Entry{{Name: "e", AckedVersion: f.Version()}}
+			for _, s := range Next(in).Steps {
+				if rapid.Bool().Draw(t, "delay") {
+					delayed = append(delayed, s)
+					continue
+				}
+				apply(f, stepCommand(s))
+			}
+			if len(delayed) > 0 && rapid.Bool().Draw(t, "late") {
+				apply(f, stepCommand(delayed[rapid.IntRange(0, len(delayed)-1).Draw(t, "which")]))
+			}
+		}
+		for h := range f.Hosts() {
+			want := "b"
+			if h.Name >= "h3" {
+				want = "a"
+			}
+			if h.State != fleetpb.HostState_HOST_STATE_ACTIVE || h.Epoch != 2 || h.Pool != want {
+				t.Fatalf("host %v did not arrive once", h)
+			}
+		}
+	})
+}
