--- /dev/null
+++ b/process/control/calls.go
@@ -0,0 +1,112 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/process/replica"
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+// HandleCall implements wire.Handler.
+func (s *Server) HandleCall(ctx context.Context, peer string, req *wirepb.Request) *wirepb.Response {
+	resp, err := s.call(ctx, peer, req)
+	if err != nil {
+		return errorResponse(err)
+	}
+	return resp
+}
+
+func (s *Server) call(ctx context.Context, peer string, req *wirepb.Request) (*wirepb.Response, error) {
+	switch b := req.GetBody().(type) {
+	case *wirepb.Request_Sync:
+		out, err := s.sync(ctx, peer, b.Sync)
+		return &wirepb.Response{Body: &wirepb.Response_Sync{Sync: out}}, err
+	case *wirepb.Request_Announce:
+		out, err := s.announce(ctx, b.Announce)
+		return &wirepb.Response{Body: &wirepb.Response_Announce{Announce: out}}, err
+	case *wirepb.Request_Ledger:
+		out, err := s.ledgerCall(ctx, b.Ledger)
+		return &wirepb.Response{Body: &wirepb.Response_Ledger{Ledger: out}}, err
+	case *wirepb.Request_Fleet:
+		out, err := s.proposeFleet(ctx, b.Fleet.GetCommand())
+		return &wirepb.Response{Body: &wirepb.Response_Fleet{Fleet: &wirepb.FleetResponse{Result: out}}}, err
+	case *wirepb.Request_Dump:
+		out, err := s.Dump(ctx)
+		return &wirepb.Response{Body: &wirepb.Response_Dump{Dump: &wirepb.DumpResponse{Json: out}}}, err
+	default:
+		return nil, &InvalidRequestError{Message: "the request has no known body: run the same release on all hosts"}
+	}
+}
+
+// ledgerCall executes a command in a ledger group that this process leads. The
+// leader's wall clock replaces the sender's, so that only control hosts' clocks
+// decide on the age of a key.
+func (s *Server) ledgerCall(ctx context.Context, req *wirepb.LedgerRequest) (*wirepb.LedgerResponse, error) {
+	if int(req.GetGroup()) >= len(s.ledgers) || req.GetCommand() == nil {
+		return nil, &InvalidRequestError{Message: "there is no such ledger group: set the same number of ledger groups on all hosts"}
+	}
+	out, err := proposeLedger(ctx, s.ledgers[req.GetGroup()], req.GetCommand())
+	if err != nil {
+		return nil, err
+	}
+	return &wirepb.LedgerResponse{Result: out}, nil
+}
+
+func proposeLedger(ctx context.Context, r *replica.Replica, c *ledgerpb.Command) (*ledgerpb.Result, error) {
+	c.NowUnixMs = time.Now().UnixMilli()
+	raw, err := proto.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer, err := r.Propose(ctx, raw)
+	if err != nil {
+		return nil, err
+	}
+	out := new(ledgerpb.Result)
+	return out, proto.Unmarshal(answer, out)
+}
+
+// proposeFleet executes a command in the fleet group; it fails with
+// replica.NotLeaderError where this process does not lead.
+func (s *Server) proposeFleet(ctx context.Context, c *fleetpb.Command) (*fleetpb.Result, error) {
+	if c == nil {
+		return nil, &InvalidRequestError{Message: "the request carries no command: run the same release on all hosts"}
+	}
+	c.NowUnixMs = time.Now().UnixMilli()
+	raw, err := proto.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	answer, err := s.fleet.Propose(ctx, raw)
+	if err != nil {
+		return nil, err
+	}
+	out := new(fleetpb.Result)
+	return out, proto.Unmarshal(answer, out)
+}
+
+// leaderCall executes call where the fleet group's leader is: here, or at the
+// process that this one knows as the leader.
+func (s *Server) leaderCall(ctx context.Context, req *wirepb.Request) (*wirepb.Response, error) {
+	st := s.fleet.Status()
+	if st.Leader == s.o.Process {
+		return s.call(ctx, s.o.Process, req)
+	}
+	if st.Leader == "" {
+		return nil, &UnavailableError{Group: FleetGroup, Cause: "no leader is known; an election takes up to 4 s, or the quorum is lost"}
+	}
+	resp, err := s.pool.Call(ctx, st.Leader, req)
+	if err := callError(FleetGroup, resp, err); err != nil {
+		return nil, err
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/process/control/operators.go
@@ -0,0 +1,206 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/process/consensus"
+	"marjoramtiller.example/marjoramtiller/process/operator"
+	"marjoramtiller.example/marjoramtiller/process/replica"
+	"marjoramtiller.example/marjoramtiller/version/fleet"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+	"marjoramtiller.example/marjoramtiller/version/plan"
+)
+
+// Operators is the operators' view of a Server; it implements operator.Control.
+type Operators struct{ s *Server }
+
+// Operators returns the operators' view.
+func (s *Server) Operators() *Operators { return &Operators{s} }
+
+var _ operator.Control = (*Operators)(nil)
+
+// Configure implements operator.Control. A command that reached another process
+// than the leader is passed on.
+func (o *Operators) Configure(ctx context.Context, c *fleetpb.Command) (*fleetpb.Result, error) {
+	resp, err := o.s.leaderCall(ctx, &wirepb.Request{Body: &wirepb.Request_Fleet{Fleet: &wirepb.FleetRequest{Command: c}}})
+	if err != nil {
+		return nil, operatorError(err)
+	}
+	return resp.GetFleet().GetResult(), nil
+}
+
+// Snapshot implements operator.Control. It needs the leader.
+func (o *Operators) Snapshot(ctx context.Context) (*fleetpb.Snapshot, error) {
+	if _, err := o.s.leading(ctx); err != nil {
+		return nil, operatorError(err)
+	}
+	var out *fleetpb.Snapshot
+	o.s.viewFleet(func(f *fleet.Fleet) { out = f.Full() })
+	return proto.Clone(out).(*fleetpb.Snapshot), nil
+}
+
+// InForce implements operator.Control. It needs the leader.
+func (o *Operators) InForce(ctx context.Context) (accepted, inForce uint64, err error) {
+	t, err := o.s.leading(ctx)
+	if err != nil {
+		return 0, 0, operatorError(err)
+	}
+	o.s.mu.Lock()
+	defer o.s.mu.Unlock()
+	accepted = o.s.version.Load()
+	return accepted, t.lease.InForce(accepted, o.s.clock.Now()), nil
+}
+
+// PauseWave implements operator.Control.
+func (o *Operators) PauseWave(ctx context.Context, w operator.WaveRequest) (*fleetpb.Result, error) {
+	return o.waveStep(ctx, w, fleetpb.WaveState_WAVE_STATE_PAUSED, operatorPaused+w.Reason)
+}
+
+// ResumeWave implements operator.Control.
+func (o *Operators) ResumeWave(ctx context.Context, w operator.WaveRequest) (*fleetpb.Result, error) {
+	return o.waveStep(ctx, w, fleetpb.WaveState_WAVE_STATE_RUNNING, "")
+}
+
+func (o *Operators) waveStep(ctx context.Context, w operator.WaveRequest, state fleetpb.WaveState, reason string) (*fleetpb.Result, error) {
+	return o.Configure(ctx, &fleetpb.Command{
+		RequestId: w.RequestID,
+		Actor:     w.Operator,
+		Body:      &fleetpb.Command_WaveStep{WaveStep: &fleetpb.WaveStep{Wave: w.Wave, State: state, Reason: reason}},
+	})
+}
+
+// Voters implements operator.Control with what this process knows.
+func (o *Operators) Voters(context.Context) ([]operator.Voter, error) {
+	var out []operator.Voter
+	for name, r := range o.s.groups {
+		st := r.Status()
+		for _, id := range st.Voters {
+			out = append(out, operator.Voter{Group: name, ID: id, Leader: st.Leader == id, CaughtUp: true})
+		}
+		for _, id := range st.Learners {
+			out = append(out, operator.Voter{Group: name, ID: id, Learner: true, CaughtUp: st.Match[id] >= st.Commit})
+		}
+	}
+	return out, nil
+}
+
+// ChangeVoter implements operator.Control. It changes the groups one after the
+// other; a call that failed part way is simply made again. Each group's leader
+// must be this process, so the leadership is taken over where it is not.
+func (o *Operators) ChangeVoter(ctx context.Context, c operator.VoterChange) error {
+	for name, r := range o.s.groups {
+		if !leads(r) {
+			return &operator.NotLeaderError{Leader: r.Status().Leader}
+		}
+		change := replica.VoterChange{Name: c.ID}
+		switch c.Kind {
+		case operator.AddLearner:
+			change.Kind = consensus.AddLearner
+		case operator.Promote:
+			change.Kind = consensus.Promote
+		default:
+			change.Kind = consensus.Remove
+		}
+		if err := r.ChangeVoter(ctx, change); err != nil {
+			return operatorError(errors.WithMessage(err, "group "+name))
+		}
+	}
+	return nil
+}
+
+// Dump implements operator.Control.
+func (o *Operators) Dump(ctx context.Context) ([]byte, error) { return o.s.Dump(ctx) }
+
+// operatorError maps to the operators' interface's error types.
+func operatorError(err error) error {
+	var notLeader *replica.NotLeaderError
+	var unavailable *UnavailableError
+	var invalid *InvalidRequestError
+	var notProposed *replica.NotProposedError
+	var unknownHere *OutcomeUnknownError
+	var unknown *replica.OutcomeUnknownError
+	switch {
+	case errors.As(err, &notLeader):
+		return &operator.NotLeaderError{Leader: notLeader.Leader}
+	case errors.As(err, &unavailable), errors.As(err, &notProposed):
+		return &operator.UnavailableError{Reason: err.Error()}
+	case errors.As(err, &invalid):
+		return &operator.InvalidError{Reason: err.Error(), Remedy: "correct the request"}
+	case errors.As(err, &unknown), errors.As(err, &unknownHere), errors.Is(err, context.DeadlineExceeded):
+		return &operator.OutcomeUnknownError{Reason: err.Error()}
+	}
+	return &operator.UnavailableError{Reason: err.Error()}
+}
+
+// groupDump is the state of one consensus group in a dump.
+type groupDump struct {
+	Group           string   `json:"group"`
+	Role            string   `json:"role"`
+	Leader          string   `json:"leader"`
+	Term            uint64   `json:"term"`
+	Commit          uint64   `json:"commit"`
+	Applied         uint64   `json:"applied"`
+	FirstIndex      uint64   `json:"first_index"`
+	LastIndex       uint64   `json:"last_index"`
+	Voters          []string `json:"voters"`
+	Learners        []string `json:"learners,omitempty"`
+	BrokenInvariant string   `json:"broken_invariant,omitempty"`
+	DiskFull        bool     `json:"disk_full,omitempty"`
+}
+
+// sessionDump is an entry's session in a dump.
+type sessionDump struct {
+	Entry        string `json:"entry"`
+	BootID       string `json:"boot_id"`
+	AckedVersion uint64 `json:"acked_version"`
+	LeaseLeftMs  int64  `json:"lease_left_ms"`
+}
+
+// processDump is the whole dump.
+type processDump struct {
+	Process     string             `json:"process"`
+	BootID      string             `json:"boot_id"`
+	Zone        string             `json:"zone"`
+	Version     uint64             `json:"version"`
+	Groups      []groupDump        `json:"groups"`
+	Term        uint64             `json:"term,omitempty"`
+	Sessions    []sessionDump      `json:"sessions,omitempty"`
+	LiveServers int                `json:"live_servers"`
+	CannotRun   []plan.CannotRun   `json:"cannot_run,omitempty"`
+	Quarantined []plan.Quarantined `json:"quarantined,omitempty"`
+}
+
+// Dump returns this process's state as JSON.
+func (s *Server) Dump(context.Context) ([]byte, error) {
+	d := processDump{Process: s.o.Process, BootID: s.bootID, Zone: s.o.Zone, Version: s.version.Load()}
+	for _, name := range s.groupNames() {
+		st := s.groups[name].Status()
+		d.Groups = append(d.Groups, groupDump{
+			Group: name, Role: st.Role.String(), Leader: st.Leader, Term: st.Term,
+			Commit: st.Commit, Applied: st.Applied, FirstIndex: st.FirstIndex, LastIndex: st.Last,
+			Voters: st.Voters, Learners: st.Learners,
+			BrokenInvariant: st.BrokenInvariant, DiskFull: st.DiskFull,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if t := s.term; t != nil && leads(s.fleet) {
+		now := s.clock.Now()
+		d.Term = t.number
+		for _, x := range t.lease.Sessions() {
+			d.Sessions = append(d.Sessions, sessionDump{
+				Entry: x.ID.Entry, BootID: x.ID.BootID, AckedVersion: x.AckedVersion,
+				LeaseLeftMs: (x.LeaseEnd - now).Milliseconds(),
+			})
+		}
+		d.LiveServers = len(t.live.added)
+		d.CannotRun = t.jobs.scheduler.CannotRun()
+		d.Quarantined = t.jobs.scheduler.Quarantined()
+	}
+	return json.Marshal(d)
+}
