Add the entry daemon's body

Callers' requests are queued, recorded in the ledger when they are not idempotent, and forwarded under the leases of the sync loop.

--- /dev/null
+++ b/process/entry/carry.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/request/forward"
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
+	"marjoramtiller.example/marjoramtiller/request/outcome"
+	"marjoramtiller.example/marjoramtiller/request/retry"
+)
+
+// carry takes a request through its slot, its record, the backend server and
+// back. It returns nil if the caller has an answer.
+func (e *Entry) carry(w http.ResponseWriter, r *http.Request, c *call) *outcome.Error {
+	ctx := r.Context()
+	e.mu.Lock()
+	e.budget.Request(c.arrived)
+	e.mu.Unlock()
+	s, oerr := e.acquire(ctx, c.req)
+	if oerr != nil {
+		return oerr
+	}
+	if c.record != nil {
+		// A request that may run is carried to its end although the caller is
+		// gone, so that its outcome is recorded.
+		ctx = e.hard
+		if replay, oerr := e.beginOrReplay(ctx, w, c); replay || oerr != nil {
+			e.release(s, false)
+			return oerr
+		}
+	}
+	for {
+		c.attempts++
+		resp, f := e.send(ctx, r, c, s)
+		if f == nil {
+			return e.answer(w, c, s, resp)
+		}
+		c.mayHaveRun = c.mayHaveRun || f.Written
+		e.noteFailure(s, f)
+		if !e.mayRetry(c, f) {
+			e.release(s, f.Kind == forward.TimedOut)
+			return e.failed(c, f)
+		}
+		e.m.retries.Add(1)
+		if s, oerr = e.again(ctx, s); oerr != nil {
+			if c.record != nil {
+				e.withdraw(c.record, false)
+			}
+			return notSentAgain(c, f, oerr)
+		}
+	}
+}
+
+// notSentAgain reports a request that found no slot for another attempt. If an
+// earlier attempt was written, the request may have run.
+func notSentAgain(c *call, f *forward.Failure, oerr *outcome.Error) *outcome.Error {
+	if !c.mayHaveRun {
+		return oerr
+	}
+	return outcome.New(outcome.CauseServerFailed, f.Err.Error()).After(oerr.RetryAfter)
+}
+
+// beginOrReplay asks the ledger for the right to run. It returns true if the
+// caller got the recorded answer of an earlier run.
+func (e *Entry) beginOrReplay(ctx context.Context, w http.ResponseWriter, c *call) (bool, *outcome.Error) {
+	res, oerr := e.begin(ctx, c.record)
+	if oerr != nil {
+		return false, oerr
+	}
+	switch res.GetKind() {
+	case ledgerpb.Result_KIND_GO_AHEAD:
+		return false, nil
+	case ledgerpb.Result_KIND_FINISHED:
+		if res.GetAnswer().GetBodyOmitted() {
+			detail := "its status was " + strconv.Itoa(int(res.GetAnswer().GetStatus()))
+			return false, outcome.New(outcome.CauseAnswerOmitted, detail)
+		}
+		writeRecorded(w, res.GetAnswer())
+		return true, nil
+	}
+	return false, explain(res)
+}
+
+func writeRecorded(w http.ResponseWriter, a *ledgerpb.Answer) {
+	h := w.Header()
+	for _, f := range a.GetHeaders() {
+		h.Add(f.GetName(), f.GetValue())
+	}
+	if a.GetStatus() != http.StatusNoContent && a.GetStatus() != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(a.GetBody())))
+	}
+	w.WriteHeader(int(a.GetStatus()))
+	_, _ = w.Write(a.GetBody())
+}
+
+func (e *Entry) send(ctx context.Context, r *http.Request, c *call, s slot) (*forward.Response, *forward.Failure) {
+	body, length := c.reader()
+	if c.stream != nil {
+		length = r.ContentLength
+	}
+	return s.target.t.Do(ctx, forward.Request{
+		Method:        r.Method,
+		Path:          c.path,
+		RawQuery:      c.query,
+		Host:          r.Host,
+		Header:        r.Header,
+		Body:          body,
+		ContentLength: length,
+		Timeout:       e.timeout(c),
+		Allowed:       func() bool { return e.mayWrite(s.server, s.target) },
+	})
+}
+
+// timeout bounds an attempt. An idempotent request ends at its deadline. A
+// non-idempotent one does not: cutting it off would make its outcome unknown.
+func (e *Entry) timeout(c *call) time.Duration {
+	t := e.o.AnswerTimeout
+	if c.idempotent && c.deadline > 0 {
+		t = min(t, c.deadline-e.now())
+	}
+	return max(t, time.Millisecond)
+}
+
+// noteFailure makes others preferred to a server that failed, and ends the
+// lease of one that refused a connection.
+func (e *Entry) noteFailure(s slot, f *forward.Failure) {
+	if f.Kind == forward.CallerGone || f.Kind == forward.BodyFailed || f.Kind == forward.NotAllowed {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	e.core.Failed(now, s.server)
+	if f.Kind == forward.DialFailed {
+		e.leases.end(s.server, now)
+		e.refusing[s.server] = true
+		e.refresh(now)
+	}
+}
+
+func (e *Entry) mayRetry(c *call, f *forward.Failure) bool {
+	if f.Kind == forward.CallerGone || f.Kind == forward.BodyFailed {
+		return false
+	}
+	now := e.now()
+	verdict := retry.Decide(retry.Failure{
+		Idempotent:     c.idempotent,
+		Written:        f.Written,
+		BodyConsumed:   c.stream != nil && c.stream.n.Load() > 0,
+		Attempts:       c.attempts,
+		DeadlinePassed: c.deadline > 0 && now >= c.deadline,
+	})
+	if verdict == retry.AgainInBudget {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		return e.budget.Take(now)
+	}
+	return verdict == retry.Again
+}
+
+// failed ends a request that got no answer.
+func (e *Entry) failed(c *call, f *forward.Failure) *outcome.Error {
+	if !c.mayHaveRun {
+		if c.record != nil {
+			e.withdraw(c.record, false)
+		}
+		return outcome.New(outcome.CauseUnavailable, "no backend server could be reached").After(unavailableRetry)
+	}
+	if c.record != nil {
+		e.finish(c.record, nil, true)
+	}
+	if f.Kind == forward.TimedOut {
+		return outcome.New(outcome.CauseServerTimeout, f.Err.Error())
+	}
+	return outcome.New(outcome.CauseServerFailed, f.Err.Error())
+}
+
+// answer passes a response on. If it turns out to be incomplete after its
+// head was sent, the caller's connection is aborted.
+func (e *Entry) answer(w http.ResponseWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
+	e.noteAnswer(s, resp)
+	if c.record != nil {
+		return e.answerRecorded(w, c, s, resp)
+	}
+	err := resp.CopyTo(w, nil)
+	e.release(s, err == nil)
+	if err != nil {
+		e.abortCaller(c)
+	}
+	return nil
+}
+
+func (e *Entry) noteAnswer(s slot, resp *forward.Response) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	if resp.Leaving {
+		e.leases.end(s.server, now)
+		e.refresh(now)
+		return
+	}
+	e.leases.answered(s.server, now)
+}
+
+// answerRecorded records the answer before the caller gets it. An answer that
+// is too large to record is recorded by its head once that many bytes of it
+// have come, and streams from there.
+func (e *Entry) answerRecorded(w http.ResponseWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRecordedBody+1))
+	if err != nil || (resp.ContentLength >= 0 && resp.ContentLength <= maxRecordedBody && int64(len(body)) != resp.ContentLength) {
+		_ = resp.Body.Close()
+		e.release(s, false)
+		e.finish(c.record, nil, true)
+		if err == nil {
+			err = errBodyTruncated
+		}
+		return outcome.New(outcome.CauseServerFailed, err.Error())
+	}
+	if len(body) > maxRecordedBody {
+		e.finish(c.record, answerOf(resp, nil, true), false)
+		err = resp.CopyTo(w, body)
+		e.release(s, err == nil)
+		if err != nil {
+			e.abortCaller(c)
+		}
+		return nil
+	}
+	_ = resp.Body.Close()
+	e.release(s, true)
+	a := answerOf(resp, body, false)
+	e.finish(c.record, a, false)
+	writeRecorded(w, a)
+	return nil
+}
+
+func (e *Entry) abortCaller(c *call) {
+	e.m.abortedAnswers.Add(1)
+	e.m.request(c.service, "aborted")
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/process/entry/entry.go
@@ -0,0 +1,295 @@
+// Package entry is the body of the entry daemon. It accepts callers' requests
+// over HTTP/1.1, queues them, records non-idempotent ones in the ledger and
+// forwards each to a backend server, under leases from the control leader.
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/request/queue"
+	"marjoramtiller.example/marjoramtiller/request/retry"
+)
+
+// Defaults of unset options.
+const (
+	defaultAnswerTimeout  = 10 * time.Minute
+	defaultHealthGrace    = 3 * time.Second
+	defaultMaxBodyBytes   = 1 << 20
+	defaultMaxHeaderBytes = 32 << 10
+	defaultFinishWait     = 2 * time.Second
+	defaultBeginWait      = 3 * time.Second
+	readHeaderTimeout     = 10 * time.Second
+	callerIdleTimeout     = 60 * time.Second
+	// sweepInterval is how often leases that have ended are noticed.
+	sweepInterval = 100 * time.Millisecond
+)
+
+// Options configure an Entry. Name, BootID, Control, KeyGroup and CheckKey are required.
+type Options struct {
+	Name     string // process name of this entry
+	BootID   string // new at every process start
+	Address  string // callers' listener, IP:port; unused if Listener is set
+	Listener net.Listener
+	Control  Control
+
+	// KeyGroup returns the ledger group of a key.
+	KeyGroup func(key string) uint32
+	// LedgerGroups is the number of ledger groups; each is told of this boot.
+	LedgerGroups uint32
+	// CheckKey checks an Idempotency-Key header and returns the key in its
+	// normal form. The error's text goes to the caller.
+	CheckKey func(raw string) (key string, err error)
+
+	MaxQueuedPerCaller  int
+	MaxQueuedPerService int
+	MaxBodyBytes        int64 // of a non-idempotent request, which is held in memory
+	MaxHeaderBytes      int
+	AnswerTimeout       time.Duration // bounds one attempt at a backend server
+	BeginWait           time.Duration // bounds the wait for a Begin
+	FinishWait          time.Duration // bounds how long an answer waits for its record
+	HealthGrace         time.Duration // the health check fails this long before the listener closes
+	// ShutdownTimeout bounds the wait for requests in flight; 0: no bound.
+	ShutdownTimeout time.Duration
+
+	Log zerolog.Logger
+}
+
+// Entry is one entry daemon's body.
+type Entry struct {
+	o       Options
+	started time.Time
+	m       *metrics
+	attempt atomic.Uint64
+	closing atomic.Bool // the health check fails
+	broken  atomic.Bool // an invariant was violated; nothing is accepted
+
+	background sync.WaitGroup // records that are still being written
+	serving    sync.WaitGroup // requests being handled
+	hard       context.Context
+	abort      context.CancelFunc
+
+	mu           sync.Mutex
+	core         *queue.Core
+	budget       retry.Budget
+	cfg          *config
+	leases       *leases
+	shares       map[string]share
+	targets      map[string]*target
+	waiters      map[queue.ID]*waiter
+	inFlight     map[string]int  // by server
+	inFlightHost map[string]int  // by the host that the server was on at the start
+	refusing     map[string]bool // servers that refused a connection since the last report
+	liveNumber   uint64
+	rates        map[string]*arrivals
+	grant        uint64
+	term         uint64
+	leader       string
+	wake         *time.Timer
+}
+
+// New checks the options and returns an entry that does not serve yet.
+func New(o Options) (*Entry, error) {
+	if o.Name == "" || o.BootID == "" {
+		return nil, errors.New("entry: Name and BootID must be set; take the name from the settings")
+	}
+	if o.Control == nil || o.KeyGroup == nil || o.CheckKey == nil {
+		return nil, errors.New("entry: Control, KeyGroup and CheckKey must be set")
+	}
+	setDefaults(&o)
+	e := &Entry{
+		o:            o,
+		started:      time.Now(),
+		core:         queue.New(),
+		cfg:          newConfig(),
+		leases:       newLeases(),
+		shares:       make(map[string]share),
+		targets:      make(map[string]*target),
+		waiters:      make(map[queue.ID]*waiter),
+		inFlight:     make(map[string]int),
+		inFlightHost: make(map[string]int),
+		refusing:     make(map[string]bool),
+		rates:        make(map[string]*arrivals),
+	}
+	e.m = newMetrics()
+	e.hard, e.abort = context.WithCancel(context.Background())
+	e.wake = time.AfterFunc(time.Hour, e.onWake)
+	e.wake.Stop()
+	return e, nil
+}
+
+func setDefaults(o *Options) {
+	if o.MaxBodyBytes <= 0 {
+		o.MaxBodyBytes = defaultMaxBodyBytes
+	}
+	if o.MaxHeaderBytes <= 0 {
+		o.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	if o.AnswerTimeout <= 0 {
+		o.AnswerTimeout = defaultAnswerTimeout
+	}
+	if o.BeginWait <= 0 {
+		o.BeginWait = defaultBeginWait
+	}
+	if o.FinishWait <= 0 {
+		o.FinishWait = defaultFinishWait
+	}
+	if o.HealthGrace < 0 {
+		o.HealthGrace = 0
+	} else if o.HealthGrace == 0 {
+		o.HealthGrace = defaultHealthGrace
+	}
+}
+
+// now returns the time since the entry's start on the monotonic clock.
+func (e *Entry) now() time.Duration { return time.Since(e.started) }
+
+// Handler returns the callers' HTTP handler.
+func (e *Entry) Handler() http.Handler { return http.HandlerFunc(e.serve) }
+
+// Run serves until ctx ends and then shuts down gracefully: the health check
+// fails first, then the listener closes, requests in flight are finished and
+// their records written.
+func (e *Entry) Run(ctx context.Context) error {
+	l := e.o.Listener
+	if l == nil {
+		var err error
+		if l, err = (&net.ListenConfig{}).Listen(ctx, "tcp", e.o.Address); err != nil {
+			return errors.Wrap(err, "entry: listen for callers; check the address in the settings")
+		}
+	}
+	srv := &http.Server{
+		Handler:           e.Handler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       callerIdleTimeout,
+		MaxHeaderBytes:    e.o.MaxHeaderBytes,
+	}
+	loops, stopLoops := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { e.syncLoop(loops) })
+	running.Go(func() { e.sweepLoop(loops) })
+	running.Go(func() { e.bootLoop(loops) })
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(l) }()
+	e.o.Log.Info().Str("address", l.Addr().String()).Msg("serving callers")
+
+	var err error
+	select {
+	case err = <-served:
+		err = errors.Wrap(err, "entry: serve callers")
+		e.closing.Store(true)
+	case <-ctx.Done():
+		e.closing.Store(true)
+		err = e.shutdown(srv)
+		<-served
+	}
+	e.abort()
+	stopLoops()
+	running.Wait()
+	e.close()
+	return err
+}
+
+// shutdown runs while the sync and sweep loops go on, as requests in flight
+// still need their leases.
+func (e *Entry) shutdown(srv *http.Server) error {
+	e.o.Log.Info().Msg("shutting down: the health check fails now")
+	sleep(e.hard, e.o.HealthGrace)
+	ctx := context.Background()
+	if e.o.ShutdownTimeout > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, e.o.ShutdownTimeout)
+		defer cancel()
+	}
+	if err := srv.Shutdown(ctx); err != nil {
+		_ = srv.Close()
+		return errors.Wrap(err, "entry: requests in flight were interrupted; allow a longer shutdown")
+	}
+	done := make(chan struct{})
+	go func() {
+		e.background.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return errors.New("entry: records were not written; their keys stay unknown until a later query")
+	}
+}
+
+func (e *Entry) close() {
+	e.serving.Wait()
+	e.background.Wait()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.wake.Stop()
+	for _, t := range e.targets {
+		t.t.CloseIdle()
+	}
+}
+
+func (e *Entry) sweepLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		e.sweep()
+	}
+}
+
+// sweep notices leases that have ended. Without a configuration lease every
+// queued request is rejected.
+func (e *Entry) sweep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	e.refresh(now)
+	if !e.leases.configValid(now) {
+		e.rejectAll()
+	}
+	e.pump()
+}
+
+func (e *Entry) onWake() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pump()
+}
+
+// pump carries out what the queue core decides. The caller holds the mutex.
+func (e *Entry) pump() {
+	now := e.now()
+	for !e.broken.Load() {
+		a, ok := e.core.Next(now)
+		if !ok {
+			break
+		}
+		e.act(a)
+	}
+	if err := e.core.Check(); err != nil {
+		e.violated("queue", err)
+	}
+	if at, ok := e.core.Wake(now); ok {
+		e.wake.Reset(max(at-now, time.Millisecond))
+	}
+}
+
+// violated counts an invariant that does not hold; the entry then accepts nothing more.
+func (e *Entry) violated(name string, err error) {
+	e.m.violated(name)
+	if e.broken.CompareAndSwap(false, true) {
+		e.o.Log.Error().Err(err).Str("invariant", name).Msg("an invariant does not hold; restart this process and report the state dump")
+	}
+}
+
+func (e *Entry) healthy() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.closing.Load() && !e.broken.Load() && e.leases.configValid(e.now())
+}
--- /dev/null
+++ b/process/entry/entry_test.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
+	"marjoramtiller.example/marjoramtiller/request/outcome"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+type answer struct {
+	status  int
+	body    string
+	problem outcome.Problem
+	header  http.Header
+	err     error
+}
+
+func (f *fixture) send(method, path, key, body string) answer {
+	f.t.Helper()
+	req, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, body: string(b), header: resp.Header, err: err}
+	if resp.Header.Get("Content-Type") == outcome.ContentType {
+		_ = json.Unmarshal(b, &a.problem)
+	}
+	return a
+}
+
+func backend(t *testing.T, h http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// Guards against a second run of a key, and against a replay that differs
+// from the first answer.
+func TestKeyRunsOnce(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	f := start(t, nil)
+	f.control.add("b1", backend(t, func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		b, _ := io.ReadAll(r.Body)
+		w.Header().Set("X-Run", "1")
+		w.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(w, r.URL.Path+":"+string(b))
+	}))
+	f.serving(4)
+	for range 3 {
+		a := f.send("POST", "/s/ledger/post/1", "key-1", "x")
+		is.NoErr(a.err)
+		is.Equal(a.status, 201)
+		is.Equal(a.body, "/post/1:x")
+		is.Equal(a.header.Get("X-Run"), "1")
+	}
+	is.Equal(runs.Load(), int32(1))
+	is.Equal(f.send("POST", "/s/ledger/post/1", "key-1", "other").status, 422)
+	is.Equal(f.send("GET", "/outcomes/key-1", "", "").status, 200)
+	is.Equal(f.send("GET", "/outcomes/key-2", "", "").problem.Outcome, outcome.NotRun)
+}
+
+// Guards against requests that run without a key, without a service, or with
+// a body that is too large to be fingerprinted.
+func TestInvalidRequestsAreNotRun(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	f := start(t, func(o *Options) { o.MaxBodyBytes = 10 })
+	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	f.serving(4)
+	for _, c := range []struct {
+		path, key, body string
+		status          int
+	}{
+		{"/s/ledger/x", "", "", 400},
+		{"/s/ledger/x", "k", "", 400},
+		{"/s/other/x", "key-1", "", 404},
+		{"/v1/changes", "key-1", "", 404},
+		{"/s/ledger/x", "key-1", "12345678901", 413},
+	} {
+		a := f.send("POST", c.path, c.key, c.body)
+		is.Equal(a.status, c.status)
+		is.Equal(a.problem.Outcome, outcome.NotRun)
+	}
+	is.Equal(runs.Load(), int32(0))
+}
+
+// Guards against a key reported as not run, or run again, after its request
+// was cut off half way.
+func TestCutAnswerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	f := start(t, nil)
+	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header().Set("Content-Length", "10")
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}))
+	f.serving(4)
+	a := f.send("POST", "/s/ledger/x", "key-1", "")
+	is.Equal(a.status, 502)
+	is.Equal(a.problem.Outcome, outcome.Unknown)
+	a = f.send("POST", "/s/ledger/x", "key-1", "")
+	is.Equal(a.status, 409)
+	is.Equal(a.problem.Outcome, outcome.Unknown)
+	is.Equal(runs.Load(), int32(1))
+	a = f.send("GET", "/s/ledger/x", "", "")
+	is.True(a.err != nil) // the caller of an idempotent request sees a broken answer
+}
+
+// Guards against a refused connection that makes a key unusable: another
+// server is chosen, and without one the key can be sent again.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	f.control.add("a-dead", l.Addr().String())
+	f.serving(4)
+	a := f.send("POST", "/s/ledger/x", "key-1", "")
+	is.Equal(a.status, 503)
+	is.Equal(a.problem.Outcome, outcome.NotRun)
+	is.True(a.header.Get("Retry-After") != "")
+	f.until("the record is withdrawn", func() bool {
+		return f.control.has("key-1", ledgerpb.RecordState_RECORD_STATE_UNSPECIFIED)
+	})
+	f.control.add("b-live", backend(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	f.until("the live server is used", func() bool {
+		for _, s := range f.entry.Dump().(State).Servers {
+			if s.Server == "b-live" && s.ServerStats.Slots == 4 {
+				return true
+			}
+		}
+		return false
+	})
+	for range 8 {
+		a = f.send("POST", "/s/ledger/x", "key-1", "")
+		is.Equal(a.status, 200)
+		is.Equal(a.body, "ok")
+	}
+}
+
+// Guards against a non-idempotent request that runs without a record.
+func TestNoLedgerNoRun(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	f := start(t, nil)
+	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	f.serving(4)
+	f.control.set(func() { f.control.noLedger = true })
+	a := f.send("POST", "/s/ledger/x", "key-1", "")
+	is.Equal(a.status, 503)
+	is.Equal(a.problem.Outcome, outcome.NotRun)
+	is.Equal(f.send("GET", "/s/ledger/x", "", "").status, 200)
+	is.Equal(runs.Load(), int32(1))
+	f.control.set(func() { f.control.noLedger = false })
+}
+
+// Guards against an answer that is withheld, or a record that is given up,
+// when the ledger becomes unreachable while the request runs.
+func TestAnswerWithoutLedger(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+		f.control.set(func() { f.control.noLedger = true })
+		_, _ = io.WriteString(w, "done")
+	}))
+	f.serving(4)
+	a := f.send("POST", "/s/ledger/x", "key-1", "")
+	is.Equal(a.status, 200)
+	is.Equal(a.body, "done")
+	is.True(f.control.has("key-1", ledgerpb.RecordState_RECORD_STATE_RUNNING))
+	f.control.set(func() { f.control.noLedger = false })
+	f.until("the record is finished", func() bool {
+		return f.control.has("key-1", ledgerpb.RecordState_RECORD_STATE_FINISHED)
+	})
+}
+
+// Guards against an entry that serves on stale configuration after it lost
+// the control leader, and against a health check that hides it.
+func TestNoLeaseNoService(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	f.control.set(func() { f.control.leaseMs = 300 })
+	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) {}))
+	f.serving(4)
+	is.Equal(f.send("GET", "/healthz", "", "").status, 200)
+	f.control.set(func() { f.control.cut = true })
+	f.until("the health check fails", func() bool { return f.send("GET", "/healthz", "", "").status == 503 })
+	a := f.send("GET", "/s/ledger/x", "", "")
+	is.Equal(a.status, 503)
+	is.Equal(a.problem.Outcome, outcome.NotRun)
+}
+
+// Guards against new work on a draining host, and against a host that is
+// released while its work is still in flight.
+func TestDrainingHost(t *testing.T) {
+	is := is.New(t)
+	enter, leave := make(chan struct{}), make(chan struct{})
+	f := start(t, nil)
+	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) {
+		close(enter)
+		<-leave
+	}))
+	f.serving(4)
+	done := make(chan answer, 1)
+	go func() { done <- f.send("GET", "/s/ledger/x", "", "") }()
+	<-enter
+	f.control.set(func() { f.control.hosts["h-b1"] = fleetpb.HostState_HOST_STATE_DRAINING })
+	reported := func(want uint32) func() bool {
+		return func() bool {
+			f.control.mu.Lock()
+			defer f.control.mu.Unlock()
+			last := f.control.requests[len(f.control.requests)-1]
+			return len(last.GetDraining()) == 1 && last.GetDraining()[0].GetInFlight() == want
+		}
+	}
+	f.until("one request in flight is reported", reported(1))
+	is.Equal(f.send("GET", "/s/ledger/x", "", "").status, 503)
+	close(leave)
+	is.Equal((<-done).status, 200)
+	f.until("nothing in flight is reported", reported(0))
+}
+
+// Guards against a planned stop that interrupts a request in flight.
+func TestGracefulShutdown(t *testing.T) {
+	is := is.New(t)
+	enter, leave := make(chan struct{}), make(chan struct{})
+	f := start(t, nil)
+	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(enter)
+		<-leave
+		_, _ = io.WriteString(w, "whole")
+	}))
+	f.serving(4)
+	done := make(chan answer, 1)
+	go func() { done <- f.send("POST", "/s/ledger/x", "key-1", "") }()
+	<-enter
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.stop() }()
+	f.until("the entry is closing", func() bool { return !f.entry.healthy() })
+	close(leave)
+	a := <-done
+	is.NoErr(a.err)
+	is.Equal(a.body, "whole")
+	is.NoErr(<-stopped)
+	is.True(f.control.has("key-1", ledgerpb.RecordState_RECORD_STATE_FINISHED))
+	is.Equal(len(f.entry.Counters().Violations), 0)
+}
+
+// Guards against records of an earlier boot that stay "running" for ever.
+func TestBootIsReportedToEveryGroup(t *testing.T) {
+	f := start(t, nil)
+	f.until("both groups know the boot", func() bool {
+		f.control.mu.Lock()
+		defer f.control.mu.Unlock()
+		return f.control.boots == 2
+	})
+}
+
+// Guards against an answer of more than the recorded size that is truncated
+// or recorded as if it were whole.
+func TestLargeAnswerStreams(t *testing.T) {
+	is := is.New(t)
+	large := strings.Repeat("z", 100<<10)
+	f := start(t, nil)
+	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }))
+	f.serving(4)
+	a := f.send("POST", "/s/ledger/x", "key-1", "")
+	is.Equal(a.status, 200)
+	is.True(a.body == large)
+	a = f.send("POST", "/s/ledger/x", "key-1", "")
+	is.Equal(a.status, 409)
+	is.Equal(a.problem.Type, outcome.TypePrefix+string(outcome.CauseAnswerOmitted))
+}
+
+// Guards against a backend server that keeps getting work after it has said
+// that it is leaving.
+func TestLeavingServerGetsNoWork(t *testing.T) {
+	is := is.New(t)
+	f := start(t, nil)
+	var runs atomic.Int32
+	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+		f.control.set(func() { f.control.cut = true }) // no sync restores it
+		runs.Add(1)
+		w.Header().Set("Connection", "close")
+	}))
+	f.serving(4)
+	is.Equal(f.send("GET", "/s/ledger/x", "", "").status, 200)
+	is.Equal(f.send("GET", "/s/ledger/x", "", "").status, 503)
+	is.Equal(runs.Load(), int32(1))
+}
--- /dev/null
+++ b/process/entry/handler.go
@@ -0,0 +1,299 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
+	"marjoramtiller.example/marjoramtiller/request/outcome"
+	"marjoramtiller.example/marjoramtiller/request/queue"
+)
+
+// Paths that the entry answers itself. All others belong to services.
+const (
+	healthPath    = "/healthz"
+	outcomesPath  = "/outcomes/"
+	servicePrefix = "/s/"
+)
+
+// Header fields of callers.
+const (
+	keyHeader      = "Idempotency-Key"
+	callerHeader   = "Caller-Id"
+	deadlineHeader = "Request-Deadline-Ms"
+	maxCallerBytes = 128
+)
+
+// maxDeadline bounds Request-Deadline-Ms.
+const maxDeadline = 24 * time.Hour
+
+// resendLimit is the greatest body of an idempotent request that is held in
+// memory so that the request can be sent again; a larger one streams.
+const resendLimit = 64 << 10
+
+// call is one caller's request.
+type call struct {
+	service    string
+	path       string // escaped, without the service prefix
+	query      string
+	idempotent bool
+	arrived    time.Duration
+	deadline   time.Duration // 0: none
+	req        queue.Request
+	body       []byte       // when held in memory
+	stream     *countReader // when streamed
+	record     *record      // non-idempotent only
+	attempts   int
+	mayHaveRun bool // an attempt was written
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	e.serving.Add(1)
+	defer e.serving.Done()
+	switch {
+	case r.URL.Path == healthPath:
+		e.serveHealth(w)
+	case strings.HasPrefix(r.URL.Path, outcomesPath) && r.Method == http.MethodGet:
+		e.serveOutcome(w, r)
+	default:
+		e.serveRequest(w, r)
+	}
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter) {
+	w.Header().Set("Cache-Control", "no-store")
+	if !e.healthy() {
+		http.Error(w, "not serving", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// finishedOutcome is the answer to a query for a key whose request has run.
+type finishedOutcome struct {
+	Key         string `json:"key"`
+	Outcome     string `json:"outcome"`
+	Status      uint32 `json:"status"`
+	BodyOmitted bool   `json:"body_omitted"`
+}
+
+func (e *Entry) serveOutcome(w http.ResponseWriter, r *http.Request) {
+	key, err := e.o.CheckKey(strings.TrimPrefix(r.URL.Path, outcomesPath))
+	if err != nil {
+		outcome.New(outcome.CauseInvalidKey, err.Error()).Write(w)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), e.o.BeginWait)
+	defer cancel()
+	res, err := e.ledger(ctx, key, &ledgerpb.Command{Body: &ledgerpb.Command_Query{Query: &ledgerpb.Query{Key: key}}})
+	if err != nil {
+		e.m.ledgerFailures.Add(1)
+		// The request itself may have run, so this is not reported as not-run.
+		o := outcome.New(outcome.CauseServerFailed, "the ledger cannot be reached").After(unavailableRetry)
+		o.Remedy = "Query the outcome again after the time in Retry-After."
+		o.Write(w)
+		return
+	}
+	if res.GetKind() != ledgerpb.Result_KIND_FINISHED {
+		explain(res).Write(w)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	_ = json.NewEncoder(w).Encode(finishedOutcome{Key: key, Outcome: "finished", Status: res.GetAnswer().GetStatus(), BodyOmitted: res.GetAnswer().GetBodyOmitted()})
+}
+
+func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+	c, oerr := e.parse(r)
+	service := ""
+	if c != nil {
+		service = c.service
+	}
+	if oerr == nil {
+		oerr = e.carry(w, r, c)
+	}
+	if oerr != nil {
+		e.m.request(service, string(oerr.Kind))
+		oerr.Write(w)
+		return
+	}
+	e.m.request(service, "answered")
+}
+
+// parse checks a request before it is queued.
+func (e *Entry) parse(r *http.Request) (*call, *outcome.Error) {
+	if e.broken.Load() {
+		return nil, outcome.New(outcome.CauseUnavailable, "this entry has stopped after a fault").After(unavailableRetry)
+	}
+	now := e.now()
+	service, path := e.route(r)
+	e.mu.Lock()
+	valid := e.leases.configValid(now)
+	pool := e.cfg.serviceOf(service)
+	e.mu.Unlock()
+	if !valid {
+		return nil, outcome.New(outcome.CauseUnavailable, "this entry has no valid lease").After(unavailableRetry)
+	}
+	if pool == nil {
+		return nil, outcome.New(outcome.CauseUnknownService, "neither the Host header nor the path names a configured service")
+	}
+	c := &call{service: service, path: path, query: r.URL.RawQuery, idempotent: outcome.Idempotent(r.Method), arrived: now}
+	if err := c.setDeadline(r.Header.Get(deadlineHeader), pool.GetDefaultDeadlineMs()); err != nil {
+		return c, err
+	}
+	c.req = queue.Request{Service: service, Caller: callerOf(r), Route: routeOf(r.Method, path), Deadline: c.deadline}
+	if c.idempotent {
+		return c, c.readIdempotent(r)
+	}
+	return c, e.readNonIdempotent(r, c)
+}
+
+// route returns the service and the path for its backend servers.
+func (e *Entry) route(r *http.Request) (service, path string) {
+	path = r.URL.EscapedPath()
+	if rest, ok := strings.CutPrefix(path, servicePrefix); ok {
+		name, rest, _ := strings.Cut(rest, "/")
+		return name, "/" + rest
+	}
+	if path == "" || path[0] != '/' {
+		path = "/" + path
+	}
+	host := strings.ToLower(r.Host)
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	label, _, _ := strings.Cut(host, ".")
+	return label, path
+}
+
+func (c *call) setDeadline(header string, defaultMs uint32) *outcome.Error {
+	d := time.Duration(defaultMs) * time.Millisecond
+	if header != "" {
+		n, err := strconv.ParseInt(header, 10, 64)
+		if err != nil || n <= 0 || n > maxDeadline.Milliseconds() {
+			return outcome.New(outcome.CauseInvalidRequest, deadlineHeader+" must be a whole number of milliseconds from 1 to one day")
+		}
+		d = time.Duration(n) * time.Millisecond
+	}
+	if d > 0 {
+		c.deadline = c.arrived + d
+	}
+	return nil
+}
+
+func (c *call) readIdempotent(r *http.Request) *outcome.Error {
+	switch {
+	case r.ContentLength == 0:
+	case r.ContentLength > 0 && r.ContentLength <= resendLimit:
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return outcome.New(outcome.CauseInvalidRequest, "the body could not be read")
+		}
+		c.body = b
+	default:
+		c.stream = &countReader{r: r.Body}
+	}
+	return nil
+}
+
+// readNonIdempotent checks the key and holds the body in memory, as the
+// fingerprint covers the whole body and is needed before the request may run.
+func (e *Entry) readNonIdempotent(r *http.Request, c *call) *outcome.Error {
+	raw := r.Header.Values(keyHeader)
+	if len(raw) != 1 {
+		return outcome.New(outcome.CauseInvalidKey, "send exactly one "+keyHeader+" header")
+	}
+	key, err := e.o.CheckKey(raw[0])
+	if err != nil {
+		return outcome.New(outcome.CauseInvalidKey, err.Error())
+	}
+	tooLarge := outcome.New(outcome.CauseBodyTooLarge, "the limit is "+strconv.FormatInt(e.o.MaxBodyBytes, 10)+" bytes")
+	if r.ContentLength > e.o.MaxBodyBytes {
+		return tooLarge
+	}
+	c.body, err = io.ReadAll(io.LimitReader(r.Body, e.o.MaxBodyBytes+1))
+	if err != nil {
+		return outcome.New(outcome.CauseInvalidRequest, "the body could not be read")
+	}
+	if int64(len(c.body)) > e.o.MaxBodyBytes {
+		return tooLarge
+	}
+	c.record = &record{
+		key:         key,
+		fingerprint: fingerprint(c.service, r.Method, c.path+"?"+c.query, c.body),
+		service:     c.service,
+		attempt:     e.attempt.Add(1),
+	}
+	return nil
+}
+
+// fingerprint hashes the parts with their lengths, so that no two requests
+// have the same sequence of bytes.
+func fingerprint(service, method, path string, body []byte) []byte {
+	h := sha256.New()
+	var size [8]byte
+	for _, part := range [][]byte{[]byte(service), []byte(method), []byte(path), body} {
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	return h.Sum(nil)
+}
+
+// callerOf identifies a caller for fair queueing.
+func callerOf(r *http.Request) string {
+	if id := r.Header.Get(callerHeader); id != "" {
+		return id[:min(len(id), maxCallerBytes)]
+	}
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
+// routeOf returns the method and the first two path segments.
+func routeOf(method, path string) string {
+	rest := strings.TrimPrefix(path, "/")
+	first, rest, _ := strings.Cut(rest, "/")
+	second, _, _ := strings.Cut(rest, "/")
+	return method + " /" + first + "/" + second
+}
+
+// countReader counts the bytes read from a streamed body; once some were
+// read, the request cannot be sent again.
+type countReader struct {
+	r io.Reader
+	n atomic.Int64
+}
+
+// Read implements io.Reader.
+func (c *countReader) Read(p []byte) (int, error) {
+	n, err := c.r.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c *call) reader() (io.Reader, int64) {
+	switch {
+	case c.stream != nil:
+		return c.stream, -1
+	case len(c.body) > 0:
+		return bytes.NewReader(c.body), int64(len(c.body))
+	}
+	return nil, 0
+}
+
+var errBodyTruncated = errors.New("the backend server's answer is incomplete")
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -43,6 +43,7 @@
 	CauseKeyRunning     Cause = "key-running"
 	CauseKeyExpired     Cause = "key-expired"
 	CauseNoRecord       Cause = "no-record"
+	CauseAnswerOmitted  Cause = "answer-omitted"
 )
 
 // TypePrefix precedes the cause in the type member of a problem document.
@@ -92,6 +93,7 @@
 	CauseKeyUnknown:     {Unknown, http.StatusConflict, "The outcome of this key is unknown", "Check the effect of the request at the service; do not send it again with a new key before that."},
 	CauseKeyRunning:     {Running, http.StatusConflict, "A request with this key is running", "Ask again after the time in Retry-After."},
 	CauseKeyExpired:     {Expired, http.StatusGone, "The idempotency key has expired", "Check the effect of the request at the service before using a new key."},
+	CauseAnswerOmitted:  {Unknown, http.StatusConflict, "The request has run; its answer was too large to keep", "Read the effect of the request at the service; do not send it again with a new key."},
 	CauseNoRecord:       {NotRun, http.StatusNotFound, "There is no record of this key", "Send the request with this key if it is still wanted."},
 }
 
