--- /dev/null
+++ b/version/plan/optimise.go
@@ -0,0 +1,250 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Optimise reassigns all available hosts for the least weighted cost of reserve,
+// moves and spread. Each pool holds what a rack or zone loss can take, since that
+// loss is sudden; hosts for waves and repairs are shared in the spare pool, since
+// they can be moved before they are needed.
+func (p *Planner) Optimise() Assignment {
+	p.remember()
+	order := p.servicePools()
+	left := p.capacity()
+	shapes := make(map[*poolState]shape, len(order))
+	for _, pool := range order {
+		s, ok := p.chooseShape(pool, left)
+		if !ok {
+			s, _ = p.chooseShape(pool, p.capacity())
+		}
+		shapes[pool] = s
+		p.release(pool, s)
+		// Later pools see only the racks' remaining hosts.
+		p.grow(pool, s)
+		for i := range left {
+			left[i] -= pool.racks[i]
+		}
+	}
+	for _, pool := range order {
+		p.complete(pool, shapes)
+	}
+	for _, pool := range order {
+		p.trim(pool)
+	}
+	p.undoMoves()
+	clear(p.dirty)
+	return Assignment{Moves: p.changes(), Reserve: p.reserve(), Shortfalls: p.shortfalls()}
+}
+
+func (p *Planner) remember() {
+	for _, r := range p.racks {
+		for _, h := range r.hosts {
+			h.origin = h.pool
+		}
+	}
+}
+
+// servicePools orders pools by the size of their promise, largest first, since a
+// large pool has the fewest ways to spread.
+func (p *Planner) servicePools() []*poolState {
+	var out []*poolState
+	for _, pool := range p.pools {
+		if !pool.Spare {
+			out = append(out, pool)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b *poolState) int { return cmp.Compare(b.Promised, a.Promised) })
+	return out
+}
+
+// capacity is the number of available hosts by rack.
+func (p *Planner) capacity() []int {
+	out := make([]int, len(p.racks))
+	for _, r := range p.racks {
+		for _, h := range r.hosts {
+			if h.Available && h.pool != nil {
+				out[r.id]++
+			}
+		}
+	}
+	return out
+}
+
+// release returns the pool's hosts beyond the bounds of s to the spare pool.
+func (p *Planner) release(pool *poolState, s shape) {
+	if s.size == 0 {
+		return
+	}
+	for _, r := range p.racks {
+		for pool.racks[r.id] > s.perRack {
+			p.assign(hostIn(r, pool), p.spare)
+		}
+	}
+	for _, z := range p.zones {
+		for pool.zones[z.id] > s.perZone {
+			p.assign(hostIn(fullestRack(pool, z), pool), p.spare)
+		}
+	}
+	for pool.budget.Available() > s.size {
+		z := p.zonesByCount(pool, -1)[0]
+		p.assign(hostIn(fullestRack(pool, z), pool), p.spare)
+	}
+}
+
+func fullestRack(pool *poolState, z *zoneState) *rackState {
+	return slices.MaxFunc(z.racks, func(a, b *rackState) int {
+		return cmp.Compare(pool.racks[a.id], pool.racks[b.id])
+	})
+}
+
+// grow adds spare hosts within the bounds of s until the pool has its size.
+func (p *Planner) grow(pool *poolState, s shape) {
+	for pool.budget.Available() < s.size {
+		h := p.pick(pool, s)
+		if h == nil {
+			return
+		}
+		p.assign(h, pool)
+	}
+}
+
+// pick chooses a spare host within the bounds: first one that belonged to the pool,
+// then one that another pool has released in this plan and so moves anyway, then one
+// in the zone with the fewest hosts of the pool.
+func (p *Planner) pick(pool *poolState, s shape) *hostState {
+	var best *hostState
+	var bestRank [4]int
+	for _, z := range p.zones {
+		if pool.zones[z.id] >= s.perZone {
+			continue
+		}
+		for _, r := range z.racks {
+			if r.free == 0 || pool.racks[r.id] >= s.perRack {
+				continue
+			}
+			h, rank := p.candidate(r, pool)
+			full := [4]int{rank, pool.zones[z.id], pool.racks[r.id], -r.free}
+			if best == nil || slices.Compare(full[:], bestRank[:]) < 0 {
+				best, bestRank = h, full
+			}
+		}
+	}
+	return best
+}
+
+func (p *Planner) candidate(r *rackState, pool *poolState) (*hostState, int) {
+	var best *hostState
+	bestRank := 3
+	for _, h := range r.hosts {
+		if h.pool != p.spare || !h.Available {
+			continue
+		}
+		rank := 2
+		if h.origin == pool {
+			rank = 0
+		} else if h.origin != p.spare {
+			rank = 1
+		}
+		if rank < bestRank {
+			best, bestRank = h, rank
+		}
+	}
+	return best, bestRank
+}
+
+// complete gives a pool the hosts that grow could not: by exchange with other pools
+// within all bounds, and when that fails by any host that raises the margin.
+func (p *Planner) complete(pool *poolState, shapes map[*poolState]shape) {
+	for pool.budget.Margin() < 0 {
+		if p.exchange(pool, shapes) {
+			continue
+		}
+		h := p.bestSpare(pool)
+		if h == nil {
+			h = p.bestDonor(pool)
+		}
+		if h == nil {
+			return
+		}
+		p.assign(h, pool)
+	}
+}
+
+// exchange adds one host to the pool along the shortest augmenting path: the pool
+// takes a host of another pool, which takes one elsewhere, until a spare host ends the path.
+func (p *Planner) exchange(pool *poolState, shapes map[*poolState]shape) bool {
+	type step struct {
+		rack     *rackState // where taker takes a host
+		taker    *poolState
+		previous int // index of the step whose rack the taker gives up a host in
+	}
+	visited := make([]bool, len(p.racks))
+	var steps []step
+	expand := func(taker *poolState, gives *rackState, previous int) int {
+		s := shapes[taker]
+		for _, r := range p.racks {
+			if visited[r.id] {
+				continue
+			}
+			inZone, inRack := taker.zones[r.zone.id], taker.racks[r.id]
+			if gives != nil && gives.zone == r.zone {
+				inZone--
+			}
+			if inZone >= s.perZone || inRack >= s.perRack {
+				continue
+			}
+			visited[r.id] = true
+			steps = append(steps, step{r, taker, previous})
+			if r.free > 0 {
+				return len(steps) - 1
+			}
+		}
+		return -1
+	}
+	end := expand(pool, nil, -1)
+	for at := 0; end < 0 && at < len(steps); at++ {
+		for _, other := range p.pools {
+			if other == p.spare || other == steps[at].taker || other.racks[steps[at].rack.id] == 0 {
+				continue
+			}
+			if end = expand(other, steps[at].rack, at); end >= 0 {
+				break
+			}
+		}
+	}
+	if end < 0 {
+		return false
+	}
+	h := hostIn(steps[end].rack, p.spare)
+	for at := end; at >= 0; at = steps[at].previous {
+		var given *hostState
+		if before := steps[at].previous; before >= 0 {
+			given = hostIn(steps[before].rack, steps[at].taker)
+		}
+		p.assign(h, steps[at].taker)
+		h = given
+	}
+	return true
+}
+
+// trim returns hosts that the exact rule does not need; the bounds of a shape count
+// the largest rack as lying outside the largest zone even where it cannot.
+func (p *Planner) trim(pool *poolState) {
+	p.giveBack(pool)
+}
+
+// changes lists the hosts whose pool differs from that before the plan.
+func (p *Planner) changes() []Move {
+	var out []Move
+	for _, r := range p.racks {
+		for _, h := range r.hosts {
+			if h.pool != h.origin && h.origin != nil {
+				out = append(out, Move{h.Name, h.origin.Name, h.Pool})
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b Move) int { return cmp.Compare(a.Host, b.Host) })
+	return out
+}
--- /dev/null
+++ b/version/plan/replace.go
@@ -0,0 +1,148 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Replan restores the rule of the pools that changed since the last plan, with the
+// fewest moves. A lost host is replaced from the spare pool only when its pool
+// misses the rule without it. Cost is proportional to the pools that changed.
+func (p *Planner) Replan() Assignment {
+	var plan Assignment
+	for _, pool := range p.takeDirty() {
+		plan.Moves = append(plan.Moves, p.fill(pool, 0)...)
+		plan.Moves = append(plan.Moves, p.giveBack(pool)...)
+	}
+	clear(p.dirty)
+	plan.Reserve = p.reserve()
+	plan.Shortfalls = p.shortfalls()
+	return plan
+}
+
+// Lend moves spare hosts into a pool until its margin allows n more hosts to go out,
+// or no spare host helps. It serves a pool whose wave would otherwise not advance.
+func (p *Planner) Lend(pool string, n int) []Move {
+	s := p.byPool[pool]
+	if s == nil || s == p.spare {
+		return nil
+	}
+	return p.fill(s, n)
+}
+
+func (p *Planner) takeDirty() []*poolState {
+	var out []*poolState
+	for pool := range p.dirty {
+		if pool != p.spare {
+			out = append(out, pool)
+		}
+	}
+	clear(p.dirty)
+	// The pool that misses its rule by most is served first.
+	slices.SortFunc(out, func(a, b *poolState) int {
+		return cmp.Or(cmp.Compare(a.budget.Margin(), b.budget.Margin()), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// fill moves hosts into the pool until its margin is at least the target.
+func (p *Planner) fill(pool *poolState, margin int) []Move {
+	var moves []Move
+	for pool.budget.Margin() < margin {
+		h := p.bestSpare(pool)
+		if h == nil {
+			h = p.bestDonor(pool)
+		}
+		if h == nil {
+			break
+		}
+		moves = append(moves, Move{h.Name, h.Pool, pool.Name})
+		p.assign(h, pool)
+	}
+	return moves
+}
+
+// giveBack returns surplus hosts to the spare pool where a reserve host costs more than a move.
+func (p *Planner) giveBack(pool *poolState) []Move {
+	if p.weights.Buffer <= p.weights.Move {
+		return nil
+	}
+	var moves []Move
+	for {
+		h := p.surplusHost(pool)
+		if h == nil {
+			return moves
+		}
+		moves = append(moves, Move{h.Name, pool.Name, p.spare.Name})
+		p.assign(h, p.spare)
+	}
+}
+
+// surplusHost is a host without which the pool still meets its rule, from the fullest zone and rack.
+func (p *Planner) surplusHost(pool *poolState) *hostState {
+	if pool.budget.Available() <= pool.Promised || pool.budget.Margin() < 0 {
+		return nil
+	}
+	for _, z := range p.zonesByCount(pool, -1) {
+		var best *rackState
+		for _, r := range z.racks {
+			if pool.racks[r.id] > 0 && (best == nil || pool.racks[r.id] > pool.racks[best.id]) {
+				best = r
+			}
+		}
+		if best != nil && pool.budget.MayRemove(best.domain) {
+			return hostIn(best, pool)
+		}
+	}
+	return nil
+}
+
+func (p *Planner) zonesByCount(pool *poolState, sign int) []*zoneState {
+	zones := slices.Clone(p.zones)
+	slices.SortStableFunc(zones, func(a, b *zoneState) int {
+		return sign * cmp.Compare(pool.zones[a.id], pool.zones[b.id])
+	})
+	return zones
+}
+
+// bestSpare is the spare host that raises the pool's margin most: it is in the zone,
+// then in the rack, with the fewest hosts of the pool.
+func (p *Planner) bestSpare(pool *poolState) *hostState {
+	for _, z := range p.zonesByCount(pool, 1) {
+		var best *rackState
+		for _, r := range z.racks {
+			if r.free > 0 && (best == nil || pool.racks[r.id] < pool.racks[best.id]) {
+				best = r
+			}
+		}
+		if best != nil {
+			return hostIn(best, p.spare)
+		}
+	}
+	return nil
+}
+
+// bestDonor is a host of the pool with the greatest margin, which keeps its own rule without it.
+func (p *Planner) bestDonor(to *poolState) *hostState {
+	var best *hostState
+	margin := 0
+	for _, pool := range p.pools {
+		if pool == to || pool == p.spare || pool.budget.Margin() < margin {
+			continue
+		}
+		h := p.surplusHost(pool)
+		if h != nil && (best == nil || pool.budget.Margin() > margin) {
+			best, margin = h, pool.budget.Margin()
+		}
+	}
+	return best
+}
+
+func hostIn(r *rackState, pool *poolState) *hostState {
+	for _, h := range r.hosts {
+		if h.pool == pool && h.Available {
+			return h
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/version/plan/shape.go
@@ -0,0 +1,94 @@
+package plan
+
+// shape bounds how many hosts a pool may have in one zone and in one rack. A pool
+// of size hosts within these bounds meets its rule.
+type shape struct {
+	size, perZone, perRack int
+}
+
+// shapes lists the candidate shapes of a pool, smallest reserve first within each rack bound.
+func (p *Planner) shapes(pool *poolState, capacity []int, visit func(shape)) {
+	largestRack := 1
+	for _, c := range capacity {
+		largestRack = max(largestRack, c)
+	}
+	if !pool.Tolerance.Rack {
+		p.zoneShapes(pool, capacity, largestRack, 0, visit)
+		return
+	}
+	for perRack := 1; perRack <= largestRack; perRack++ {
+		p.zoneShapes(pool, capacity, perRack, perRack, visit)
+	}
+}
+
+func (p *Planner) zoneShapes(pool *poolState, capacity []int, perRack, rackLoss int, visit func(shape)) {
+	room := make([]int, len(p.zones))
+	total := 0
+	for _, r := range p.racks {
+		room[r.zone.id] += min(perRack, capacity[r.id])
+	}
+	largest := 0
+	for _, c := range room {
+		total += c
+		largest = max(largest, c)
+	}
+	if !pool.Tolerance.Zone {
+		if size := pool.Promised + rackLoss; size <= total {
+			visit(shape{size, largest, perRack})
+		}
+		return
+	}
+	for perZone := 1; perZone <= largest; perZone++ {
+		fits := 0
+		for _, c := range room {
+			fits += min(perZone, c)
+		}
+		if size := pool.Promised + rackLoss + perZone; size <= fits {
+			visit(shape{size, perZone, perRack})
+		}
+	}
+}
+
+// chooseShape returns the shape of least weighted cost for the hosts that the pool
+// already has and the capacity left by racks. It reports false when none fits.
+func (p *Planner) chooseShape(pool *poolState, capacity []int) (shape, bool) {
+	var best shape
+	bestCost, found := 0.0, false
+	p.shapes(pool, capacity, func(s shape) {
+		kept := p.kept(pool, s)
+		for _, size := range [2]int{s.size, max(s.size, kept)} {
+			option := shape{size, s.perZone, s.perRack}
+			cost := p.cost(pool, option, kept)
+			if !found || cost < bestCost {
+				best, bestCost, found = option, cost, true
+			}
+		}
+	})
+	return best, found
+}
+
+// kept is the number of the pool's present hosts that lie within the bounds of s.
+func (p *Planner) kept(pool *poolState, s shape) int {
+	total := 0
+	for _, z := range p.zones {
+		inZone := 0
+		for _, r := range z.racks {
+			inZone += min(s.perRack, pool.racks[r.id])
+		}
+		total += min(s.perZone, inZone)
+	}
+	return total
+}
+
+func (p *Planner) cost(pool *poolState, s shape, kept int) float64 {
+	present := pool.budget.Available()
+	stay := min(kept, s.size)
+	moves := (s.size - stay) + (present - stay)
+	uneven := 0
+	if zones := len(p.zones); zones > 0 {
+		uneven = max(0, s.perZone-(s.size+zones-1)/zones)
+	}
+	return p.weights.Buffer*float64(s.size-pool.Promised) +
+		p.weights.Move*float64(moves) +
+		p.weights.Spread*float64(uneven)
+}
