--- a/version/plan/jobsim_test.go
+++ b/version/plan/jobsim_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -186,5 +185,3 @@
 		}
 	}
 }
-
-func seeded(n uint64) *rand.Rand { return rand.New(rand.NewPCG(n, 0)) }
