Declare host moves in a sheet's difference as the fleet expects

Cause: the fleet state machine starts a move when a host's declared pool differs, and ignores move_to of a declared host. Change: a host's Pool in a difference is the desired one; hosts with unfinished tasks are not deleted; a spare pool with a promise is a fault.

--- a/version/sheet/check.go
+++ b/version/sheet/check.go
@@ -50,6 +50,9 @@
 		if p.Spare {
 			spare = p.Name
 		}
+		if p.Spare && p.PromisedHosts > 0 {
+			c.fault(KindPool, p.Name, "promised_hosts", "the spare pool promises no hosts", "write 0")
+		}
 		if p.Spare != (p.Service == "") {
 			c.fault(KindPool, p.Name, "service", "a pool has either a service or is the spare pool", "fill in exactly one of them")
 		}
--- a/version/sheet/diff.go
+++ b/version/sheet/diff.go
@@ -12,8 +12,8 @@
 // Diff returns the changes that bring the declared state to the sheet. It
 // returns none when the sheet is in force already. Runtime fields and waves in
 // progress are never changed; a host is deleted only when it is out of use.
-// A host that is to change its pool keeps Pool and gets MoveTo, because the
-// pool itself changes only after a drain.
+// A host's Pool is the desired one: the control group starts a move for it and
+// changes the pool itself only after the drain. Only active hosts are moved.
 func (s *Sheet) Diff(current *fleetpb.Snapshot) []*fleetpb.Change {
 	d := newDiff(s, current)
 	return d.changes
@@ -32,10 +32,16 @@
 	changes  []*fleetpb.Change
 	deferred []string
 	kept     map[string]bool // pools that hosts still refer to
+	tasks    map[string]bool // hosts with unfinished tasks
 }
 
 func newDiff(s *Sheet, current *fleetpb.Snapshot) *diff {
-	d := &diff{s: s, current: current, kept: map[string]bool{}}
+	d := &diff{s: s, current: current, kept: map[string]bool{}, tasks: map[string]bool{}}
+	for _, t := range current.GetTasks() {
+		if unfinished(t) {
+			d.tasks[t.Host] = true
+		}
+	}
 	d.upsertTeams()
 	d.upsertPools()
 	d.hosts()
@@ -137,18 +143,27 @@
 	desired.MemoryGb = sheet.MemoryGb
 	desired.Accelerators = sheet.Accelerators
 	if have.State == fleetpb.HostState_HOST_STATE_ACTIVE {
-		desired.MoveTo = ""
-		if sheet.Pool != have.Pool {
-			desired.MoveTo = sheet.Pool
-		}
+		desired.Pool = sheet.Pool
 		return desired
 	}
-	if sheet.Pool != have.Pool && sheet.Pool != have.MoveTo {
+	destination := have.Pool
+	if have.MoveTo != "" {
+		destination = have.MoveTo
+	}
+	if sheet.Pool != destination {
 		d.postpone("host %s moves to pool %s once it is active again", have.Name, sheet.Pool)
 	}
 	return desired
 }
 
+func unfinished(t *fleetpb.Task) bool {
+	switch t.State {
+	case fleetpb.TaskState_TASK_STATE_STOPPED, fleetpb.TaskState_TASK_STATE_FAILED, fleetpb.TaskState_TASK_STATE_DONE:
+		return false
+	}
+	return true
+}
+
 func inProgress(w *fleetpb.Wave) bool {
 	return w.State == fleetpb.WaveState_WAVE_STATE_RUNNING || w.State == fleetpb.WaveState_WAVE_STATE_PAUSED
 }
@@ -224,8 +239,8 @@
 			continue
 		}
 		outOfUse := h.State == fleetpb.HostState_HOST_STATE_OUT || h.State == fleetpb.HostState_HOST_STATE_FAILED
-		if !outOfUse || busy[h.Name] {
-			d.postpone("host %s is in use and is deleted only once it is out of use", h.Name)
+		if !outOfUse || busy[h.Name] || d.tasks[h.Name] {
+			d.postpone("host %s is in use and is deleted only once it is out or failed, without tasks and in no wave in progress", h.Name)
 			d.keepPools(h)
 			continue
 		}
--- a/version/sheet/sheet_test.go
+++ b/version/sheet/sheet_test.go
@@ -12,6 +12,7 @@
 
 	"marjoramtiller.example/marjoramtiller/examples"
 	"marjoramtiller.example/marjoramtiller/process/settings"
+	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 	"marjoramtiller.example/marjoramtiller/version/sheet"
 )
@@ -50,6 +51,10 @@
 			if o.Host.State == fleetpb.HostState_HOST_STATE_UNSPECIFIED {
 				o.Host.State = fleetpb.HostState_HOST_STATE_ACTIVE
 			}
+			if old := find(n.Hosts, o.Host.Name); old != nil && old.Pool != o.Host.Pool {
+				o.Host.State = fleetpb.HostState_HOST_STATE_DRAINING
+				o.Host.MoveTo, o.Host.Pool = o.Host.Pool, old.Pool
+			}
 			n.Hosts = upsert(n.Hosts, o.Host)
 		case *fleetpb.Change_Job:
 			n.Jobs = upsert(n.Jobs, o.Job)
@@ -100,14 +105,7 @@
 func TestExamples(t *testing.T) {
 	is := is.New(t)
 	for _, user := range []string{"savings", "eventos"} {
-		ini, err := examples.Files.ReadFile(user + "/client.ini")
-		is.NoErr(err)
-		client, err := settings.ParseClient(ini)
-		is.NoErr(err)
-		data, err := examples.Files.ReadFile(user + "/sheet.csv")
-		is.NoErr(err)
-		s, err := sheet.Parse(bytes.NewReader(data), sheet.Options{Titles: client.SheetTitles})
-		is.NoErr(err)
+		s := exampleSheet(t, user, "", "")
 		is.Equal(len(s.Pools), 5)
 		is.Equal(len(s.Hosts), 48)
 		first := s.Diff(&fleetpb.Snapshot{})
@@ -129,6 +127,7 @@
 		{"pool,p,,s,", "pool,p,,s,maybe", `row 2, column "spare": "maybe" is neither yes nor no`},
 		{"pool,p,,s", "pool,p,,", `row 2, column "service": a pool has either a service or is the spare pool`},
 		{"pool,p,,s,,1,,", "pool,p,,s,,1,r1,", `row 2, column "rack": has a value, but a pool does not use it`},
+		{"pool,free,,,yes,,", "pool,free,,,yes,1,", `row 3, column "promised_hosts": the spare pool promises no hosts`},
 		{"job,j,p", "jobs,j,p", `row 8, column "kind": "jobs" is no kind of row`},
 		{"t,2,,,", "u,2,,,", `row 8, column "team": team "u" is not in the sheet`},
 		{"h1 h2", "h1 h9", `row 9, column "hosts": host "h9" is not in the sheet`},
@@ -205,6 +204,66 @@
 	is.Equal(len(s.Diff(next)), 0)
 }
 
+// Guards against differences that the control group's state machine rejects,
+// or that a second application of the same sheet would repeat.
+func TestExamplesOnFleet(t *testing.T) {
+	is := is.New(t)
+	for _, user := range []string{"savings", "eventos"} {
+		f := fleet.New()
+		configure := func(s *sheet.Sheet, id string) {
+			t.Helper()
+			changes := s.Diff(f.Full())
+			is.True(len(changes) > 0)
+			result := &fleetpb.Result{}
+			command, err := proto.Marshal(&fleetpb.Command{RequestId: id, Actor: "op", NowUnixMs: 1, Body: &fleetpb.Command_Configure{
+				Configure: &fleetpb.Configure{BaseVersion: f.Version(), Changes: changes}}})
+			is.NoErr(err)
+			is.NoErr(proto.Unmarshal(f.Apply(0, command), result))
+			is.Equal(result.Faults, nil)
+			is.Equal(result.Kind, fleetpb.Result_KIND_APPLIED)
+			is.Equal(len(s.Diff(f.Full())), 0)
+		}
+		s := exampleSheet(t, user, "", "")
+		configure(s, "first")
+
+		// A move out of the spare pool, which promises no hosts.
+		host := ""
+		for _, h := range s.Hosts {
+			if h.Pool == "spare" {
+				host = h.Name
+			}
+		}
+		service := s.Pools[0].Name
+		configure(exampleSheet(t, user, ","+host+",spare,", ","+host+","+service+","), "second")
+		moved := f.Host(host)
+		is.Equal(moved.Pool, "spare")
+		is.Equal(moved.MoveTo, service)
+		is.Equal(moved.State, fleetpb.HostState_HOST_STATE_DRAINING)
+	}
+}
+
+func exampleSheet(t *testing.T, user, from, to string) *sheet.Sheet {
+	t.Helper()
+	ini, err := examples.Files.ReadFile(user + "/client.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := settings.ParseClient(ini)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := examples.Files.ReadFile(user + "/sheet.csv")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Replace(string(data), from, to, 1)
+	s, err := sheet.Parse(strings.NewReader(text), sheet.Options{Titles: client.SheetTitles})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // Guards against a host of a wave in progress being deleted while it is out.
 func TestDiffKeepsHostsOfWaves(t *testing.T) {
 	is := is.New(t)
