--- a/process/control/server.go
+++ b/process/control/server.go
@@ -174,7 +174,7 @@
 		StateMachine:    machine,
 		Transport:       raftTransport{s.pool},
 		Clock:           s.clock,
-		Logger:          s.log.With().Str("group", name).Logger(),
+		Logger:          s.log,
 		Seed:            s.o.Seed,
 		SnapshotEntries: s.o.SnapshotEntries,
 		OnFatal:         s.replicaFailed,
--- /dev/null
+++ b/process/embedded/embedded.go
@@ -0,0 +1,252 @@
+// Package embedded runs a whole cluster, control and entry processes, inside
+// one process on loopback addresses. The demo and the tests use it; a
+// deployment runs the daemons on their own hosts.
+package embedded
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/process/daemon"
+	"marjoramtiller.example/marjoramtiller/process/service"
+	"marjoramtiller.example/marjoramtiller/process/settings"
+)
+
+// Options are the parameters of a Cluster.
+type Options struct {
+	Name          string
+	Zones         []string // availability zones, used in turn
+	Controls      int
+	Entries       int
+	LedgerGroups  int
+	DataFolder    string // one folder for each control process is made in it
+	PlatformURL   string
+	DrainDeadline time.Duration
+	Weights       settings.Weights
+	Titles        map[string]string // report column to title
+	Logger        zerolog.Logger
+}
+
+// Cluster is a running cluster.
+type Cluster struct {
+	controls []*process[settings.Control]
+	entries  []*process[settings.Entry]
+}
+
+// process is one daemon's body that can be stopped and started again.
+type process[S any] struct {
+	settings *S
+	run      func(ctx context.Context, s *S, e daemon.Environment) error
+	log      zerolog.Logger
+
+	mu     sync.Mutex
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func (p *process[S]) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	p.cancel, p.done = cancel, done
+	go func() { done <- p.run(ctx, p.settings, daemon.Environment{Logger: p.log}) }()
+}
+
+// stop stops gracefully and returns the process's error.
+func (p *process[S]) stop() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel == nil {
+		return nil
+	}
+	p.cancel()
+	err := <-p.done
+	p.cancel, p.done = nil, nil
+	return err
+}
+
+// loopback is the address of every process of an embedded cluster.
+var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+
+// reserve returns n addresses with ports that were free just now.
+func reserve(n int) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	var listeners []net.Listener
+	defer func() {
+		for _, l := range listeners {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(loopback, 0).String())
+		if err != nil {
+			return nil, errors.Wrap(err, "find free ports")
+		}
+		listeners = append(listeners, l)
+		out = append(out, l.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return out, nil
+}
+
+// Listeners of each process.
+const (
+	controlListeners = 3
+	entryListeners   = 4
+)
+
+// Start starts a cluster. It returns before the cluster has a leader.
+func Start(o Options) (*Cluster, error) {
+	ports, err := reserve(o.Controls*controlListeners + o.Entries*entryListeners)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{}
+	var controls, entries []settings.Peer
+	var voters []string
+	for i := range o.Controls {
+		name := fmt.Sprintf("control-%d", i+1)
+		controls = append(controls, settings.Peer{Name: name, Address: ports[i*controlListeners]})
+		voters = append(voters, name)
+	}
+	entryPorts := ports[o.Controls*controlListeners:]
+	for i := range o.Entries {
+		entries = append(entries, settings.Peer{Name: fmt.Sprintf("entry-%d", i+1), Address: entryPorts[i*entryListeners]})
+	}
+	for i := range o.Controls {
+		s := controlSettings(o, i, ports[i*controlListeners:])
+		s.Peers, s.Entries, s.Voters = controls, entries, voters
+		c.controls = append(c.controls, &process[settings.Control]{settings: s, run: service.RunControl, log: named(o.Logger, s.Process)})
+	}
+	for i := range o.Entries {
+		s := entrySettings(o, i, entryPorts[i*entryListeners:])
+		s.Peers = controls
+		c.entries = append(c.entries, &process[settings.Entry]{settings: s, run: service.RunEntry, log: named(o.Logger, s.Process)})
+	}
+	for _, p := range c.controls {
+		p.start()
+	}
+	for _, p := range c.entries {
+		p.start()
+	}
+	return c, nil
+}
+
+func named(l zerolog.Logger, process string) zerolog.Logger {
+	return l.With().Str("process", process).Logger()
+}
+
+func timeouts() settings.Timeouts {
+	return settings.Timeouts{Call: 2 * time.Second, Request: 10 * time.Second, Idle: time.Minute, Shutdown: 30 * time.Second}
+}
+
+func identity(o Options, name string, i int) settings.Identity {
+	return settings.Identity{Cluster: o.Name, Process: name, Zone: o.Zones[i%len(o.Zones)], Address: loopback}
+}
+
+func controlSettings(o Options, i int, ports []netip.AddrPort) *settings.Control {
+	name := fmt.Sprintf("control-%d", i+1)
+	return &settings.Control{
+		Identity:          identity(o, name, i),
+		PeersListener:     ports[0],
+		OperatorsListener: ports[1],
+		ObserveListener:   ports[2],
+		DataFolder:        filepath.Join(o.DataFolder, name),
+		LedgerGroups:      o.LedgerGroups,
+		PlatformURL:       o.PlatformURL,
+		Weights:           o.Weights,
+		DrainDeadline:     o.DrainDeadline,
+		SnapshotEntries:   512,
+		Timeouts:          timeouts(),
+		Titles:            o.Titles,
+	}
+}
+
+func entrySettings(o Options, i int, ports []netip.AddrPort) *settings.Entry {
+	return &settings.Entry{
+		Identity:              identity(o, fmt.Sprintf("entry-%d", i+1), i),
+		PeersListener:         ports[0],
+		CallersListener:       ports[1],
+		AnnouncementsListener: ports[2],
+		ObserveListener:       ports[3],
+		LedgerGroups:          o.LedgerGroups,
+		Timeouts:              timeouts(),
+		QueuePerCaller:        256,
+		QueuePerService:       4096,
+		ShortWorkPercent:      25,
+		RetryBudgetPercent:    10,
+		DefaultDeadline:       10 * time.Second,
+	}
+}
+
+// Operators returns the operators' listeners of the control processes.
+func (c *Cluster) Operators() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, p := range c.controls {
+		out = append(out, p.settings.OperatorsListener)
+	}
+	return out
+}
+
+// Callers returns the callers' listeners of the entries.
+func (c *Cluster) Callers() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, p := range c.entries {
+		out = append(out, p.settings.CallersListener)
+	}
+	return out
+}
+
+// Announcements returns the entries' listeners for backend servers.
+func (c *Cluster) Announcements() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, p := range c.entries {
+		out = append(out, p.settings.AnnouncementsListener)
+	}
+	return out
+}
+
+// RestartControl stops a control process gracefully and starts it again on its folder.
+func (c *Cluster) RestartControl(i int) error {
+	err := c.controls[i].stop()
+	c.controls[i].start()
+	return err
+}
+
+// RestartEntry stops an entry process gracefully and starts it again.
+func (c *Cluster) RestartEntry(i int) error {
+	err := c.entries[i].stop()
+	c.entries[i].start()
+	return err
+}
+
+// Close stops all processes gracefully, entries first, and returns the first error.
+func (c *Cluster) Close() error {
+	errs := make([]error, len(c.entries)+len(c.controls))
+	var wg sync.WaitGroup
+	for i, p := range c.entries {
+		wg.Go(func() { errs[i] = p.stop() })
+	}
+	wg.Wait()
+	for i, p := range c.controls {
+		wg.Go(func() { errs[len(c.entries)+i] = p.stop() })
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/process/entry/handler.go
+++ b/process/entry/handler.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// Health returns nil while the balancer may send callers to this entry.
+func (e *Entry) Health() error {
+	if !e.healthy() {
+		return errors.New("entry: it is shutting down, has no configuration lease or has a broken invariant; see its state dump")
+	}
+	return nil
+}
+
 func (e *Entry) serveHealth(w http.ResponseWriter) {
 	w.Header().Set("Cache-Control", "no-store")
 	if !e.healthy() {
--- /dev/null
+++ b/process/service/control.go
@@ -0,0 +1,130 @@
+package service
+
+import (
+	"context"
+	"hash/fnv"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/process/control"
+	"marjoramtiller.example/marjoramtiller/process/daemon"
+	"marjoramtiller.example/marjoramtiller/process/observe"
+	"marjoramtiller.example/marjoramtiller/process/operator"
+	"marjoramtiller.example/marjoramtiller/process/platform"
+	"marjoramtiller.example/marjoramtiller/process/settings"
+)
+
+// returnDeadline is how long a host may be in maintenance before it counts as failed.
+const returnDeadline = 30 * time.Minute
+
+// RunControl runs the control daemon until ctx is done and stops it gracefully.
+func RunControl(ctx context.Context, s *settings.Control, e daemon.Environment) error {
+	client, err := platform.NewClient(platform.Options{BaseURL: s.PlatformURL})
+	if err != nil {
+		return err
+	}
+	defer client.Close()
+	registry := observe.NewRegistry()
+	server, err := control.New(controlOptions(s, e.Logger, registry, client))
+	if err != nil {
+		return err
+	}
+	stop, err := listenControl(s, e.Logger, registry, server)
+	if err != nil {
+		server.Close()
+		return err
+	}
+	defer stop()
+	return server.Run(ctx)
+}
+
+func controlOptions(s *settings.Control, log zerolog.Logger, registry prometheus.Registerer, p platform.Platform) control.Options {
+	peers := make(map[string]string)
+	for _, list := range [][]settings.Peer{s.Peers, s.Entries} {
+		for _, p := range list {
+			if p.Name != s.Process {
+				peers[p.Name] = p.Address.String()
+			}
+		}
+	}
+	var entries []string
+	for _, p := range s.Entries {
+		entries = append(entries, p.Name)
+	}
+	return control.Options{
+		Cluster:         s.Cluster,
+		Process:         s.Process,
+		Zone:            s.Zone,
+		PeersListen:     s.PeersListener.String(),
+		LocalIP:         s.Address.String(),
+		Peers:           peers,
+		Voters:          s.Voters,
+		Entries:         entries,
+		DataFolder:      s.DataFolder,
+		LedgerGroups:    s.LedgerGroups,
+		SnapshotEntries: uint64(s.SnapshotEntries),
+		DrainDeadline:   s.DrainDeadline,
+		ReturnDeadline:  returnDeadline,
+		Platform:        p,
+		Weights:         control.Weights{Buffer: s.Weights.Buffer, Moves: s.Weights.Moves, Spread: s.Weights.Spread},
+		Logger:          log,
+		Registry:        registry,
+		Seed:            processSeed(s.Process),
+	}
+}
+
+// processSeed gives every process its own sequence of election timeouts.
+func processSeed(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return h.Sum64()
+}
+
+func listenControl(s *settings.Control, log zerolog.Logger, registry *prometheus.Registry, server *control.Server) (stop func(), err error) {
+	handler, err := operator.NewOperators(operator.Options{
+		Control: server.Operators(),
+		Logger:  log,
+		Titles:  s.Titles,
+		Timeout: s.Timeouts.Request,
+		Now:     time.Now,
+	})
+	if err != nil {
+		return nil, err
+	}
+	operators, err := operator.Listen(listenOptions(s.OperatorsListener, s.Timeouts, log), handler)
+	if err != nil {
+		return nil, err
+	}
+	observer, err := observe.Listen(observe.Options{
+		Address: s.ObserveListener,
+		Metrics: observe.MetricsHandler(registry),
+		Dump:    server.Dump,
+		Health:  func() error { return nil },
+		Logger:  log,
+	})
+	if err != nil {
+		closeServers(s.Timeouts, operators)
+		return nil, errors.WithMessage(err, "control")
+	}
+	return func() { closeServers(s.Timeouts, operators, observer) }, nil
+}
+
+func listenOptions(address netip.AddrPort, t settings.Timeouts, log zerolog.Logger) operator.ListenOptions {
+	return operator.ListenOptions{Address: address, RequestTimeout: t.Request, IdleTimeout: t.Idle, Logger: log}
+}
+
+type closer interface {
+	Close(ctx context.Context) error
+}
+
+func closeServers(t settings.Timeouts, servers ...closer) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.Request)
+	defer cancel()
+	for _, s := range servers {
+		_ = s.Close(ctx)
+	}
+}
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -53,6 +53,7 @@
 		{"listeners", "announcements", "", true, EntryProgram, "Listener for announcements of backend servers (HTTP).", addressRemedy, address},
 		{"listeners", "observe", "", true, both, "Listener for metrics, state dump and health.", addressRemedy, address},
 		{"peers", "*", "", false, both, "One line for each control process: its name and its listener for peers. A line for this process itself is allowed.", addressRemedy, address},
+		{"entries", "*", "", false, ControlProgram, "One line for each entry process: its name and its listener for peers. Only these may report as entries.", addressRemedy, address},
 		{"control", "voters", "", true, ControlProgram, "Voters at the cluster's first start, separated by spaces. Later changes go through `marjoramtiller voters`.", "name 3 or 5 control processes once each", names},
 		{"control", "data_folder", "", true, ControlProgram, "Folder of logs and snapshots.", "write an absolute path", absolutePath},
 		{"control", "ledger_groups", "4", false, both, "Number of ledger groups. The same in every process, and fixed for the life of the cluster.", "use 1 to 64", integer(1, 64)},
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -64,6 +64,7 @@
 	parsed  map[string]any
 	raw     map[string]string
 	peers   []Peer
+	entries []Peer
 	faults  []Fault
 }
 
@@ -164,7 +165,12 @@
 	v.raw[k.Section+"."+k.Name] = value
 }
 
+// readPeers reads a section that has one line for each process.
 func (v *values) readPeers(file *ini.File, k Key) {
+	list := &v.peers
+	if k.Section == "entries" {
+		list = &v.entries
+	}
 	for _, key := range file.Section(k.Section).Keys() {
 		if _, err := name(key.Name()); err != nil {
 			v.fault(k.Section, key.Name(), key.Value(), "has a key that "+err.Error(), "use letters, digits, '-', '_' and '.'")
@@ -180,14 +186,14 @@
 			v.fault(k.Section, key.Name(), key.Value(), "is an unspecified address", k.Remedy)
 			continue
 		}
-		for _, p := range v.peers {
+		for _, p := range slices.Concat(v.peers, v.entries) {
 			if p.Address == a {
 				v.fault(k.Section, key.Name(), key.Value(), "has the address of peer "+p.Name, "give each peer its own address")
 			}
 		}
-		v.peers = append(v.peers, Peer{Name: key.Name(), Address: a})
+		*list = append(*list, Peer{Name: key.Name(), Address: a})
 	}
-	slices.SortFunc(v.peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(*list, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
 }
 
 func (v *values) identity() Identity {
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -16,6 +16,7 @@
 		OperatorsListener: get[netip.AddrPort](v, "listeners", "operators"),
 		ObserveListener:   get[netip.AddrPort](v, "listeners", "observe"),
 		Peers:             v.peers,
+		Entries:           v.entries,
 		Voters:            get[[]string](v, "control", "voters"),
 		DataFolder:        get[string](v, "control", "data_folder"),
 		LedgerGroups:      get[int](v, "control", "ledger_groups"),
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -55,6 +55,7 @@
 	OperatorsListener netip.AddrPort
 	ObserveListener   netip.AddrPort
 	Peers             []Peer
+	Entries           []Peer   // entry processes
 	Voters            []string // replica ids of the first start, each in Peers or Process itself
 	DataFolder        string   // absolute path
 	LedgerGroups      int
