Add the demo command

Cause: the main job had no single command. Change: marjoramtiller demo runs both sample deployments in one process under load and a wave.

--- a/cmd/marjoramtiller/main.go
+++ b/cmd/marjoramtiller/main.go
@@ -88,6 +88,7 @@
 	"voters add-learner": voterCommand(operator.AddLearner),
 	"voters promote":     voterCommand(operator.Promote),
 	"voters remove":      voterCommand(operator.RemoveVoter),
+	"demo":               demo,
 	"dump":               dump,
 	"settings check":     settingsCheck,
 }
--- a/cmd/marjoramtiller/sheet.go
+++ b/cmd/marjoramtiller/sheet.go
@@ -72,15 +72,24 @@
 }
 
 func (t *tool) applyChanges(ctx context.Context, c *client, s *settings.Client, base uint64, changes []*fleetpb.Change) error {
-	request := operator.ConfigurationRequest{RequestID: t.newID(), Operator: s.Operator, BaseVersion: &base}
+	raw, err := marshalChanges(changes)
+	if err != nil {
+		return err
+	}
+	request := operator.ConfigurationRequest{RequestID: t.newID(), Operator: s.Operator, BaseVersion: &base, Changes: raw}
+	return t.postChange(ctx, c, "/v1/configuration", request.RequestID, request)
+}
+
+func marshalChanges(changes []*fleetpb.Change) ([]json.RawMessage, error) {
+	var out []json.RawMessage
 	for _, change := range changes {
 		raw, err := protojson.Marshal(change)
 		if err != nil {
-			return errors.Wrap(err, "encode the change")
+			return nil, errors.Wrap(err, "encode the change")
 		}
-		request.Changes = append(request.Changes, json.RawMessage(raw))
+		out = append(out, json.RawMessage(raw))
 	}
-	return t.postChange(ctx, c, "/v1/configuration", request.RequestID, request)
+	return out, nil
 }
 
 // postChange sends a change and prints its result with its request id.
--- a/process/embedded/embedded.go
+++ b/process/embedded/embedded.go
@@ -8,8 +8,10 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -61,7 +63,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	p.cancel, p.done = cancel, done
-	go func() { done <- p.run(ctx, p.settings, daemon.Environment{Logger: p.log}) }()
+	go func() {
+		err := p.run(ctx, p.settings, daemon.Environment{Logger: p.log})
+		if err != nil {
+			p.log.Error().Err(err).Msg("stopped with an error")
+		}
+		done <- err
+	}()
 }
 
 // stop stops gracefully and returns the process's error.
@@ -80,26 +88,38 @@
 // loopback is the address of every process of an embedded cluster.
 var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
 
-// reserve returns n addresses with ports that were free just now.
+// Ports are taken from below the range that Linux gives to outgoing connections,
+// so that none is taken by one between the search and the start of a process.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+var nextPort atomic.Uint32
+
+// reserve returns n addresses with ports that are free. Processes start their
+// search at different ports, so that test packages can run side by side.
 func reserve(n int) ([]netip.AddrPort, error) {
 	var out []netip.AddrPort
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
+	for range portCount {
+		if len(out) == n {
+			return out, nil
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", netip.AddrPortFrom(loopback, 0).String())
+		offset := (uint32(os.Getpid())*portsOfProcess + nextPort.Add(1)) % portCount
+		address := netip.AddrPortFrom(loopback, uint16(firstPort+offset))
+		l, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return nil, errors.Wrap(err, "find free ports")
+			continue
 		}
-		listeners = append(listeners, l)
-		out = append(out, l.Addr().(*net.TCPAddr).AddrPort())
+		_ = l.Close()
+		out = append(out, address)
 	}
-	return out, nil
+	return nil, errors.New("too few free ports on the loopback address; end other programs that listen there")
 }
 
+// portsOfProcess is the distance between the first ports of two processes.
+const portsOfProcess = 128
+
 // Listeners of each process.
 const (
 	controlListeners = 3
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -48,6 +48,8 @@
 	// MaxInFlight bounds memory and sockets; arrivals beyond it are counted as skipped.
 	MaxInFlight int
 	Timeout     time.Duration
+	// Stop ends the arrivals early; requests in flight are finished. Optional.
+	Stop <-chan struct{}
 }
 
 // Record is one request and its outcome.
@@ -132,7 +134,7 @@
 	for n := range g.o.Requests {
 		at += time.Duration(g.random.ExpFloat64() / g.o.PerSecond * float64(time.Second))
 		r := g.draw(n)
-		if !wait(ctx, at-time.Since(g.start)) {
+		if !g.wait(ctx, at-time.Since(g.start)) {
 			break
 		}
 		select {
@@ -149,15 +151,15 @@
 	wg.Wait()
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
+// wait returns false when the arrivals are to end.
+func (g *generator) wait(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
 		return false
+	case <-g.o.Stop:
+		return false
 	case <-t.C:
 		return true
 	}
