--- /dev/null
+++ b/process/storage/fakefs_test.go
@@ -0,0 +1,128 @@
+package storage
+
+import (
+	"errors"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+)
+
+var (
+	errNoSpace = errors.New("no space left on device")
+	errSync    = errors.New("input/output error")
+)
+
+// memFS is a filesystem in memory with faults. A crash keeps what was synced and
+// a prefix of what was not.
+type memFS struct {
+	files      map[string]*memFile
+	spaceBytes int // bytes that can still be written, without bound if negative
+	failSync   bool
+	syncs      int
+}
+
+type memFile struct {
+	fs     *memFS
+	data   []byte
+	synced []byte
+}
+
+func newMemFS() *memFS { return &memFS{files: map[string]*memFile{}, spaceBytes: -1} }
+
+func (m *memFS) MkdirAll(string) error { return nil }
+
+func (m *memFS) Append(name string) (File, error) {
+	if m.files[name] == nil {
+		m.files[name] = &memFile{fs: m}
+	}
+	return m.files[name], nil
+}
+
+func (m *memFS) Create(name string) (File, error) {
+	m.files[name] = &memFile{fs: m}
+	return m.files[name], nil
+}
+
+func (m *memFS) ReadFile(name string) ([]byte, error) {
+	f := m.files[name]
+	if f == nil {
+		return nil, &fs.PathError{Op: "open", Path: name, Err: fs.ErrNotExist}
+	}
+	return slices.Clone(f.data), nil
+}
+
+func (m *memFS) Rename(from, to string) error {
+	m.files[to] = m.files[from]
+	delete(m.files, from)
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	delete(m.files, name)
+	return nil
+}
+
+func (m *memFS) List(dir string) ([]string, error) {
+	var names []string
+	for name := range m.files {
+		if filepath.Dir(name) == dir {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+func (m *memFS) SyncDir(string) error { return nil }
+
+// crash drops unsynced data but for a prefix of keep bytes of each file.
+func (m *memFS) crash(keep int) {
+	for _, f := range m.files {
+		n := min(len(f.synced)+keep, len(f.data))
+		f.data = slices.Clone(f.data[:n])
+		f.synced = slices.Clone(f.data)
+	}
+}
+
+// segments returns the names of the segments, in order.
+func (m *memFS) segments() []string {
+	var names []string
+	for name := range m.files {
+		if strings.HasPrefix(filepath.Base(name), "log-") {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (f *memFile) Write(p []byte) (int, error) {
+	n := len(p)
+	if f.fs.spaceBytes >= 0 {
+		n = min(n, f.fs.spaceBytes)
+		f.fs.spaceBytes -= n
+	}
+	f.data = append(f.data, p[:n]...)
+	if n < len(p) {
+		return n, errNoSpace
+	}
+	return n, nil
+}
+
+func (f *memFile) Close() error { return nil }
+
+func (f *memFile) Sync() error {
+	f.fs.syncs++
+	if f.fs.failSync {
+		f.fs.failSync = false
+		return errSync
+	}
+	f.synced = slices.Clone(f.data)
+	return nil
+}
+
+func (f *memFile) Truncate(size int64) error {
+	f.data = f.data[:size]
+	return nil
+}
