--- a/process/consensus/leader.go
+++ b/process/consensus/leader.go
@@ -236,6 +236,11 @@
 	if m.RejectHint < c.log.baseIndex {
 		next = m.RejectHint
 	}
+	if m.Index <= c.log.baseIndex {
+		// The follower differs before the first entry held, so only a snapshot
+		// helps.
+		next = 0
+	}
 	p.probe(next + 1)
 }
 
--- /dev/null
+++ b/process/consensus/rules_test.go
@@ -0,0 +1,310 @@
+package consensus
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+)
+
+func testCore(t *testing.T, in Initial, voters ...string) *Core {
+	t.Helper()
+	c, err := New(Config{ID: "a", Group: "g", Voters: voters, Rand: func(int64) int64 { return 0 }}, 0, in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func fromB(kind wirepb.RaftMessage_Type, term uint64) *wirepb.RaftMessage {
+	return &wirepb.RaftMessage{Group: "g", From: "b", To: "a", Type: kind, Term: term}
+}
+
+func founded(term uint64) Initial { return Initial{HardState: &wirepb.RaftHardState{Term: term}} }
+
+// finish carries out all work and returns the messages sent.
+func finish(c *Core) []*wirepb.RaftMessage {
+	var sent []*wirepb.RaftMessage
+	for {
+		rd := c.Ready()
+		if rd.Empty() {
+			return sent
+		}
+		sent = append(sent, rd.Messages...)
+		sent = append(sent, rd.AfterSync...)
+		c.Advance(rd)
+	}
+}
+
+func ofType(list []*wirepb.RaftMessage, kind wirepb.RaftMessage_Type) []*wirepb.RaftMessage {
+	var found []*wirepb.RaftMessage
+	for _, m := range list {
+		if m.Type == kind {
+			found = append(found, m)
+		}
+	}
+	return found
+}
+
+// lead makes a the leader of term 2 in a group of a, b and c.
+func lead(t *testing.T, entries ...*wirepb.RaftEntry) *Core {
+	t.Helper()
+	in := founded(1)
+	in.Entries = entries
+	c := testCore(t, in, "a", "b", "c")
+	if err := c.Tick(2 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	finish(c)
+	_ = c.Step(c.now, fromB(wirepb.RaftMessage_TYPE_PRE_VOTE_RESPONSE, 2))
+	third := fromB(wirepb.RaftMessage_TYPE_PRE_VOTE_RESPONSE, 2)
+	third.From = "c"
+	_ = c.Step(c.now, third)
+	finish(c)
+	_ = c.Step(c.now, fromB(wirepb.RaftMessage_TYPE_VOTE_RESPONSE, 2))
+	if c.Status().Role != Leader {
+		t.Fatal("a does not lead")
+	}
+	return c
+}
+
+// Guards against a vote that is sent before it is synced, which a crash would
+// let the replica give twice.
+func TestVoteIsSentAfterSync(t *testing.T) {
+	is := is.New(t)
+	c := testCore(t, founded(1), "a", "b", "c")
+	is.NoErr(c.Step(2*time.Second, fromB(wirepb.RaftMessage_TYPE_VOTE, 2)))
+	rd := c.Ready()
+	is.Equal(len(rd.Messages), 0)
+	is.Equal(len(ofType(rd.AfterSync, wirepb.RaftMessage_TYPE_VOTE_RESPONSE)), 1)
+	is.Equal(rd.HardState.Vote, "b")
+	c.Advance(rd)
+	third := fromB(wirepb.RaftMessage_TYPE_VOTE, 2)
+	third.From = "c"
+	is.NoErr(c.Step(2*time.Second, third))
+	is.True(ofType(finish(c), wirepb.RaftMessage_TYPE_VOTE_RESPONSE)[0].Reject) // one vote per term
+}
+
+// Guards against an acknowledgement of an entry that a crash can lose.
+func TestAppendIsAcknowledgedAfterSync(t *testing.T) {
+	is := is.New(t)
+	c := testCore(t, founded(2), "a", "b", "c")
+	m := fromB(wirepb.RaftMessage_TYPE_APPEND, 2)
+	m.Entries = []*wirepb.RaftEntry{{Index: 1, Term: 2, Data: []byte("x")}}
+	is.NoErr(c.Step(0, m))
+	rd := c.Ready()
+	is.Equal(len(rd.Messages), 0)
+	is.Equal(ofType(rd.AfterSync, wirepb.RaftMessage_TYPE_APPEND_RESPONSE)[0].Index, uint64(1))
+	is.Equal(len(rd.Entries), 1)
+}
+
+// Guards against a leader that counts its own copy of an entry before it is
+// synced.
+func TestLeaderCountsItselfAfterSync(t *testing.T) {
+	is := is.New(t)
+	c := lead(t)
+	rd := c.Ready()
+	is.Equal(len(rd.Entries), 1)
+	ack := fromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+	ack.Index = 1
+	is.NoErr(c.Step(c.now, ack))
+	is.Equal(c.Status().Commit, uint64(0))
+	c.Advance(rd)
+	is.Equal(c.Status().Commit, uint64(1))
+}
+
+// Guards against a learner whose vote counts for a quorum that it is not part of.
+func TestLearnerDoesNotVote(t *testing.T) {
+	is := is.New(t)
+	in := founded(1)
+	in.Snapshot = &wirepb.RaftSnapshot{Index: 5, Term: 1, Voters: &wirepb.RaftVoters{Voters: []string{"b", "c"}, Learners: []string{"a"}}}
+	c := testCore(t, in)
+	for _, kind := range []wirepb.RaftMessage_Type{wirepb.RaftMessage_TYPE_PRE_VOTE, wirepb.RaftMessage_TYPE_VOTE} {
+		m := fromB(kind, 2)
+		m.Index, m.LogTerm = 9, 1
+		is.NoErr(c.Step(10*time.Second, m))
+	}
+	is.NoErr(c.Tick(20 * time.Second)) // and it does not campaign
+	is.Equal(len(finish(c)), 0)
+}
+
+// Guards against the commit of an earlier term's entry by counting copies, which
+// a later leader may still replace (figure 8 of the Raft paper).
+func TestOnlyEntriesOfTheCurrentTermAreCounted(t *testing.T) {
+	is := is.New(t)
+	c := lead(t, &wirepb.RaftEntry{Index: 1, Term: 1, Data: []byte("old")})
+	finish(c)
+	ack := fromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+	ack.Index = 1
+	is.NoErr(c.Step(c.now, ack))
+	is.Equal(c.Status().Commit, uint64(0))
+	ack.Index = 2
+	is.NoErr(c.Step(c.now, ack))
+	is.Equal(c.Status().Commit, uint64(2))
+}
+
+// Guards against a leader that is cut off from its quorum and goes on leading.
+func TestLeaderWithoutQuorumStepsDown(t *testing.T) {
+	is := is.New(t)
+	c := lead(t)
+	finish(c)
+	start := c.now
+	is.NoErr(c.Step(start+500*time.Millisecond, fromB(wirepb.RaftMessage_TYPE_HEARTBEAT_RESPONSE, 2)))
+	is.NoErr(c.Tick(start + 1400*time.Millisecond))
+	is.Equal(c.Status().Role, Leader)
+	is.NoErr(c.Tick(start + 1500*time.Millisecond))
+	is.Equal(c.Status().Role, Follower)
+}
+
+// Guards against an election while the leader's lease may run.
+func TestNoVoteWhileTheLeaderIsHeard(t *testing.T) {
+	is := is.New(t)
+	c := testCore(t, founded(1), "a", "b", "c")
+	is.NoErr(c.Step(5*time.Second, fromB(wirepb.RaftMessage_TYPE_HEARTBEAT, 1)))
+	finish(c)
+	vote := fromB(wirepb.RaftMessage_TYPE_VOTE, 2)
+	vote.From = "c"
+	is.NoErr(c.Step(5*time.Second+900*time.Millisecond, vote))
+	is.Equal(c.Status().Term, uint64(1))
+	is.NoErr(c.Step(6*time.Second, vote))
+	is.Equal(c.Status().Term, uint64(2))
+}
+
+// Guards against a voter that lost its disk and takes part under its old name.
+func TestEmptyDiskInAFoundedGroup(t *testing.T) {
+	is := is.New(t)
+	c := testCore(t, Initial{}, "a", "b", "c")
+	vote := fromB(wirepb.RaftMessage_TYPE_VOTE, 7)
+	vote.Index, vote.LogTerm = 9, 6
+	is.NoErr(c.Step(3*time.Second, vote))
+	is.Equal(len(finish(c)), 0) // it gives no vote
+	var empty *EmptyDiskError
+	is.True(errors.As(c.Step(3*time.Second, fromB(wirepb.RaftMessage_TYPE_HEARTBEAT, 7)), &empty))
+}
+
+// Guards against a promotion that would make the quorum wait for a learner.
+func TestPromotionNeedsACaughtUpLearner(t *testing.T) {
+	is := is.New(t)
+	c := lead(t)
+	finish(c)
+	ack := func(name string, index uint64) {
+		m := fromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+		m.From, m.Index = name, index
+		is.NoErr(c.Step(c.now, m))
+		finish(c)
+	}
+	ack("b", 1)
+	_, _, err := c.ChangeVoter(VoterChange{AddLearner, "d"})
+	is.NoErr(err)
+	finish(c)
+	_, _, err = c.ChangeVoter(VoterChange{Remove, "c"})
+	var busy *BusyError
+	is.True(errors.As(err, &busy)) // one change at a time
+	ack("b", 2)
+	_, _, err = c.ChangeVoter(VoterChange{Promote, "d"})
+	var behind *NotCaughtUpError
+	is.True(errors.As(err, &behind))
+	ack("d", 2)
+	_, _, err = c.ChangeVoter(VoterChange{Promote, "d"})
+	is.NoErr(err)
+}
+
+// Guards against each invariant that is broken without an effect: the core must
+// stop and name it.
+func TestBrokenInvariantStopsTheCore(t *testing.T) {
+	follower := func() *Core {
+		in := founded(2)
+		in.HardState.Commit = 1
+		in.Entries = []*wirepb.RaftEntry{{Index: 1, Term: 2}, {Index: 2, Term: 2}}
+		return testCore(t, in, "a", "b", "c")
+	}
+	conflict := fromB(wirepb.RaftMessage_TYPE_APPEND, 3)
+	conflict.Entries = []*wirepb.RaftEntry{{Index: 1, Term: 1}, {Index: 2, Term: 3}}
+	beyond := fromB(wirepb.RaftMessage_TYPE_HEARTBEAT, 2)
+	beyond.Commit = 9
+	cases := []struct {
+		name string
+		core *Core
+		m    *wirepb.RaftMessage
+	}{
+		{InvariantSingleLeader, lead(t), fromB(wirepb.RaftMessage_TYPE_HEARTBEAT, 2)},
+		{InvariantLogMatching, follower(), conflict},
+		{InvariantAckedKept, follower(), beyond},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			err := tc.core.Step(tc.core.now, tc.m)
+			var broken *InvariantError
+			is.True(errors.As(err, &broken))
+			is.Equal(tc.core.BrokenInvariant(), tc.name)
+			rd := tc.core.Ready()
+			is.True(rd.Empty())
+			_, _, err = tc.core.Propose([]byte("x"))
+			is.True(errors.As(err, &broken))
+			is.True(errors.As(tc.core.Tick(time.Hour), &broken))
+		})
+	}
+	l := &raftLog{commit: 3}
+	var broken *InvariantError
+	if err := l.commitTo(2); !errors.As(err, &broken) || broken.Name != InvariantCommitMonotone {
+		t.Fatalf("commit decreases: %v", err)
+	}
+	c := follower()
+	c.becomeFollower(1, "")
+	if c.BrokenInvariant() != InvariantTermMonotone {
+		t.Fatalf("term decreases: %v", c.Err())
+	}
+}
+
+// Guards against a probe at the first entry held that is repeated for ever when
+// the follower has an entry of another term there; a snapshot is needed.
+func TestFollowerThatDiffersBeforeTheLogGetsASnapshot(t *testing.T) {
+	is := is.New(t)
+	c := lead(t)
+	finish(c)
+	ack := fromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+	ack.Index = 1
+	is.NoErr(c.Step(c.now, ack))
+	finish(c)
+	c.Compact(1, 1)
+	reject := fromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+	reject.From, reject.Reject = "c", true
+	reject.Index, reject.RejectHint, reject.LogTerm = 1, 1, 1
+	c.progress["c"].probe(2)
+	is.Equal(len(ofType(finish(c), wirepb.RaftMessage_TYPE_APPEND)), 1)
+	is.NoErr(c.Step(c.now, reject))
+	is.Equal(len(ofType(finish(c), wirepb.RaftMessage_TYPE_SNAPSHOT)), 1)
+}
+
+// Guards against a group that can elect no leader: a promoted replica that has
+// not seen its promotion gives no vote, so no membership may depend on it yet.
+func TestRemovalWaitsForThePromotedVoter(t *testing.T) {
+	is := is.New(t)
+	s := newSim(3, "a", "b")
+	for s.leader() == nil || s.leader().core.log.commit == 0 {
+		s.step(20 * time.Millisecond)
+	}
+	l := s.leader()
+	other := map[string]string{"a": "b", "b": "a"}[l.name]
+	change := func(kind ChangeKind, name string) error {
+		_, _, err := l.core.ChangeVoter(VoterChange{kind, name})
+		s.process(l)
+		for range 20 {
+			s.step(20 * time.Millisecond)
+		}
+		return err
+	}
+	s.add("d", nil)
+	is.NoErr(change(AddLearner, "d"))
+	s.cut[l.name+">d"] = true
+	is.NoErr(change(Promote, "d"))
+	var busy *BusyError
+	is.True(errors.As(change(Remove, other), &busy))
+	s.crash(l)
+	is.True(s.heal())
+	is.Equal(s.failure, "")
+}
