--- a/process/consensus/property_test.go
+++ b/process/consensus/property_test.go
@@ -31,7 +31,7 @@
 	if os.Getenv(longRunVariable) != "" {
 		fmt.Printf("consensus property tests: %s cases, MARJORAMTILLER_SEED=%s\n", checks, seed)
 	}
-	for name, value := range map[string]string{"rapid.checks": checks, "rapid.seed": seed, "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.checks": checks, "rapid.seed": seed, "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
@@ -46,13 +46,17 @@
 	name := rapid.SampledFrom(s.order).Draw(rt, "node")
 	n := s.nodes[name]
 	switch action := rapid.IntRange(0, 99).Draw(rt, "action"); {
-	case action < 40:
+	case action < 36:
 		if l := s.leader(); l != nil {
 			s.propose(l)
 		}
+	case action < 44:
+		if n.core != nil && n.pausedT <= s.now {
+			s.propose(n) // possibly a deposed leader
+		}
 	case action < 50:
-		if l := s.leader(); l != nil {
-			s.read(l)
+		if n.core != nil && n.pausedT <= s.now {
+			s.read(n)
 		}
 	case action < 55:
 		s.crash(n)
@@ -126,7 +130,7 @@
 			rt.Fatal(s.failure)
 		}
 		if !healed {
-			rt.Fatal("the group does not converge after the faults end")
+			rt.Fatal("the group does not converge after the faults end: " + s.describe())
 		}
 	})
 }
