--- /dev/null
+++ b/connection/slots/bench_test.go
@@ -0,0 +1,44 @@
+package slots
+
+import (
+	"fmt"
+	"testing"
+)
+
+// BenchmarkRebalance changes the demand of one of six entries for one service
+// of about 340 backend servers, and takes the grants.
+func BenchmarkRebalance(b *testing.B) {
+	for _, n := range []int{160, 1600, 16000} {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			var entries []*entry
+			var names []string
+			for i := range 6 {
+				entries = append(entries, newEntry(fmt.Sprintf("e%d", i), "1"))
+				names = append(names, entries[i].id.Entry)
+			}
+			a := New(1, names)
+			services := n/340 + 1
+			for i := range n {
+				s := serverOf(i, 8)
+				s.Service = fmt.Sprintf("service-%d", i%services)
+				a.SetServer(s)
+			}
+			settle(a, entries...)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				e := entries[i%len(entries)]
+				r := e.report()
+				r.Demand = map[string]float64{"service-0": float64(i * 7919 % 1000)}
+				a.Report(r)
+				for _, id := range a.Rebalance() {
+					for _, e := range entries {
+						if e.id == id {
+							e.take(a)
+						}
+					}
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/version/fleet/bench_test.go
@@ -0,0 +1,122 @@
+package fleet
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+var benchSizes = []int{160, 1600, 16000}
+
+// sizedFleet spreads hosts over pools of about 340, as at the design scale.
+func sizedFleet(hosts int) *rig {
+	r := newRig()
+	pools := hosts/340 + 1
+	changes := []*fleetpb.Change{pool(&fleetpb.Pool{Name: "spare", Spare: true})}
+	for i := range pools {
+		name := fmt.Sprintf("pool-%02d", i)
+		changes = append(changes, pool(&fleetpb.Pool{Name: name, Service: name, SurviveRack: true, SurviveZone: true}))
+	}
+	for i := range hosts {
+		changes = append(changes, host(fmt.Sprintf("host-%05d", i), fmt.Sprintf("pool-%02d", i%pools), fmt.Sprintf("rack-%04d", i/4), fmt.Sprintf("zone-%02d", i%20)))
+	}
+	if result := r.configure(changes...); result.Kind != applied {
+		panic(result.String())
+	}
+	return r
+}
+
+func forSizes(b *testing.B, run func(b *testing.B, r *rig)) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			r := sizedFleet(n)
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, r)
+		})
+	}
+}
+
+func BenchmarkDeltaOneChange(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *rig) {
+		since := r.f.Version()
+		r.step("host-00001", drain, "spare", "")
+		b.ResetTimer()
+		size := 0
+		for b.Loop() {
+			size = len(marshal(r.f.Delta(since, false)))
+		}
+		b.ReportMetric(float64(size), "bytes/delta")
+	})
+}
+
+func BenchmarkDeltaFull(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *rig) {
+		size := 0
+		for b.Loop() {
+			size = len(marshal(r.f.Delta(0, true)))
+		}
+		b.ReportMetric(float64(size), "bytes/delta")
+	})
+}
+
+// BenchmarkApplySteps applies a drain and its cancellation, with the check of
+// the pool's budget.
+func BenchmarkApplySteps(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *rig) {
+		for b.Loop() {
+			r.step("host-00001", drain, "spare", "")
+			r.step("host-00001", fleetpb.HostStep_KIND_CANCEL, "", "")
+		}
+	})
+}
+
+func BenchmarkApplyConfigureOnePool(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *rig) {
+		for i := 0; b.Loop(); i++ {
+			r.now += 1700 // 51,000 changes a day
+			r.configure(pool(&fleetpb.Pool{Name: "pool-00", Service: "pool-00", LongThresholdMs: uint32(i + 1)}))
+		}
+	})
+}
+
+func BenchmarkSnapshotAndRestore(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *rig) {
+		for b.Loop() {
+			snapshot, _ := r.f.Snapshot()
+			if err := New().Restore(snapshot); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkMemoryPerHost reports the live heap of a restored fleet for each host.
+func BenchmarkMemoryPerHost(b *testing.B) {
+	forSizes(b, func(b *testing.B, r *rig) {
+		snapshot, _ := r.f.Snapshot()
+		used := 0.0
+		for b.Loop() {
+			before := liveBytes()
+			f := New()
+			if err := f.Restore(snapshot); err != nil {
+				b.Fatal(err)
+			}
+			used = float64(liveBytes()-before) / float64(len(f.hosts.names))
+			runtime.KeepAlive(f)
+		}
+		b.ReportMetric(used, "bytes/host")
+		b.ReportMetric(float64(proto.Size(r.f.Full()))/float64(len(r.f.hosts.names)), "snapshot-bytes/host")
+	})
+}
+
+func liveBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
