Add the entry's copy of the configuration

Cause: entries have to apply deltas in order and never go back to an older version. Change: fleet.Copy with Take; Grant of connection/slots counts entries once instead of for each share.

--- a/connection/lease/leader.go
+++ b/connection/lease/leader.go
@@ -38,7 +38,6 @@
 const (
 	InvariantTimeForward   = "lease-time-forward"
 	InvariantNotShortened  = "lease-not-shortened"
-	InvariantAckedForward  = "acked-version-forward"
 	InvariantServingInside = "serving-inside-leases"
 )
 
--- a/connection/slots/slots.go
+++ b/connection/slots/slots.go
@@ -77,7 +77,7 @@
 type Share struct {
 	Server      string
 	Slots       uint32
-	Connections uint32
+	Connections uint32 // the server's connections divided by the number of entries
 }
 
 // decrease is a share that was taken back and may still be in use.
@@ -334,19 +334,15 @@
 		return 0, nil
 	}
 	shares := make([]Share, 0, len(h.current))
+	entries := uint32(max(1, len(a.live())+len(a.silent)))
 	for name, n := range h.current {
-		s := a.servers[name]
-		shares = append(shares, Share{Server: name, Slots: n, Connections: a.connections(s)})
+		connections := max(1, a.servers[name].Connections/entries)
+		shares = append(shares, Share{Server: name, Slots: n, Connections: connections})
 	}
 	slices.SortFunc(shares, func(x, y Share) int { return cmp.Compare(x.Server, y.Server) })
 	return h.number, shares
 }
 
-// connections is the part of a server's connections that each entry may use.
-func (a *Allocator) connections(s Server) uint32 {
-	return max(1, s.Connections/uint32(max(1, len(a.live())+len(a.silent))))
-}
-
 // live returns the entries that take shares, in order.
 func (a *Allocator) live() []*holder {
 	out := make([]*holder, 0, len(a.holders))
--- a/request/key/key.go
+++ b/request/key/key.go
@@ -27,7 +27,7 @@
 	ErrMissing   = errors.New("Idempotency-Key is missing: send a UUIDv7 in this header")
 	ErrMalformed = errors.New("Idempotency-Key is not a UUID: send a UUIDv7, bare or in double quotes")
 	ErrVersion   = errors.New("Idempotency-Key is not a UUIDv7: its time stamp is needed, generate version 7")
-	ErrExpired   = errors.New("Idempotency-Key is older than the retention period: query its outcome elsewhere, then use a new key")
+	ErrExpired   = errors.New("Idempotency-Key is older than the retention period: find out whether the request ran, then use a new key if it did not")
 	ErrFuture    = errors.New("Idempotency-Key is in the future: correct the clock of the caller")
 )
 
--- a/version/fleet/fleet_test.go
+++ b/version/fleet/fleet_test.go
@@ -311,3 +311,47 @@
 	is.Equal(r.apply(&fleetpb.Command{Body: &fleetpb.Command_Unregister{}}).Kind, unchanged)
 	is.Equal(r.apply(&fleetpb.Command{Body: &fleetpb.Command_TaskSteps{}}).Kind, unchanged)
 }
+
+// Guards against a copy that goes back to an older version, or misses a change
+// between two deltas.
+func TestCopyTakesDeltasInOrder(t *testing.T) {
+	is := is.New(t)
+	r := bookingFleet(4, &fleetpb.Pool{})
+	c := NewCopy()
+	first := r.f.Delta(0, true)
+	taken, err := c.Take(first)
+	is.NoErr(err)
+	is.True(taken)
+	r.register(server("b0", "h0", "booking", "1"))
+	r.step("h1", drain, "spare", "")
+	gap := r.f.Delta(r.f.Version()-1, false)
+	_, err = c.Take(gap)
+	is.True(err != nil)
+	is.Equal(c.Version(), first.ToVersion)
+	taken, err = c.Take(r.f.Delta(c.Version(), false))
+	is.NoErr(err)
+	is.True(taken)
+	taken, err = c.Take(first) // of a deposed leader
+	is.NoErr(err)
+	is.True(!taken)
+	is.Equal(c.Version(), r.f.Version())
+	is.Equal(c.Server("b0").Host, "h0")
+	var inactive []string
+	for h := range c.Inactive() {
+		inactive = append(inactive, h.Name)
+	}
+	is.Equal(inactive, []string{"h1"})
+	var serving []string
+	for s := range c.ServiceServers("booking") {
+		serving = append(serving, s.Name)
+	}
+	is.Equal(serving, []string{"b0"})
+	is.True(c.Serves(c.Server("b0")))
+	is.True(!c.Serves(c.Server("missing")))
+	is.True(!c.Serves(server("b1", "h1", "booking", "1"))) // its host drains
+	is.True(!c.Serves(server("b2", "h2", "badge", "1")))   // of another service
+	r.unregister("b0", "1", false)
+	_, err = c.Take(r.f.Delta(c.Version(), false))
+	is.NoErr(err)
+	is.True(!c.Serves(c.Server("b0")))
+}
--- a/version/fleet/random_test.go
+++ b/version/fleet/random_test.go
@@ -11,43 +11,17 @@
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
-// copyOf is an entry's copy that deltas keep up to date.
-type copyOf struct {
-	version uint64
-	objects map[string]proto.Message
-}
-
-func (c *copyOf) take(d *fleetpb.Delta) {
-	if d.Full {
-		c.objects = make(map[string]proto.Message)
-	}
-	for _, p := range d.Pools {
-		c.objects["pool/"+p.Name] = p
-	}
-	for _, h := range d.Hosts {
-		c.objects["host/"+h.Name] = h
-	}
-	for _, s := range d.Servers {
-		c.objects["server/"+s.Name] = s
-	}
-	for _, t := range d.Deleted {
-		delete(c.objects, objectID{t.Kind, t.Name}.String())
+// sameAs reports whether a copy holds what a full delta holds.
+func sameAs(c *Copy, f *Fleet) bool {
+	want := NewCopy()
+	if _, err := want.Take(f.Delta(0, true)); err != nil {
+		return false
 	}
-	c.version = d.ToVersion
+	return proto.Equal(contents(want), contents(c))
 }
 
-func (c *copyOf) equal(f *Fleet) bool {
-	want := &copyOf{}
-	want.take(f.Delta(0, true))
-	if len(want.objects) != len(c.objects) {
-		return false
-	}
-	for name, m := range want.objects {
-		if !proto.Equal(m, c.objects[name]) {
-			return false
-		}
-	}
-	return true
+func contents(c *Copy) *fleetpb.Delta {
+	return &fleetpb.Delta{ToVersion: c.version, Pools: c.pools.slice(), Hosts: c.hosts.slice(), Servers: c.servers.slice()}
 }
 
 func drawName(t *rapid.T, prefix string, n int) string {
@@ -159,7 +133,7 @@
 		r.f.maxTombstones = rapid.IntRange(1, 5).Draw(t, "tombstones")
 		other := New()
 		other.maxTombstones = r.f.maxTombstones
-		entry := &copyOf{objects: make(map[string]proto.Message)}
+		entry := NewCopy()
 		for range rapid.IntRange(20, 80).Draw(t, "commands") {
 			r.now += int64(rapid.IntRange(0, 1000).Draw(t, "ms"))
 			command := marshal(drawCommand(t, r))
@@ -177,8 +151,10 @@
 			}
 			checkDrains(t, r.f, before)
 			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
-				entry.take(r.f.Delta(entry.version, false))
-				if !entry.equal(r.f) {
+				if _, err := entry.Take(r.f.Delta(entry.Version(), false)); err != nil {
+					t.Fatal(err)
+				}
+				if !sameAs(entry, r.f) {
 					t.Fatal("the copy differs after a delta")
 				}
 			}
