--- a/request/queue/heap.go
+++ b/request/queue/heap.go
@@ -78,6 +78,7 @@
 	ring    *list.List // of *callerQueue; the front has the next turn
 	first   itemHeap   // all items by deadline
 	count   int
+	seconds float64 // expected run time of all items
 }
 
 func newLane() *lane {
@@ -98,6 +99,8 @@
 	it.lane = l
 	it.owner = q
 	l.count++
+	it.cost = it.svc.expected(it)
+	l.seconds += it.cost
 }
 
 func (l *lane) remove(it *item) {
@@ -107,6 +110,10 @@
 	it.lane = nil
 	it.owner = nil
 	l.count--
+	l.seconds -= it.cost
+	if l.count == 0 {
+		l.seconds = 0 // drops the rounding error
+	}
 	if q.heap.Len() == 0 {
 		l.ring.Remove(q.elem)
 		delete(l.callers, q.caller)
--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -112,6 +112,7 @@
 	lane       *lane // the lane it waits in
 	owner      *callerQueue
 	avoid      string
+	cost       float64        // expected run time in seconds when it was queued
 	pos        [positions]int // index in each heap, -1: absent
 	// running only
 	server  *server
@@ -139,8 +140,12 @@
 	queued  int
 	slots   int
 	servers []*server
+	seen    [classes]int
 	mean    [classes]float64 // run time in seconds, moving average; 0 until one was seen
 	arrived uint64
+	// peak is the greatest demand for slots by short work, seen at peakTime.
+	peak     float64
+	peakTime time.Duration
 	// unsettled is set when items were left in the lane of an earlier class.
 	unsettled bool
 }
@@ -230,6 +235,7 @@
 	it.id = c.nextID
 	c.items[it.id] = it
 	s.enqueue(it)
+	s.observeDemand(now)
 	return it.id, nil
 }
 
@@ -355,7 +361,7 @@
 
 func (c *Core) start(now time.Duration, s *service, phase int) (Action, bool) {
 	it := s.candidate(now, phase)
-	if it == nil || !s.mayStart(it) {
+	if it == nil || !s.mayStart(now, it, phase) {
 		return Action{}, false
 	}
 	class := it.route.lasting()
--- a/request/queue/service.go
+++ b/request/queue/service.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"time"
 )
 
@@ -9,6 +10,7 @@
 	class    Class
 	longness float64 // moving share of work that exceeded the threshold
 	seen     int
+	runs     int
 	seconds  float64 // moving average of run times
 }
 
@@ -18,12 +20,24 @@
 	maxRoutes = 1024
 	// knownAfter observations a route's class is relied upon.
 	knownAfter = 3
-	// weight of a new observation in a moving average.
-	weight = 0.2
+	// classWeight is the weight of a new observation of a route's class.
+	classWeight = 0.2
+	// runWeight is the least weight of a new run time in a moving average. Run
+	// times vary much more than classes; with a greater weight the estimates of
+	// the wait swing by a third, and requests are rejected that would start in time.
+	runWeight = 0.02
 	// A route is long from longFrom on and short again below shortBelow. The gap
 	// keeps a route with a few stragglers from changing class back and forth.
 	longFrom   = 0.5
 	shortBelow = 0.25
+	// peakHalfLife is long against the time between two bursts of a service.
+	peakHalfLife = 60 * time.Second
+	// peakMargin makes up for the decay between bursts.
+	peakMargin = 1.1
+	// paceMargin makes up for deferrable work that arrives later or runs longer.
+	paceMargin = 3
+	// leastLong: long work may always hold a quarter of its configured limit.
+	leastLong = 4
 	// maxMoves bounds the queued items that one call moves to another lane after
 	// their route changed class, so that the cost of a call stays bounded.
 	maxMoves = 16
@@ -57,7 +71,7 @@
 		r.longness = shortBelow
 	}
 	r.seen++
-	r.longness += weight * (value - r.longness)
+	r.longness += classWeight * (value - r.longness)
 	if r.longness >= longFrom {
 		r.class = Long
 	}
@@ -122,20 +136,59 @@
 	}
 }
 
-// longLimit is the number of slots that long work may hold at once. With a
-// single slot, long work may use it: otherwise it would never run.
+// longLimit is the number of slots that long work may hold at once by
+// configuration. With a single slot, long work may use it: otherwise it would
+// never run.
 func (s *service) longLimit() int {
 	kept := (s.slots*s.cfg.ShortSlotsPercent + 99) / 100
 	return max(1, s.slots-kept)
 }
 
+// usualLongLimit is the number of slots that long work which need not start
+// now may hold: it leaves as many slots as short work has needed lately. A
+// fixed share alone is too small when bursts of short work follow bursts of
+// long work, because running long work cannot be stopped.
+func (s *service) usualLongLimit(now time.Duration) int {
+	limit := s.longLimit()
+	needed := int(math.Ceil(s.peakAt(now) * peakMargin))
+	return min(limit, max(s.slots-needed, (limit+3)/leastLong))
+}
+
+// pace is the number of slots that deferrable work needs from now on so that
+// all of it ends before the earliest deadline.
+func (s *service) pace(now time.Duration, phase int) int {
+	it := s.lanes[laneLate].first.head()
+	if phase != phaseLate || it == nil || it.deadline == noDeadline {
+		return 0
+	}
+	left := max(it.deadline-now, time.Second)
+	return int(math.Ceil(paceMargin * s.lanes[laneLate].seconds / left.Seconds()))
+}
+
+// peakAt is the greatest demand for slots by short work, halved every peakHalfLife.
+func (s *service) peakAt(now time.Duration) float64 {
+	return s.peak * math.Exp2(-float64(now-s.peakTime)/float64(peakHalfLife))
+}
+
+func (s *service) observeDemand(now time.Duration) {
+	demand := float64(min(s.slots, s.running-s.long+s.lanes[laneShort].count))
+	if demand >= s.peakAt(now) {
+		s.peak = demand
+		s.peakTime = now
+	}
+}
+
 // mayStart keeps slots for short work. Work of an unknown route is not yet
 // known to be short, so it does not use the slots kept for short work.
-func (s *service) mayStart(it *item) bool {
+func (s *service) mayStart(now time.Duration, it *item, phase int) bool {
 	if it.route.known() && it.route.class == Short {
 		return true
 	}
-	return s.long+s.guessed < s.longLimit()
+	limit := s.longLimit()
+	if it.route.known() && phase != phaseDue {
+		limit = max(s.usualLongLimit(now), min(limit, s.pace(now, phase)))
+	}
+	return s.long+s.guessed < limit
 }
 
 // candidate returns the item that may start in a phase.
@@ -190,9 +243,8 @@
 	if it.route.lasting() == Long || !it.route.known() {
 		slots = s.longLimit()
 	}
-	mean := s.expected(it)
-	rounds := float64(s.lanes[laneLate].count)/float64(max(1, slots)) + 1
-	return it.deadline - seconds(rounds*mean)
+	need := s.lanes[laneLate].seconds/float64(max(1, slots)) + s.expected(it)
+	return it.deadline - seconds(need)
 }
 
 func (s *service) expected(it *item) float64 {
@@ -211,11 +263,11 @@
 	longSlots := float64(s.longLimit())
 	short := s.ahead(s.lanes[laneShort], it) + s.ahead(s.lanes[laneUnknown], it)
 	long := s.ahead(s.lanes[laneLong], it)
-	forShort := short * s.mean[Short] / shortSlots
-	forLong := forShort + long*s.mean[Long]/longSlots
+	forShort := short / shortSlots
+	forLong := forShort + long/longSlots
 	switch {
 	case it.deferrable:
-		late := s.ahead(s.lanes[laneLate], it) * s.expected(it) / longSlots
+		late := s.ahead(s.lanes[laneLate], it) / longSlots
 		return seconds(forLong + late)
 	case it.class == Long:
 		if s.long+s.guessed >= s.longLimit() {
@@ -229,14 +281,19 @@
 	return seconds(forShort)
 }
 
-// ahead counts the items that start before it: as callers take turns, no more
-// than its own caller's items times the callers that wait.
+// ahead is the expected run time, in seconds, of the items that start before
+// an item: as callers take turns, no more than its own caller's items times
+// the callers that wait.
 func (s *service) ahead(l *lane, it *item) float64 {
+	if l.count == 0 {
+		return 0
+	}
 	own := 0
 	if q := l.callers[it.caller]; q != nil {
 		own = q.heap.Len()
 	}
-	return float64(min(l.count, (own+1)*len(l.callers)))
+	items := min(l.count, (own+1)*len(l.callers))
+	return l.seconds * float64(items) / float64(l.count)
 }
 
 // reclass counts running work that has crossed the threshold as long.
@@ -267,18 +324,19 @@
 	if !it.crossed {
 		r.observe(run >= s.cfg.LongThreshold)
 	}
-	if r.seconds == 0 {
-		r.seconds = run.Seconds()
-	}
-	r.seconds += weight * (run.Seconds() - r.seconds)
+	r.runs++
+	average(&r.seconds, run, r.runs)
 	class := Short
 	if run >= s.cfg.LongThreshold {
 		class = Long
 	}
-	if s.mean[class] == 0 {
-		s.mean[class] = run.Seconds()
-	}
-	s.mean[class] += weight * (run.Seconds() - s.mean[class])
+	s.seen[class]++
+	average(&s.mean[class], run, s.seen[class])
+}
+
+// average adds the n-th observation to a moving average.
+func average(mean *float64, run time.Duration, n int) {
+	*mean += max(1/float64(n), runWeight) * (run.Seconds() - *mean)
 }
 
 // acquire counts a request that starts.
