--- /dev/null
+++ b/process/entry/control_test.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
+)
+
+// fakeCaller answers as the named processes would.
+type fakeCaller struct {
+	asked []string
+	reply func(peer string) (*wirepb.Response, error)
+}
+
+func (f *fakeCaller) Call(_ context.Context, peer string, _ *wirepb.Request) (*wirepb.Response, error) {
+	f.asked = append(f.asked, peer)
+	return f.reply(peer)
+}
+
+func notLeader(hint string) *wirepb.Response {
+	return &wirepb.Response{Error: &wirepb.Error{Kind: wirepb.Error_KIND_NOT_LEADER, Leader: hint}}
+}
+
+func ledgerResult() *wirepb.Response {
+	return &wirepb.Response{Body: &wirepb.Response_Ledger{Ledger: &wirepb.LedgerResponse{Result: &ledgerpb.Result{Kind: ledgerpb.Result_KIND_GO_AHEAD}}}}
+}
+
+// Guards against calls that fail although a leader is known or can be found,
+// and against asking every process again once the leader is known.
+func TestControlFindsTheLeader(t *testing.T) {
+	is := is.New(t)
+	f := &fakeCaller{reply: func(peer string) (*wirepb.Response, error) {
+		switch peer {
+		case "c1":
+			return nil, errors.New("connection refused")
+		case "c2":
+			return notLeader("c3"), nil
+		}
+		return ledgerResult(), nil
+	}}
+	c := NewControl(f, []string{"c1", "c2", "c3"})
+	for range 2 {
+		_, err := c.Ledger(context.Background(), &wirepb.LedgerRequest{Group: 1})
+		is.NoErr(err)
+	}
+	is.Equal(f.asked, []string{"c1", "c2", "c3", "c3"})
+}
+
+// Guards against a call that never ends because two processes name each other.
+func TestControlEndsWithoutALeader(t *testing.T) {
+	is := is.New(t)
+	f := &fakeCaller{reply: func(peer string) (*wirepb.Response, error) {
+		if peer == "c1" {
+			return notLeader("c2"), nil
+		}
+		return notLeader("c1"), nil
+	}}
+	_, err := NewControl(f, []string{"c1", "c2", "c3"}).Ledger(context.Background(), &wirepb.LedgerRequest{})
+	is.True(err != nil)
+	is.True(len(f.asked) <= 3+2*maxHints)
+}
+
+// Guards against a faulty request that is sent to every control process.
+func TestControlDoesNotRepeatInvalidRequests(t *testing.T) {
+	is := is.New(t)
+	f := &fakeCaller{reply: func(string) (*wirepb.Response, error) {
+		return &wirepb.Response{Error: &wirepb.Error{Kind: wirepb.Error_KIND_INVALID}}, nil
+	}}
+	_, err := NewControl(f, []string{"c1", "c2"}).Sync(context.Background(), &wirepb.SyncRequest{})
+	var ce *ControlError
+	is.True(errors.As(err, &ce))
+	is.Equal(f.asked, []string{"c1"})
+}
--- a/process/entry/handler.go
+++ b/process/entry/handler.go
@@ -39,6 +39,9 @@
 // maxDeadline bounds Request-Deadline-Ms.
 const maxDeadline = 24 * time.Hour
 
+// defaultQueueTime bounds the wait of a request without a deadline.
+const defaultQueueTime = time.Minute
+
 // resendLimit is the greatest body of an idempotent request that is held in
 // memory so that the request can be sent again; a larger one streams.
 const resendLimit = 64 << 10
@@ -161,7 +164,7 @@
 	if err := c.setDeadline(r.Header.Get(deadlineHeader), pool.GetDefaultDeadlineMs()); err != nil {
 		return c, err
 	}
-	c.req = queue.Request{Service: service, Caller: callerOf(r), Route: routeOf(r.Method, path), Deadline: c.deadline}
+	c.req = queue.Request{Service: service, Caller: callerOf(r), Route: routeOf(r.Method, path), Deadline: c.queueDeadline(pool.GetMayWait())}
 	if c.idempotent {
 		return c, c.readIdempotent(r)
 	}
@@ -201,6 +204,18 @@
 	return nil
 }
 
+// queueDeadline bounds the time in the queue also for requests without a
+// deadline: otherwise they would wait for ever after the last backend server is lost.
+func (c *call) queueDeadline(mayWait bool) time.Duration {
+	switch {
+	case c.deadline > 0:
+		return c.deadline
+	case mayWait:
+		return c.arrived + maxDeadline
+	}
+	return c.arrived + defaultQueueTime
+}
+
 func (c *call) readIdempotent(r *http.Request) *outcome.Error {
 	switch {
 	case r.ContentLength == 0:
--- a/request/queue/bench_test.go
+++ b/request/queue/bench_test.go
@@ -95,6 +95,7 @@
 // Guards against short work that waits behind long work while its demand stays
 // within the slots kept for it.
 func TestShortWaitWithLongWork(t *testing.T) {
+	t.Parallel()
 	for _, w := range workloads[:4] {
 		checkWaitTarget(t, w.name, w.work)
 	}
@@ -103,6 +104,7 @@
 // Guards against short work that waits behind long work while bursts of short
 // work need more than the slots kept for it, but fewer than all.
 func TestShortWaitWithLongWorkBeyondKeptSlots(t *testing.T) {
+	t.Parallel()
 	for _, w := range workloads[4:6] {
 		checkWaitTarget(t, w.name, w.work)
 	}
@@ -111,6 +113,7 @@
 // Guards against short work that waits behind long work while bursts of short
 // work exceed all slots.
 func TestShortWaitWithLongWorkInOverload(t *testing.T) {
+	t.Parallel()
 	for _, w := range workloads[6:] {
 		checkWaitTarget(t, w.name, w.work)
 	}
