--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -207,8 +207,9 @@
 // the control leader, and against a health check that hides it.
 func TestNoLeaseNoService(t *testing.T) {
 	is := is.New(t)
-	f := start(t, nil)
-	f.control.set(func() { f.control.leaseMs = 300 })
+	// The lease is set before the first sync: a sync that gets the usual 12 s
+	// would keep the health check up for that long.
+	f := start(t, func(o *Options) { o.Control.(*fakeControl).leaseMs = 300 })
 	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) {}))
 	f.serving(4)
 	is.Equal(f.send("GET", "/healthz", "", "").status, 200)
