Add planning benchmarks and baselines; lend only spare hosts

Lending from other pools' margins let two blocked pools take hosts from each other in turn. Lend now takes hosts from the spare pool only.

--- /dev/null
+++ b/version/plan/baseline_test.go
@@ -0,0 +1,273 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// fleet is a seeded fleet for benchmarks: pools of unequal size over zones and racks
+// of four hosts, with spare hosts left for waves and repairs.
+type fleet struct {
+	pools    []Pool
+	hosts    []Host
+	expected map[string]time.Duration
+}
+
+func benchFleet(hosts int) fleet {
+	rng := rand.New(rand.NewPCG(uint64(hosts), 7))
+	shape := map[int][2]int{160: {4, 4}, 1600: {8, 16}, 16000: {20, 47}}[hosts]
+	zones, pools := shape[0], shape[1]
+	f := fleet{expected: map[string]time.Duration{}}
+	f.hosts = grid(zones, hosts/zones/4, 4)
+	weights, total := make([]float64, pools), 0.0
+	for i := range weights {
+		weights[i] = 0.5 + rng.Float64()
+		total += weights[i]
+	}
+	share := 0.85 * (1 - 1/float64(zones)) * float64(hosts)
+	for i, w := range weights {
+		f.pools = append(f.pools, Pool{
+			Name:      fmt.Sprintf("pool%02d", i),
+			Promised:  int(share * w / total),
+			Tolerance: Tolerance{Rack: true, Zone: true, Wave: true},
+			MaxOut:    max(2, int(share*w/total)/20),
+		})
+	}
+	f.pools = append(f.pools, Pool{Name: "spare", Spare: true})
+	for i := range f.hosts {
+		f.hosts[i].Pool = f.pools[rng.IntN(pools)].Name
+		minutes := 10 + rng.IntN(10)
+		if rng.IntN(50) == 0 {
+			minutes *= 10
+		}
+		f.expected[f.hosts[i].Name] = time.Duration(minutes) * time.Minute
+	}
+	return f
+}
+
+// staticReserve is the reserve when every pool holds its own hosts for losses and for
+// its own waves, and none are shared.
+func (f fleet) staticReserve() int {
+	pools := make([]Pool, len(f.pools))
+	total := 0
+	for i, p := range f.pools {
+		pools[i] = p
+		pools[i].Promised += p.waveReserve()
+		pools[i].Wave = false
+		total += p.waveReserve()
+	}
+	return total + NewPlanner(pools, f.hosts, DefaultWeights()).Optimise().Reserve
+}
+
+// sharedReserve is the reserve when the pools hold just their promises and one shared
+// buffer covers the worst loss of all, and the hosts that then are missing from
+// promises until they have been moved.
+func (f fleet) sharedReserve() (reserve, missing int) {
+	promised, wave := 0, 0
+	pools := make([]Pool, len(f.pools))
+	for i, p := range f.pools {
+		promised += p.Promised
+		wave = max(wave, p.waveReserve())
+		pools[i] = Pool{Name: p.Name, Spare: p.Spare, Promised: p.Promised}
+	}
+	p := NewPlanner(pools, f.hosts, DefaultWeights())
+	p.Optimise()
+	all := NewBudget(0, Tolerance{Rack: true, Zone: true})
+	for _, h := range p.hosts {
+		if h.pool != p.spare {
+			all.Add(h.Domain)
+		}
+	}
+	return all.WorstLoss() + wave, all.WorstLoss()
+}
+
+// rolloutTick is the virtual time between two plans of a simulated roll-out.
+const rolloutTick = time.Minute
+
+// policy names the hosts to start now; b is the budgets by pool, from which it takes
+// what it starts.
+type policy func(r *rolloutState) []string
+
+// rolloutState is what a policy sees.
+type rolloutState struct {
+	fleet
+	now     time.Duration
+	byName  map[string]*Host
+	waiting []string
+	out     []OutHost
+	budgets map[string]*Budget
+}
+
+// rollOut maintains all hosts of service pools and returns the time taken.
+func (f fleet) rollOut(choose policy) time.Duration {
+	s := &rolloutState{fleet: f, byName: map[string]*Host{}, budgets: map[string]*Budget{}}
+	s.hosts = append([]Host(nil), f.hosts...)
+	for _, p := range f.pools {
+		s.budgets[p.Name] = NewBudget(p.Promised, p.Tolerance)
+	}
+	for i := range s.hosts {
+		h := &s.hosts[i]
+		s.byName[h.Name] = h
+		if h.Pool != "spare" {
+			s.waiting = append(s.waiting, h.Name)
+			s.budgets[h.Pool].Add(h.Domain)
+		}
+	}
+	for len(s.waiting)+len(s.out) > 0 {
+		starts := map[string]bool{}
+		for _, name := range choose(s) {
+			h := s.byName[name]
+			h.Available = false
+			s.budgets[h.Pool].Remove(h.Domain)
+			s.out = append(s.out, OutHost{Host: name, DueAt: s.now + s.expected[name]})
+			starts[name] = true
+		}
+		s.waiting = without(s.waiting, starts)
+		if len(s.out) == 0 {
+			return -time.Minute // no pool may lose a host any more
+		}
+		s.now += rolloutTick
+		s.back()
+	}
+	return s.now
+}
+
+func without(names []string, remove map[string]bool) []string {
+	out := names[:0]
+	for _, n := range names {
+		if !remove[n] {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+func (s *rolloutState) back() {
+	out := s.out[:0]
+	for _, o := range s.out {
+		if o.DueAt > s.now {
+			out = append(out, o)
+			continue
+		}
+		h := s.byName[o.Host]
+		h.Available = true
+		s.budgets[h.Pool].Add(h.Domain)
+	}
+	s.out = out
+}
+
+func planned(s *rolloutState) []string {
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	plan := PlanWaves(WaveInput{Now: s.now, Pools: s.pools, Hosts: s.hosts, Expected: s.expected,
+		Waves: []Wave{{Name: "w", Waiting: s.waiting, Out: s.out}}, Settings: DefaultWaveSettings()})
+	var out []string
+	for _, start := range plan.Starts {
+		out = append(out, start.Host)
+	}
+	return out
+}
+
+// atMost starts waiting hosts in their order while group has fewer than limit hosts out
+// and the budget allows it.
+func atMost(group func(Host) string, limit func(group string) int) policy {
+	return func(s *rolloutState) []string {
+		busy := map[string]int{}
+		for _, o := range s.out {
+			busy[group(*s.byName[o.Host])]++
+		}
+		var out []string
+		for _, name := range s.waiting {
+			h := s.byName[name]
+			g := group(*h)
+			if busy[g] >= limit(g) || !s.budgets[h.Pool].MayRemove(h.Domain) {
+				continue
+			}
+			busy[g]++
+			// The caller removes the host again, so the budget is only lent here.
+			s.budgets[h.Pool].Remove(h.Domain)
+			out = append(out, name)
+		}
+		for _, name := range out {
+			s.budgets[s.byName[name].Pool].Add(s.byName[name].Domain)
+		}
+		return out
+	}
+}
+
+func poolOf(h Host) string { return h.Pool }
+
+// oneHost takes one host of each pool at a time.
+func oneHost() policy { return atMost(poolOf, func(string) int { return 1 }) }
+
+// oneRack takes the hosts of one rack at a time, as far as the budget allows, and goes
+// on when all of them are back.
+func oneRack(s *rolloutState) []string {
+	if len(s.out) > 0 || len(s.waiting) == 0 {
+		return nil
+	}
+	rack := s.byName[s.waiting[0]].Domain
+	inRack := func(h Host) string {
+		if h.Domain == rack {
+			return "yes"
+		}
+		return ""
+	}
+	return atMost(inRack, func(g string) int { return 100 * len(g) })(s)
+}
+
+// percentage takes a fixed share of each pool at a time, within the budget.
+func (f fleet) percentage(percent int) policy {
+	size := map[string]int{}
+	for _, h := range f.hosts {
+		size[h.Pool]++
+	}
+	return atMost(poolOf, func(pool string) int { return max(1, size[pool]*percent/100) })
+}
+
+// lowerBound is the least time any roll-out can take: the longest single host, and for
+// each pool its work divided by the most hosts that can be out at once.
+func (f fleet) lowerBound() time.Duration {
+	bound := time.Duration(0)
+	work := map[string]time.Duration{}
+	budgets := map[string]*Budget{}
+	for _, p := range f.pools {
+		budgets[p.Name] = NewBudget(p.Promised, p.Tolerance)
+	}
+	for _, h := range f.hosts {
+		if h.Pool == "spare" {
+			continue
+		}
+		bound = max(bound, f.expected[h.Name])
+		work[h.Pool] += f.expected[h.Name]
+		budgets[h.Pool].Add(h.Domain)
+	}
+	for _, p := range f.pools {
+		if out := p.mostOut(budgets[p.Name]); out > 0 {
+			bound = max(bound, work[p.Name]/time.Duration(out))
+		}
+	}
+	return bound
+}
+
+// mostOut bounds the hosts that may be out at once: the remaining hosts must exceed
+// the promise by the loss of an even share over the zones and one host of a rack.
+func (p Pool) mostOut(b *Budget) int {
+	out := 0
+	for remaining := b.Available(); remaining > p.Promised; remaining-- {
+		loss := (remaining + len(b.zones) - 1) / len(b.zones)
+		if p.Tolerance.Rack {
+			loss++
+		}
+		if remaining-loss < p.Promised {
+			break
+		}
+		out = b.Available() - remaining
+	}
+	if p.MaxOut > 0 {
+		out = min(out, p.MaxOut)
+	}
+	return out
+}
--- a/version/plan/replace.go
+++ b/version/plan/replace.go
@@ -11,7 +11,7 @@
 func (p *Planner) Replan() Assignment {
 	var plan Assignment
 	for _, pool := range p.takeDirty() {
-		plan.Moves = append(plan.Moves, p.fill(pool, 0)...)
+		plan.Moves = append(plan.Moves, p.fill(pool, 0, true)...)
 		plan.Moves = append(plan.Moves, p.giveBack(pool)...)
 	}
 	clear(p.dirty)
@@ -27,7 +27,7 @@
 	if s == nil || s == p.spare {
 		return nil
 	}
-	return p.fill(s, n)
+	return p.fill(s, n, false)
 }
 
 func (p *Planner) takeDirty() []*poolState {
@@ -45,12 +45,13 @@
 	return out
 }
 
-// fill moves hosts into the pool until its margin is at least the target.
-func (p *Planner) fill(pool *poolState, margin int) []Move {
+// fill moves spare hosts, and surplus hosts of other pools where donors is set, into the
+// pool until its margin is at least the target.
+func (p *Planner) fill(pool *poolState, margin int, donors bool) []Move {
 	var moves []Move
 	for pool.budget.Margin() < margin {
 		h := p.bestSpare(pool)
-		if h == nil {
+		if h == nil && donors {
 			h = p.bestDonor(pool)
 		}
 		if h == nil {
