--- a/process/platform/http_test.go
+++ b/process/platform/http_test.go
@@ -38,7 +38,7 @@
 func TestAnswersAreBounded(t *testing.T) {
 	is := is.New(t)
 	c := client(t, Options{MaxAnswerBytes: 100}, func(w http.ResponseWriter, _ *http.Request) {
-		fmt.Fprint(w, strings.Repeat(" ", 101))
+		fmt.Fprint(w, "[]"+strings.Repeat(" ", 100)) // valid when cut off
 	})
 	_, err := c.Workers(context.Background())
 	is.Equal(kind(err), Malformed)
--- a/version/plan/job_test.go
+++ b/version/plan/job_test.go
@@ -76,6 +76,26 @@
 	verify(t, m.s)
 }
 
+// Guards against a team at its quota that preempts another team's work, which frees
+// nothing of its quota, when that work started later on the same worker.
+func TestTeamAtItsQuotaPreemptsOnlyItsOwnWork(t *testing.T) {
+	is := is.New(t)
+	m := simpleSim(1)
+	m.s.SetTeam(Team{"small", gb(64, 64, 2)})
+	m.submit(Job{Name: "own", Pool: "p", Team: "small", Count: 2, Size: gb(4, 4, 1)})
+	m.run(time.Second)
+	m.submit(Job{Name: "other", Pool: "p", Team: "t", Count: 2, Size: gb(4, 4, 1)})
+	m.run(time.Second)
+	m.submit(Job{Name: "urgent", Pool: "p", Team: "small", Count: 1, Size: gb(4, 4, 1), Urgent: true})
+	m.tick()
+	for _, o := range m.s.jobs["other"].tasks {
+		is.Equal(o.phase, phaseRunning)
+	}
+	m.run(5 * time.Second)
+	is.Equal(len(m.urgentWait), 1)
+	verify(t, m.s)
+}
+
 // Guards against a job that can never run, which is not named or holds up jobs after it.
 func TestJobsThatCanNeverRunAreNamedAndHoldUpNoOther(t *testing.T) {
 	is := is.New(t)
@@ -122,7 +142,9 @@
 	m.run(time.Second)
 	is.Equal(m.actions[ActionStart], 2)
 	use.At = started - time.Second
+	use.Used = gb(60, 60, 0)
 	m.s.Report(use) // belongs to an earlier attempt
+	use.Used = gb(10, 10, 0)
 	use.At = started + 2*time.Minute
 	m.s.Report(use)
 	m.run(time.Second)
--- a/version/plan/placement_test.go
+++ b/version/plan/placement_test.go
@@ -127,7 +127,7 @@
 // Guards against moves that are reported but not needed, and against hosts that are
 // not available or counted twice.
 func TestPlacementIsStableAndOnlyMovesAvailableHosts(t *testing.T) {
-	check(t, 200, func(rt *rapid.T) {
+	check(t, 8000, func(rt *rapid.T) {
 		pools, hosts := drawInstance(rt)
 		for i := range hosts {
 			hosts[i].Available = rapid.IntRange(0, 4).Draw(rt, "available") > 0
