--- a/process/daemon/daemon.go
+++ b/process/daemon/daemon.go
@@ -1,5 +1,5 @@
 // Package daemon holds what the mains of the two daemons share: arguments,
-// settings, logger and the graceful stop.
+// settings, logger, metrics registry and the graceful stop.
 package daemon
 
 import (
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
 	"marjoramtiller.example/marjoramtiller/process/observe"
@@ -27,7 +28,8 @@
 
 // Environment is what a daemon's service runs with.
 type Environment struct {
-	Logger zerolog.Logger
+	Logger   zerolog.Logger
+	Registry *prometheus.Registry
 }
 
 // Program describes one daemon. S is its settings type.
@@ -97,7 +99,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	result := make(chan error, 1)
-	go func() { result <- p.Run(ctx, s, Environment{Logger: logger}) }()
+	go func() { result <- p.Run(ctx, s, Environment{Logger: logger, Registry: observe.NewRegistry()}) }()
 	logger.Info().Str("zone", id.Zone).Interface("build", observe.ReadBuild()).Msg("started")
 
 	select {
@@ -150,3 +152,19 @@
 		Run:      run,
 	}
 }
+
+// Closer is a listener that stops within a context.
+type Closer interface {
+	Close(ctx context.Context) error
+}
+
+// CloseAll stops listeners one after the other, all within limit.
+func CloseAll(logger zerolog.Logger, limit time.Duration, closers ...Closer) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	for _, c := range closers {
+		if err := c.Close(ctx); err != nil {
+			logger.Warn().Err(err).Msg("a listener was closed with exchanges in flight")
+		}
+	}
+}
--- a/process/observe/metrics.go
+++ b/process/observe/metrics.go
@@ -1,9 +1,3 @@
-//go:build prometheus
-
-// The build tag exists because go.mod lacks the dependencies of client_golang;
-// without it the package would not build. Remove the tag together with adding
-// them.
-
 package observe
 
 import (
--- a/process/observe/metrics_test.go
+++ b/process/observe/metrics_test.go
@@ -1,5 +1,3 @@
-//go:build prometheus
-
 package observe
 
 import (
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -17,10 +17,12 @@
 		ObserveListener:   get[netip.AddrPort](v, "listeners", "observe"),
 		Peers:             v.peers,
 		Voters:            get[[]string](v, "control", "voters"),
+		Entries:           get[[]string](v, "control", "entries"),
 		DataFolder:        get[string](v, "control", "data_folder"),
 		LedgerGroups:      get[int](v, "control", "ledger_groups"),
 		PlatformURL:       get[string](v, "control", "platform_url"),
 		DrainDeadline:     get[time.Duration](v, "control", "drain_deadline"),
+		ReturnDeadline:    get[time.Duration](v, "control", "return_deadline"),
 		SnapshotEntries:   get[int](v, "control", "snapshot_entries"),
 		Timeouts:          v.timeouts(),
 		Titles:            v.titles("report-titles"),
@@ -43,11 +45,33 @@
 		v.crossFault("control", "voters", "does not name 1, 3 or 5 voters", "name 3 or 5 control processes; 1 is for trials only")
 	}
 	for _, voter := range c.Voters {
-		isPeer := slices.ContainsFunc(c.Peers, func(p Peer) bool { return p.Name == voter })
-		if voter != c.Process && !isPeer {
-			v.crossFault("control", "voters", "names "+voter+", which has no line in [peers]", "add its address to [peers]")
+		if voter != c.Process {
+			v.checkPeer("voters", voter)
 		}
 	}
+	for _, entry := range c.Entries {
+		v.checkPeer("entries", entry)
+		if slices.Contains(c.Voters, entry) || entry == c.Process {
+			v.crossFault("control", "entries", "names "+entry+", which is a control process", "name entry processes only")
+		}
+	}
+}
+
+func (v *values) checkPeer(key, name string) {
+	if !slices.ContainsFunc(v.peers, func(p Peer) bool { return p.Name == name }) {
+		v.crossFault("control", key, "names "+name+", which has no line in [peers]", "add its address to [peers]")
+	}
+}
+
+// PeerTable returns the addresses of all peers but the process itself, by name.
+func PeerTable(peers []Peer, process string) map[string]string {
+	table := map[string]string{}
+	for _, p := range peers {
+		if p.Name != process {
+			table[p.Name] = p.Address.String()
+		}
+	}
+	return table
 }
 
 // ParseEntry reads the settings of marjoramtiller-entry. Its error is a
@@ -56,7 +80,6 @@
 	v := load(data, EntryProgram)
 	e := &Entry{
 		Identity:              v.identity(),
-		PeersListener:         get[netip.AddrPort](v, "listeners", "peers"),
 		CallersListener:       get[netip.AddrPort](v, "listeners", "callers"),
 		AnnouncementsListener: get[netip.AddrPort](v, "listeners", "announcements"),
 		ObserveListener:       get[netip.AddrPort](v, "listeners", "observe"),
@@ -67,9 +90,8 @@
 		QueuePerService:       get[int](v, "queue", "per_service"),
 		ShortWorkPercent:      get[int](v, "queue", "short_work_percent"),
 		RetryBudgetPercent:    get[int](v, "retry", "budget_percent"),
-		DefaultDeadline:       get[time.Duration](v, "queue", "default_deadline"),
 	}
-	v.checkListeners("peers", "callers", "announcements", "observe")
+	v.checkListeners("callers", "announcements", "observe")
 	if len(e.Peers) == 0 {
 		v.crossFault("peers", "", "names no control process", "add one line for each control process")
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -56,12 +56,14 @@
 	ObserveListener   netip.AddrPort
 	Peers             []Peer
 	Voters            []string // replica ids of the first start, each in Peers or Process itself
+	Entries           []string // names of the entry processes, each in Peers
 	DataFolder        string   // absolute path
 	LedgerGroups      int
 	PlatformURL       string
 	Weights           Weights
 	DrainDeadline     time.Duration
-	SnapshotEntries   int // log entries between two snapshots
+	ReturnDeadline    time.Duration // a host that is out longer counts as failed
+	SnapshotEntries   int           // log entries between two snapshots
 	Timeouts          Timeouts
 	Titles            map[string]string // report column to title
 }
@@ -69,7 +71,6 @@
 // Entry holds the settings of marjoramtiller-entry.
 type Entry struct {
 	Identity
-	PeersListener         netip.AddrPort
 	CallersListener       netip.AddrPort
 	AnnouncementsListener netip.AddrPort
 	ObserveListener       netip.AddrPort
@@ -80,7 +81,6 @@
 	QueuePerService       int // most requests that wait for one service
 	ShortWorkPercent      int // default share of slots kept for short work
 	RetryBudgetPercent    int // retries as a share of requests
-	DefaultDeadline       time.Duration
 }
 
 // Client holds the settings of the command-line tool.
