Test the daemons as separate processes

Cause: nothing checked that settings, daemons and tool fit together. Change: a test builds both daemons, applies a sheet through the tool, announces a backend server, restarts the control process and stops both with SIGTERM. The two settings that the entry ignores so far say so.

--- /dev/null
+++ b/cmd/marjoramtiller/daemons_test.go
@@ -0,0 +1,189 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// pollInterval is the pause between two attempts while a daemon starts.
+const pollInterval = 50 * time.Millisecond
+
+// daemonProcess is one daemon as a separate process.
+type daemonProcess struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	logs bytes.Buffer
+}
+
+func startDaemon(t *testing.T, binary, settings string) *daemonProcess {
+	t.Helper()
+	d := &daemonProcess{t: t, cmd: exec.Command(binary, "-settings", settings)}
+	d.cmd.Stderr = &d.logs
+	if err := d.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if d.cmd.ProcessState == nil {
+			_ = d.cmd.Process.Kill()
+			_ = d.cmd.Wait()
+		}
+		if t.Failed() {
+			t.Logf("%s:\n%s", filepath.Base(binary), d.logs.String())
+		}
+	})
+	return d
+}
+
+// stop sends SIGTERM and returns the exit code.
+func (d *daemonProcess) stop() int {
+	d.t.Helper()
+	if err := d.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		d.t.Fatal(err)
+	}
+	_ = d.cmd.Wait()
+	return d.cmd.ProcessState.ExitCode()
+}
+
+// freeAddresses returns loopback addresses whose ports were free just now.
+func freeAddresses(t *testing.T, count int) []string {
+	t.Helper()
+	var list []string
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		list = append(list, l.Addr().String())
+	}
+	return list
+}
+
+// eventually repeats try until it succeeds; the test binary's own time-out
+// bounds the wait.
+func eventually(t *testing.T, try func() bool) {
+	t.Helper()
+	for !try() {
+		if t.Context().Err() != nil {
+			t.Fatal("the test was cancelled")
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+const controlSettings = `[cluster]
+name = savings
+[process]
+name = control-1
+zone = z1
+address = 127.0.0.1
+[listeners]
+peers = %[1]s
+operators = %[2]s
+observe = %[3]s
+[peers]
+control-1 = %[1]s
+entry-1 = %[4]s
+[control]
+voters = control-1
+entries = entry-1
+ledger_groups = 1
+data_folder = %[7]s
+platform_url = http://%[8]s
+`
+
+const entrySettings = `[cluster]
+name = savings
+[process]
+name = entry-1
+zone = z1
+address = 127.0.0.1
+[listeners]
+callers = %[4]s
+announcements = %[5]s
+observe = %[6]s
+[peers]
+control-1 = %[1]s
+[control]
+ledger_groups = 1
+`
+
+// Guards against daemons that do not start from their settings, are not wired
+// to each other, forget an accepted sheet over a restart, or do not stop
+// gracefully on SIGTERM.
+func TestDaemons(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	build := exec.Command("go", "build", "-o", folder, "../marjoramtiller-control", "../marjoramtiller-entry")
+	output, err := build.CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v\n%s", err, output)
+	}
+	a := freeAddresses(t, 7) // nothing listens on the last one, the platform's
+	values := []any{a[0], a[1], a[2], a[3], a[4], a[5], filepath.Join(folder, "data"), a[6]}
+	is.NoErr(os.Mkdir(filepath.Join(folder, "data"), 0o700))
+	write := func(name, text string) string {
+		path := filepath.Join(folder, name)
+		is.NoErr(os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	controlFile := write("control.ini", fmt.Sprintf(controlSettings, values...))
+	entryFile := write("entry.ini", fmt.Sprintf(entrySettings, values...))
+	f := newFixture(t)
+	clientFile := write("client.ini", strings.Replace(f.example("client.ini"),
+		"control = 10.0.1.10:7401 10.0.2.10:7401 10.0.3.10:7401", "control = "+a[1], 1))
+	sheet := write("sheet.csv", f.example("sheet.csv"))
+	run := func(words string, args ...string) (int, string) {
+		var out strings.Builder
+		tool := &tool{out: &out, errs: &out, newID: newRequestID, open: newClient}
+		all := append(strings.Fields(words), "-settings", clientFile)
+		return tool.main(context.Background(), append(all, args...)), out.String()
+	}
+
+	control := startDaemon(t, filepath.Join(folder, "marjoramtiller-control"), controlFile)
+	entry := startDaemon(t, filepath.Join(folder, "marjoramtiller-entry"), entryFile)
+	eventually(t, func() bool { code, _ := run("status"); return code == exitOK })
+	code, out := run("sheet apply", "-yes", sheet)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "accepted; version 1"))
+
+	eventually(t, func() bool { _, out := run("status"); return strings.Contains(out, "in force everywhere 1") })
+	announcement := `{"name":"b-1","host":"ub-a-r1-h1","service":"accrual","address":"127.0.0.1:1","slots":8,"connections":64,"boot_id":"x"}`
+	eventually(t, func() bool {
+		response, err := http.Post("http://"+a[4]+"/v1/announcements", "application/json", strings.NewReader(announcement))
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		return strings.Contains(string(body), `"accepted":true`)
+	})
+	for _, url := range []string{a[2] + "/metrics", a[2] + "/dump", a[5] + "/metrics", a[5] + "/dump", a[5] + "/healthz"} {
+		response, err := http.Get("http://" + url)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(response.StatusCode, http.StatusOK)
+	}
+
+	is.Equal(control.stop(), 0)
+	control = startDaemon(t, filepath.Join(folder, "marjoramtiller-control"), controlFile)
+	eventually(t, func() bool { code, _ := run("status"); return code == exitOK })
+	code, out = run("sheet apply", "-yes", sheet)
+	is.Equal(code, exitOK)
+	is.True(strings.Contains(out, "nothing to change"))
+	is.Equal(entry.stop(), 0)
+	is.Equal(control.stop(), 0)
+}
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -79,8 +79,8 @@
 		{"timeouts", "shutdown", "30s", false, both, "Time that a graceful shutdown may take.", "use a duration from 1s to 1h, such as 30s", duration("1s", "1h")},
 		{"queue", "per_caller", "64", false, EntryProgram, "Most requests that wait for one caller and service.", "use 1 to 65536", integer(1, 65536)},
 		{"queue", "per_service", "4096", false, EntryProgram, "Most requests that wait for one service.", "use 1 to 1048576, and at least per_caller", integer(1, 1048576)},
-		{"queue", "short_work_percent", "25", false, EntryProgram, "Share of slots kept for short work where the pool declares none.", "use 0 to 90", integer(0, 90)},
-		{"retry", "budget_percent", "10", false, EntryProgram, "Retries as a share of requests.", "use 0 to 100", integer(0, 100)},
+		{"queue", "short_work_percent", "25", false, EntryProgram, "Share of slots kept for short work where the pool declares none. Without effect so far: the entry takes the pool's share only.", "use 0 to 90", integer(0, 90)},
+		{"retry", "budget_percent", "10", false, EntryProgram, "Retries as a share of requests. Without effect so far: the entry's budget is fixed at 10.", "use 0 to 100", integer(0, 100)},
 	}
 }
 
