--- a/cmd/marjoramtiller/daemons_test.go
+++ b/cmd/marjoramtiller/daemons_test.go
@@ -96,13 +96,13 @@
 observe = %[3]s
 [peers]
 control-1 = %[1]s
-entry-1 = %[4]s
+[entries]
+entry-1 = %[8]s
 [control]
 voters = control-1
-entries = entry-1
 ledger_groups = 1
 data_folder = %[7]s
-platform_url = http://%[8]s
+platform_url = http://%[9]s
 `
 
 const entrySettings = `[cluster]
@@ -112,6 +112,7 @@
 zone = z1
 address = 127.0.0.1
 [listeners]
+peers = %[8]s
 callers = %[4]s
 announcements = %[5]s
 observe = %[6]s
@@ -132,8 +133,8 @@
 	if err != nil {
 		t.Fatalf("%v\n%s", err, output)
 	}
-	a := freeAddresses(t, 7) // nothing listens on the last one, the platform's
-	values := []any{a[0], a[1], a[2], a[3], a[4], a[5], filepath.Join(folder, "data"), a[6]}
+	a := freeAddresses(t, 8) // nothing listens on the last one, the platform's
+	values := []any{a[0], a[1], a[2], a[3], a[4], a[5], filepath.Join(folder, "data"), a[6], a[7]}
 	is.NoErr(os.Mkdir(filepath.Join(folder, "data"), 0o700))
 	write := func(name, text string) string {
 		path := filepath.Join(folder, name)
