Bound the rows of a sheet by test and measure its reading

Cause: the bound on rows had no test, and the reading of a sheet of the design scale was not measured. Change: a test of the bound, a benchmark at 16,000 hosts, and the columns are built once for each sheet instead of once for each row.

--- a/version/sheet/cells.go
+++ b/version/sheet/cells.go
@@ -123,7 +123,7 @@
 // checkUnused reports a value in a column that the kind of row does not use,
 // because it would otherwise be ignored silently.
 func (c *cells) checkUnused(kind string) {
-	for _, column := range Columns() {
+	for _, column := range c.p.known {
 		i, present := c.p.columns[column.Name]
 		if !present || c.used[column.Name] || strings.TrimSpace(c.record[i]) == "" {
 			continue
--- a/version/sheet/sheet.go
+++ b/version/sheet/sheet.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the sheet")
 	}
-	p := &parser{sheet: &Sheet{titles: titlesOf(o.Titles), rows: map[string]int{}}, faults: &FaultsError{}}
+	p := &parser{sheet: &Sheet{titles: titlesOf(o.Titles), rows: map[string]int{}}, faults: &FaultsError{}, known: Columns()}
 	p.parse(data)
 	if p.faults.Total > 0 {
 		return nil, p.faults
@@ -168,6 +168,7 @@
 	sheet   *Sheet
 	faults  *FaultsError
 	columns map[string]int // column name to position
+	known   []Column
 }
 
 func (p *parser) parse(data []byte) {
--- a/version/sheet/sheet_test.go
+++ b/version/sheet/sheet_test.go
@@ -167,6 +167,54 @@
 	is.Equal(len(faults.Faults), sheet.MaxFaults)
 }
 
+// Guards against a sheet without bound on its rows.
+func TestTooManyRows(t *testing.T) {
+	is := is.New(t)
+	var b strings.Builder
+	b.WriteString("kind,name\n")
+	for i := range sheet.MaxRows + 1 {
+		fmt.Fprintf(&b, "team,t%d\n", i)
+	}
+	_, err := sheet.Parse(strings.NewReader(b.String()), sheet.Options{})
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "has more than 100000 rows"))
+}
+
+// BenchmarkParseAndDiff reads a sheet of the design scale and compares it with
+// a state that differs in one host.
+func BenchmarkParseAndDiff(b *testing.B) {
+	const hosts, pools = 16_000, 47
+	var text strings.Builder
+	text.WriteString("kind,name,pool,service,spare,promised_hosts,rack,zone,cores,memory_gb\n")
+	for i := range pools {
+		fmt.Fprintf(&text, "pool,p%d,,s%d,no,200,,,,\n", i, i)
+	}
+	for i := range hosts {
+		fmt.Fprintf(&text, "host,h%d,p%d,,,,r%d,z%d,64,256\n", i, i%pools, i/4, i/800)
+	}
+	s, err := sheet.Parse(strings.NewReader(text.String()), sheet.Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	current := &fleetpb.Snapshot{Pools: s.Pools}
+	for _, h := range s.Hosts {
+		h = proto.CloneOf(h)
+		h.State = fleetpb.HostState_HOST_STATE_ACTIVE
+		current.Hosts = append(current.Hosts, h)
+	}
+	current.Hosts[7].Cores = 32
+	b.SetBytes(int64(text.Len()))
+	for b.Loop() {
+		parsed, err := sheet.Parse(strings.NewReader(text.String()), sheet.Options{})
+		if err != nil {
+			b.Fatal(err)
+		}
+		if changes := parsed.Diff(current); len(changes) != 1 {
+			b.Fatalf("%d changes", len(changes))
+		}
+	}
+}
+
 // Guards against a sheet that overwrites runtime fields or a wave in progress,
 // changes a host's pool without a drain, or deletes what is in use.
 func TestDiffKeepsRuntimeState(t *testing.T) {
