Apply a sheet without the moves that the budget does not allow

Cause: one host move beyond a pool's availability budget made the control group reject the whole sheet, with its jobs and waves. Change: sheet apply -yes -partial leaves out the moves that were rejected, prints them, and applies the rest.

--- a/cmd/marjoramtiller/main.go
+++ b/cmd/marjoramtiller/main.go
@@ -33,7 +33,9 @@
 const usage = `usage: marjoramtiller COMMAND [flags] [arguments]
 
   sheet check FILE               check a sheet
-  sheet apply [-yes] FILE        show the difference; with -yes apply it
+  sheet apply [-yes [-partial]] FILE
+                                 show the difference; with -yes apply it, with
+                                 -partial without host moves not possible now
   report -month YYYY-MM [-csv]   print the monthly figures
   status                         print versions, pools and waves
   config show                    print the configuration as JSON
--- a/cmd/marjoramtiller/main_test.go
+++ b/cmd/marjoramtiller/main_test.go
@@ -20,6 +20,7 @@
 	"marjoramtiller.example/marjoramtiller/examples"
 	"marjoramtiller.example/marjoramtiller/process/operator"
 	"marjoramtiller.example/marjoramtiller/process/settings"
+	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
@@ -115,15 +116,22 @@
 	t         *testing.T
 	settings  string
 	addresses []netip.AddrPort
+	ids       int // request ids given out
 	rounds    int // rounds over all addresses before the tool gives up
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newFixtureOf(t, nil) }
+
+// newFixtureOf serves control, or the fixture's own stand-in if it is nil.
+func newFixtureOf(t *testing.T, control operator.Control) *fixture {
 	f := &fixture{t: t, rounds: 3, standIn: &standIn{
 		state: &fleetpb.Snapshot{Version: 4}, results: map[string]*fleetpb.Result{},
 	}}
+	if control == nil {
+		control = f
+	}
 	h, err := operator.NewOperators(operator.Options{
-		Control: f, Logger: zerolog.Nop(), Timeout: time.Minute, Now: time.Now,
+		Control: control, Logger: zerolog.Nop(), Timeout: time.Minute, Now: time.Now,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -155,9 +163,8 @@
 func (f *fixture) run(words string, args ...string) (int, string) {
 	f.t.Helper()
 	var out strings.Builder
-	ids := 0
 	t := &tool{out: &out, errs: &out,
-		newID: func() string { ids++; return "id-" + strings.Repeat("x", ids) },
+		newID: func() string { f.ids++; return "id-" + strings.Repeat("x", f.ids) },
 		open: func(s *settings.Client) *client {
 			c := newClient(s)
 			c.addresses = f.addresses
@@ -268,6 +275,63 @@
 	is.True(strings.Contains(out, "pool/ledger was changed by other in version 5 (request r-9)"))
 }
 
+// fleetControl is a stand-in with the real state machine of the fleet.
+type fleetControl struct {
+	*standIn
+	fleet *fleet.Fleet
+}
+
+func (f *fleetControl) Configure(_ context.Context, c *fleetpb.Command) (*fleetpb.Result, error) {
+	data, err := proto.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	result := &fleetpb.Result{}
+	return result, proto.Unmarshal(f.fleet.Apply(0, data), result)
+}
+
+func (f *fleetControl) Snapshot(context.Context) (*fleetpb.Snapshot, error) {
+	return proto.CloneOf(f.fleet.Full()), nil
+}
+
+// Guards against a sheet that is held up as a whole by moves that the
+// availability budget does not allow at once, and against moves that break it.
+func TestPartialApply(t *testing.T) {
+	is := is.New(t)
+	control := &fleetControl{&standIn{}, fleet.New()}
+	f := newFixtureOf(t, control)
+	code, _ := f.run("sheet apply", "-yes", f.write("sheet.csv", f.example("sheet.csv")))
+	is.Equal(code, exitOK)
+
+	// All but three hosts of the correction pool, which promises three, move.
+	text := f.example("sheet.csv")
+	moves := 0
+	for h := range control.fleet.PoolHosts("correction") {
+		if moves < 3 {
+			text = strings.Replace(text, ","+h.Name+",correction,", ","+h.Name+",spare,", 1)
+			moves++
+		}
+	}
+	text = strings.Replace(text, "balance-cache", "balance-cache-2", 1)
+	changed := f.write("changed.csv", text)
+	code, out := f.run("sheet apply", "-yes", changed)
+	is.Equal(code, exitFailed)
+	is.True(strings.Contains(out, "add -partial"))
+	is.Equal(control.fleet.Version(), uint64(1))
+
+	code, out = f.run("sheet apply", "-yes", "-partial", changed)
+	is.Equal(code, exitOK)
+	draining := 0
+	for h := range control.fleet.PoolHosts("correction") {
+		if h.State == fleetpb.HostState_HOST_STATE_DRAINING {
+			draining++
+		}
+	}
+	is.True(draining < moves)
+	is.Equal(strings.Count(out, "later: host"), moves-draining)
+	is.True(control.fleet.Job("balance-cache-2") != nil)
+}
+
 // Guards against a faulty sheet, settings file or argument that reaches the
 // control processes.
 func TestFaultsChangeNothing(t *testing.T) {
