--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -32,17 +32,23 @@
 		},
 	}
 	v.checkListeners("peers", "operators", "observe")
-	v.checkVoters(c)
+	v.checkProcesses(c)
 	if err := v.err(); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-func (v *values) checkVoters(c *Control) {
+func (v *values) checkProcesses(c *Control) {
 	if n := len(c.Voters); n > 0 && n != 1 && n != 3 && n != 5 {
 		v.crossFault("control", "voters", "does not name 1, 3 or 5 voters", "name 3 or 5 control processes; 1 is for trials only")
 	}
+	for _, entry := range c.Entries {
+		isPeer := slices.ContainsFunc(c.Peers, func(p Peer) bool { return p.Name == entry.Name })
+		if isPeer || entry.Name == c.Process {
+			v.fault("entries", entry.Name, entry.Address.String(), "is the name of a control process", "give each process its own name")
+		}
+	}
 	for _, voter := range c.Voters {
 		isPeer := slices.ContainsFunc(c.Peers, func(p Peer) bool { return p.Name == voter })
 		if voter != c.Process && !isPeer {
