Finish waves in the demo: no automatic give-back, several steps a round

Cause: the planner returned hosts to the spare pool that it had just lent to a blocked wave, and each step of a host took one 500 ms round; tasks without an end held drains until the drain deadline. Change: the control loop only fills shortfalls and lends; a host takes up to three steps in a round; the demo checkpoints tasks after 1 s.

--- a/cmd/marjoramtiller/demo.go
+++ b/cmd/marjoramtiller/demo.go
@@ -26,14 +26,15 @@
 
 // Durations and sizes of the demo.
 const (
-	demoLimit        = 55 * time.Second
-	demoBootTime     = time.Second
-	demoControls     = 3
-	demoEntries      = 6
-	demoLedgerGroups = 2
-	demoPoll         = 100 * time.Millisecond
-	demoWarmUp       = 2 * time.Second
-	demoCoolDown     = 2 * time.Second
+	demoLimit         = 55 * time.Second
+	demoBootTime      = time.Second
+	demoDrainDeadline = time.Second // then tasks of draining hosts are checkpointed
+	demoControls      = 3
+	demoEntries       = 6
+	demoLedgerGroups  = 2
+	demoPoll          = 100 * time.Millisecond
+	demoWarmUp        = 2 * time.Second
+	demoCoolDown      = 2 * time.Second
 )
 
 // demo runs both users' sample deployments inside this process: it applies the
@@ -123,7 +124,7 @@
 	d.cluster, err = embedded.Start(embedded.Options{
 		Name: d.user.name, Zones: d.user.zones, Controls: demoControls, Entries: demoEntries,
 		LedgerGroups: demoLedgerGroups, DataFolder: folder, PlatformURL: web.URL,
-		DrainDeadline: time.Minute, Titles: d.settings.ReportTitles, Logger: d.log,
+		DrainDeadline: demoDrainDeadline, Titles: d.settings.ReportTitles, Logger: d.log,
 	})
 	if err != nil {
 		return err
--- a/cmd/marjoramtiller/demo_fleet.go
+++ b/cmd/marjoramtiller/demo_fleet.go
@@ -230,7 +230,20 @@
 		}
 		pause(ctx, demoPoll)
 	}
-	return errors.Errorf("the demo's time ended before this: %s", what)
+	return errors.Errorf("the demo's time ended before this: %s; hosts not active: %s", what, w.inactive())
+}
+
+// inactive describes the hosts that are in no service.
+func (w *demoWatch) inactive() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	text := ""
+	for _, h := range w.last.GetHosts() {
+		if h.GetState() != fleetpb.HostState_HOST_STATE_ACTIVE {
+			text += fmt.Sprintf("%s %s (wave %q, to %q); ", h.GetName(), h.GetState(), h.GetWave(), h.GetMoveTo())
+		}
+	}
+	return text
 }
 
 // poolsServe reports whether every active host of a serving pool has a
--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -38,7 +38,11 @@
 		if err != nil {
 			continue
 		}
-		if now := s.clock.Now(); polled == 0 || now-polled >= platformInterval {
+		interval := platformInterval
+		if s.maintains() {
+			interval = maintenanceInterval
+		}
+		if now := s.clock.Now(); polled == 0 || now-polled >= interval {
 			s.pollPlatform(ctx, t)
 			polled = now
 		}
@@ -47,6 +51,17 @@
 	}
 }
 
+// maintains reports whether a host waits for its worker to come back.
+func (s *Server) maintains() bool {
+	out := false
+	s.viewFleet(func(f *fleet.Fleet) {
+		for h := range f.Inactive() {
+			out = out || h.GetState() == fleetpb.HostState_HOST_STATE_OUT
+		}
+	})
+	return out
+}
+
 // pollPlatform reads the workers' and tasks' states.
 func (s *Server) pollPlatform(ctx context.Context, t *term) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -38,6 +38,7 @@
 		s.expireServers(ctx, t)
 		s.reconcileHosts(ctx, t)
 		s.reconcileWaves(ctx, t)
+		s.reconcileHosts(ctx, t)
 		s.reconcileJobs(ctx, t)
 		if now := s.clock.Now(); now-sampled >= sampleInterval {
 			s.sample(ctx, t, sampleInterval)
@@ -141,9 +142,22 @@
 	}
 }
 
-// reconcileHosts takes the next step of every host that drains, moves or is in
+// maxStepsInRound bounds the consecutive steps of one host in one round: a
+// drain without work is released and assigned, or taken out, at once.
+const maxStepsInRound = 3
+
+// reconcileHosts takes the next steps of every host that drains, moves or is in
 // maintenance.
 func (s *Server) reconcileHosts(ctx context.Context, t *term) {
+	for range maxStepsInRound {
+		if s.stepHosts(ctx, t) == 0 {
+			return
+		}
+	}
+}
+
+// stepHosts takes at most one step of each host and returns their number.
+func (s *Server) stepHosts(ctx context.Context, t *term) int {
 	entries := s.drainEntries(t)
 	var out drainer.Output
 	s.viewFleet(func(f *fleet.Fleet) {
@@ -167,6 +181,7 @@
 	s.mu.Lock()
 	t.jobs.evict(out.Tasks)
 	s.mu.Unlock()
+	return len(out.Steps)
 }
 
 func (s *Server) drainEntries(t *term) []drainer.Entry {
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -31,10 +31,13 @@
 const (
 	reconcileInterval = 500 * time.Millisecond
 	platformInterval  = 2 * time.Second
-	sampleInterval    = 10 * time.Second
-	proposeTimeout    = 5 * time.Second
-	barrierTimeout    = 2 * time.Second
-	transferTimeout   = 3 * time.Second
+	// maintenanceInterval polls more often while a host is out, since every
+	// wave's time contains the delay once for each batch.
+	maintenanceInterval = 500 * time.Millisecond
+	sampleInterval      = 10 * time.Second
+	proposeTimeout      = 5 * time.Second
+	barrierTimeout      = 2 * time.Second
+	transferTimeout     = 3 * time.Second
 )
 
 // Options are the parameters of a Server. Cluster, Process, PeersListen, Peers,
--- a/process/control/waves.go
+++ b/process/control/waves.go
@@ -210,7 +210,9 @@
 			hosts[i].Pool, hosts[i].Available = to, true
 		}
 	}
-	p := plan.NewPlanner(view.pools, hosts, t.waves.weights)
+	// A move weighs as much as a reserve host here, so that the planner returns no
+	// host on its own: with a wave under way it would take back what was lent.
+	p := plan.NewPlanner(view.pools, hosts, plan.Weights{Buffer: 1, Move: 1, Spread: t.waves.weights.Spread})
 	moves := p.Replan().Moves
 	for _, b := range blocked {
 		moves = append(moves, p.Lend(b.Pool, 1)...)
