--- a/connection/wire/wire_test.go
+++ b/connection/wire/wire_test.go
@@ -1,9 +1,11 @@
 package wire
 
 import (
+	"bufio"
+	"bytes"
 	"context"
+	"encoding/binary"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -11,6 +13,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/goleak"
 
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 )
@@ -238,8 +241,7 @@
 func TestSilentPartitionEndsTheSession(t *testing.T) {
 	is := is.New(t)
 	h := &testHandler{block: make(chan struct{}), began: make(chan struct{}, 1)}
-	s, direct := start(t, h)
-	_ = direct
+	s, _ := start(t, h)
 	r := startRelay(t, s.Addr().String())
 	p := NewPool(testOptions("c", map[string]string{"s": r.listener.Addr().String()}))
 	defer func() { _ = p.Close() }()
@@ -272,10 +274,70 @@
 	is.True(q.bytes <= raftQueueBytes)
 }
 
-// Guards against a frame that makes the receiver reserve memory without bound.
+// Guards against a frame that makes the receiver reserve memory without bound,
+// and against one bad stream that ends the whole session.
 func TestOversizeFrameEndsTheStream(t *testing.T) {
 	is := is.New(t)
-	_, err := frame(0, &wirepb.RaftMessage{Group: string(make([]byte, MaxFrameBytes+1))})
-	is.True(err != nil)
-	is.True(err.Error() != fmt.Sprint(nil))
+	_, p := start(t, &testHandler{})
+	ctx := testContext(t)
+	c, err := p.peer("s")
+	is.NoErr(err)
+	session, err := p.session(ctx, c)
+	is.NoErr(err)
+	for _, kind := range []byte{streamCall, streamRaft, 'x'} {
+		stream, err := session.OpenStream()
+		is.NoErr(err)
+		_, err = stream.Write(binary.AppendUvarint([]byte{kind}, MaxFrameBytes+1))
+		is.NoErr(err)
+		_, err = stream.Read(make([]byte, 1))
+		is.Equal(err, io.EOF)
+	}
+	_, err = p.Call(ctx, "s", dumpRequest())
+	is.NoErr(err)
+	is.Equal(c.current(), session)
+	_, err = frame(0, &wirepb.RaftMessage{Group: string(make([]byte, MaxFrameBytes+1))})
+	is.True(err != nil) // nor is one sent
+}
+
+// Guards against goroutines and connections that outlive Close, and connections
+// that hold a place without a Hello.
+func TestCloseLeavesNothingBehind(t *testing.T) {
+	is := is.New(t)
+	ignore := goleak.IgnoreCurrent()
+	h := &testHandler{raft: make(chan *wirepb.RaftMessage, 1)}
+	s, err := Listen(testOptions("s", map[string]string{"c": "127.0.0.1:1"}), h)
+	is.NoErr(err)
+	p := NewPool(testOptions("c", map[string]string{"s": s.Addr().String()}))
+	_, err = p.Call(testContext(t), "s", dumpRequest())
+	is.NoErr(err)
+	p.SendRaft("s", &wirepb.RaftMessage{Group: "g"})
+	<-h.raft
+	mute, err := net.Dial("tcp", s.Addr().String())
+	is.NoErr(err)
+	is.NoErr(p.Close())
+	is.NoErr(s.Close())
+	is.NoErr(mute.Close())
+	_, err = p.Call(testContext(t), "s", dumpRequest())
+	var notSent *NotSentError
+	is.True(errors.As(err, &notSent))
+	goleak.VerifyNone(t, ignore)
+}
+
+// Guards against input that makes the reader panic or accept a message above
+// the limit.
+func FuzzReadMessage(f *testing.F) {
+	data, err := frame(0, &wirepb.RaftMessage{Group: "g", Entries: []*wirepb.RaftEntry{{Index: 1, Data: []byte("x")}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add(binary.AppendUvarint(nil, 1<<40))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		const limit = 1 << 10
+		m := &wirepb.RaftMessage{}
+		if readMessage(bufio.NewReader(bytes.NewReader(data)), limit, m) == nil && len(data) == 0 {
+			t.Fatal("a message was read from nothing")
+		}
+		_ = readMessage(bufio.NewReader(bytes.NewReader(data)), limit, &wirepb.Request{})
+	})
 }
