Record the founding voters on disk

The membership that the log starts from came from the settings at each start. A changed list of voters would have changed the quorum of an existing group.

--- a/process/consensus/core.go
+++ b/process/consensus/core.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	empty := in.HardState == nil && c.log.last() == 0
-	c.fresh = empty && slices.Contains(cfg.Voters, cfg.ID)
+	c.fresh = empty && c.isVoter()
 	if !empty {
 		// Its last heartbeat acknowledgement may still support a lease.
 		c.denyVotesUntil = now + cfg.ElectionTimeoutMin
--- a/process/consensus/types.go
+++ b/process/consensus/types.go
@@ -37,7 +37,8 @@
 	ID    string
 	Group string
 	// Voters is the group's first set of voters. A replica that joins an
-	// existing group leaves it empty and becomes a learner.
+	// existing group leaves it empty and becomes a learner. A snapshot's voters
+	// take precedence.
 	Voters             []string
 	HeartbeatInterval  time.Duration
 	ElectionTimeoutMin time.Duration
--- a/process/replica/cluster_test.go
+++ b/process/replica/cluster_test.go
@@ -240,3 +240,19 @@
 	c.eventually("the replacement leads", func() bool { return d.Status().LeaseValid })
 	is.Equal(len(commands(d)), 30)
 }
+
+// Guards against a changed list of founding voters that changes the membership
+// of a group that exists already.
+func TestChangedSettingsDoNotChangeTheMembership(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.propose("1")
+	for _, name := range c.voters {
+		c.close(name)
+	}
+	for _, name := range c.voters {
+		c.open(name, []string{"a", "x", "y", "z"})
+	}
+	c.propose("2")
+	is.Equal(c.leader().Status().Voters, []string{"a", "b", "c"})
+}
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -97,7 +97,10 @@
 	if state.TruncatedBytes > 0 {
 		r.log.Warn().Int64("bytes", state.TruncatedBytes).Msg("removed the torn tail of the log")
 	}
-	if s := state.Snapshot; s != nil {
+	if err := r.recordFounders(state); err != nil {
+		return err
+	}
+	if s := state.Snapshot; s.Index > 0 {
 		if err := r.o.StateMachine.Restore(s.Data); err != nil {
 			return fmt.Errorf("replica: restore snapshot %d: %w", s.Index, err)
 		}
@@ -106,7 +109,7 @@
 	}
 	rng := rand.New(rand.NewPCG(r.o.Seed, r.o.Seed))
 	core, err := consensus.New(consensus.Config{
-		ID: r.o.ID, Group: r.o.Group, Voters: r.o.Voters,
+		ID: r.o.ID, Group: r.o.Group,
 		HeartbeatInterval:  r.o.HeartbeatInterval,
 		ElectionTimeoutMin: r.o.ElectionTimeoutMin,
 		ElectionTimeoutMax: r.o.ElectionTimeoutMax,
@@ -120,6 +123,18 @@
 	return nil
 }
 
+// recordFounders stores the founding voters as a snapshot at index 0, so that
+// settings that change later do not change the membership that the log starts
+// from.
+func (r *Replica) recordFounders(state *storage.State) error {
+	if state.Snapshot != nil {
+		return nil
+	}
+	founding := &wirepb.RaftSnapshot{Voters: &wirepb.RaftVoters{Voters: r.o.Voters}}
+	state.Snapshot = founding
+	return r.store.SaveSnapshot(founding, false)
+}
+
 // Propose replicates a command and returns the state machine's result. The
 // errors NotLeaderError, NotProposedError, StoppedError, consensus.BusyError,
 // storage.DiskFullError and storage.TooLargeError mean that the command is never
