--- a/version/fleet/store.go
+++ b/version/fleet/store.go
@@ -4,6 +4,9 @@
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
+// The store methods replace an object, or remove it when it is nil, and keep the
+// indexes. They neither stamp versions nor record changes.
+
 func (f *Fleet) storeHost(name string, h *fleetpb.Host) {
 	old := f.Host(name)
 	f.poolHosts.move(old.GetPool(), h.GetPool(), name)
