--- a/version/plan/job_test.go
+++ b/version/plan/job_test.go
@@ -57,6 +57,31 @@
 	is.True(!started) // it would need the accelerators of urgent work
 }
 
+// Guards against urgent work that waits for ever on a worker that does not answer while
+// another worker has room.
+func TestUnservedReservationIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	s := simpleSim(2).s
+	s.SetJob(Job{Name: "normal", Pool: "p", Team: "t", Count: 2, Size: gb(8, 16, 4)})
+	is.Equal(len(s.Decide(time.Second)), 2)
+	s.SetJob(Job{Name: "urgent", Pool: "p", Team: "u", Count: 1, Size: gb(8, 16, 4), Urgent: true})
+	victim := s.Decide(2 * time.Second)[0]
+	is.Equal(victim.Kind, ActionCheckpoint)
+	for _, task := range []string{"normal/0", "normal/1"} {
+		if task != victim.Task {
+			s.Event(task, TaskDone)
+		}
+	}
+	started := false
+	for now := 3 * time.Second; now < 20*time.Second; now += controlInterval {
+		for _, a := range s.Decide(now) {
+			started = started || a.Kind == ActionStart && a.Task == "urgent/0" && a.Worker != victim.Worker
+		}
+	}
+	is.True(started)
+	verify(t, s)
+}
+
 // Guards against a team that takes more than its quota, and against a quota filled by
 // the team's own normal work that keeps out its urgent work.
 func TestQuotaHoldsAndUrgentWorkReplacesTheTeamsOwn(t *testing.T) {
--- a/version/plan/optimise.go
+++ b/version/plan/optimise.go
@@ -5,9 +5,6 @@
 	"slices"
 )
 
-// maxRounds bounds the alternation of exchanges and returns at the end of a plan.
-const maxRounds = 4
-
 // Optimise reassigns all available hosts for the least weighted cost of reserve,
 // moves and spread. Each pool holds what a rack or zone loss can take, since that
 // loss is sudden; hosts for waves and repairs are shared in the spare pool, since
@@ -35,13 +32,12 @@
 	for _, pool := range order {
 		p.complete(pool, shapes)
 	}
-	p.trim(order)
-	for range maxRounds {
-		p.undoMoves()
-		if !p.trim(order) {
-			break
-		}
+	for _, pool := range order {
+		// The bounds of a shape count the largest rack as lying outside the largest
+		// zone even where it cannot, so the exact rule may need fewer hosts.
+		p.giveBack(pool)
 	}
+	p.undoMoves()
 	clear(p.dirty)
 	return Assignment{Moves: p.changes(), Reserve: p.reserve(), Shortfalls: p.shortfalls()}
 }
@@ -234,19 +230,6 @@
 	return true
 }
 
-// trim returns hosts that the exact rule does not need, and reports whether there were
-// any. The bounds of a shape count the largest rack as lying outside the largest zone
-// even where it cannot, and an exchange can leave a pool with a better spread.
-func (p *Planner) trim(pools []*poolState) bool {
-	trimmed := false
-	for _, pool := range pools {
-		if len(p.giveBack(pool)) > 0 {
-			trimmed = true
-		}
-	}
-	return trimmed
-}
-
 // changes lists the hosts whose pool differs from that before the plan.
 func (p *Planner) changes() []Move {
 	var out []Move
