--- a/version/plan/optimise.go
+++ b/version/plan/optimise.go
@@ -32,11 +32,6 @@
 	for _, pool := range order {
 		p.complete(pool, shapes)
 	}
-	for _, pool := range order {
-		// The bounds of a shape count the largest rack as lying outside the largest
-		// zone even where it cannot, so the exact rule may need fewer hosts.
-		p.giveBack(pool)
-	}
 	p.undoMoves()
 	clear(p.dirty)
 	return Assignment{Moves: p.changes(), Reserve: p.reserve(), Shortfalls: p.shortfalls()}
