End the wait for an earlier leader's slot shares by time

Change: the leader ends the wait when every lease of earlier leaders is over, and does not wait in a cluster without registered backend servers.

--- a/cmd/marjoramtiller/demo.go
+++ b/cmd/marjoramtiller/demo.go
@@ -264,13 +264,13 @@
 }
 
 func (d *deployment) printReport(ctx context.Context) error {
-	current, err := d.snapshot(ctx)
-	if err != nil {
+	month := time.Now().UTC().Format("2006-01")
+	answer := &fleetpb.Snapshot{}
+	if err := d.client.get(ctx, "/v1/report?month="+month, answer); err != nil {
 		return err
 	}
 	var text bytes.Buffer
-	month := time.Now().UTC().Format("2006-01")
-	if err := report.WriteTable(&text, report.OfMonth(current.GetFigures(), month), d.settings.ReportTitles); err != nil {
+	if err := report.WriteTable(&text, answer.GetFigures(), d.settings.ReportTitles); err != nil {
 		return err
 	}
 	fmt.Fprintf(d.out, "\n%s: report of %s\n%s\n", d.user.name, month, text.String())
--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -77,7 +77,8 @@
 			lost = append(lost, session.ID.Entry)
 		}
 	}
-	if len(expired) > 0 {
+	ended := s.endEarlierShares(t)
+	if len(expired) > 0 || ended {
 		t.slots.Rebalance()
 		s.wakeLocked()
 	}
@@ -88,6 +89,20 @@
 	}
 }
 
+// endEarlierShares ends the wait for shares that an earlier leader granted, once
+// every lease that it may have given is over. A restarted entry's reports do not
+// end that wait, since it does not know what its earlier boot held.
+func (s *Server) endEarlierShares(t *term) bool {
+	if len(t.holders) == 0 || s.clock.Now() < t.oldOver {
+		return false
+	}
+	for _, entry := range t.holders {
+		t.slots.Over(slots.Holder{Entry: entry})
+	}
+	t.holders = nil
+	return true
+}
+
 func hasSession(sessions []lease.Session, entry string) bool {
 	for _, x := range sessions {
 		if x.ID.Entry == entry {
--- a/process/control/term.go
+++ b/process/control/term.go
@@ -19,13 +19,15 @@
 // backend servers report. Guarded by Server.mu.
 type term struct {
 	number uint64
-	since  time.Duration
-	lease  *lease.Leader
-	slots  *slots.Allocator
-	live   liveSet
-	demand map[lease.SessionID][]*wirepb.ServiceDemand
-	jobs   *jobRunner
-	waves  *waveRunner
+	// holders are the entries that may hold shares of an earlier leader until oldOver.
+	holders []string
+	oldOver time.Duration
+	lease   *lease.Leader
+	slots   *slots.Allocator
+	live    liveSet
+	demand  map[lease.SessionID][]*wirepb.ServiceDemand
+	jobs    *jobRunner
+	waves   *waveRunner
 }
 
 // liveSet numbers the changes of the set of live backend servers, so that an
@@ -152,15 +154,20 @@
 		return s.term
 	}
 	now := s.clock.Now()
+	holders := s.o.Entries
+	if len(registered) == 0 {
+		holders = nil // no backend server was registered, so no share can be held
+	}
 	s.term = &term{
-		number: number,
-		since:  now,
-		lease:  lease.NewLeader(now, s.o.Entries, registered),
-		slots:  slots.New(number, s.o.Entries),
-		live:   newLiveSet(number),
-		demand: make(map[lease.SessionID][]*wirepb.ServiceDemand),
-		jobs:   newJobRunner(s.o),
-		waves:  newWaveRunner(s.o),
+		number:  number,
+		holders: holders,
+		oldOver: now + lease.ConfigLease,
+		lease:   lease.NewLeader(now, s.o.Entries, registered),
+		slots:   slots.New(number, holders),
+		live:    newLiveSet(number),
+		demand:  make(map[lease.SessionID][]*wirepb.ServiceDemand),
+		jobs:    newJobRunner(s.o),
+		waves:   newWaveRunner(s.o),
 	}
 	s.log.Info().Uint64("term", number).Msg("leads the fleet group")
 	return s.term
