--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -215,24 +215,3 @@
 	}
 	return out
 }
-
-// sample adds the measured interval to the figures of the month.
-func (s *Server) sample(ctx context.Context, t *term, interval time.Duration) {
-	var samples []*fleetpb.PoolSample
-	s.viewFleet(func(f *fleet.Fleet) {
-		for p := range f.Pools() {
-			b := fleet.Budget(f, p.GetName())
-			samples = append(samples, &fleetpb.PoolSample{
-				Pool:           p.GetName(),
-				Seconds:        uint32(interval.Seconds()),
-				PromisedHosts:  uint32(b.Promised),
-				AvailableHosts: uint32(b.Available),
-				TotalHosts:     uint32(b.Total),
-			})
-		}
-	})
-	if len(samples) == 0 {
-		return
-	}
-	s.submit(ctx, &fleetpb.Command{Body: &fleetpb.Command_Sample{Sample: &fleetpb.Sample{Pools: samples}}})
-}
--- a/process/control/term.go
+++ b/process/control/term.go
@@ -26,8 +26,11 @@
 	slots   *slots.Allocator
 	live    liveSet
 	demand  map[lease.SessionID][]*wirepb.ServiceDemand
-	jobs    *jobRunner
-	waves   *waveRunner
+	// sampled holds the totals that the last sample of the figures contained.
+	sampled    totals
+	hasSampled bool
+	jobs       *jobRunner
+	waves      *waveRunner
 }
 
 // liveSet numbers the changes of the set of live backend servers, so that an
@@ -166,6 +169,7 @@
 		slots:   slots.New(number, holders),
 		live:    newLiveSet(number),
 		demand:  make(map[lease.SessionID][]*wirepb.ServiceDemand),
+		sampled: make(totals),
 		jobs:    newJobRunner(s.o),
 		waves:   newWaveRunner(s.o),
 	}
