Make two tests of the queue core notice the removal of their rule

Cause: with the rule removed, TestSlotsAreKeptForShortWork passed because of the slots kept by recent demand, and TestRequeueAvoidsTheServer because of the order of equally loaded servers.

--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -89,12 +89,14 @@
 	c := newCore(4, ServiceConfig{ShortSlotsPercent: 50, LongThreshold: 100 * ms})
 	teach(t, c, "long", time.Second)
 	teach(t, c, "short", ms)
+	// An hour later the recent demand of short work keeps no slots by itself.
+	now := time.Hour
 	for range 8 {
-		submit(t, c, 0, Request{Caller: "a", Route: "long"})
+		submit(t, c, now, Request{Caller: "a", Route: "long"})
 	}
-	is.Equal(len(drain(c, 0)), 2)
-	short := submit(t, c, 0, Request{Caller: "a", Route: "short"})
-	is.Equal(drain(c, 0)[0].ID, short)
+	is.Equal(len(drain(c, now)), 2)
+	short := submit(t, c, now, Request{Caller: "a", Route: "short"})
+	is.Equal(drain(c, now)[0].ID, short)
 }
 
 // Guards against an unknown route that fills the slots kept for short work
@@ -211,13 +213,16 @@
 func TestRequeueAvoidsTheServer(t *testing.T) {
 	is := is.New(t)
 	c := newCore(4, ServiceConfig{})
-	c.SetServer("b2", "ledger", 1)
+	c.SetServer("b2", "ledger", 4)
 	id := submit(t, c, 0, Request{Caller: "a"})
 	first := drain(c, 0)[0]
+	submit(t, c, 0, Request{Caller: "a"})
+	other := drain(c, 0)[0]
+	is.True(other.Server != first.Server)
 	is.True(c.Requeue(ms, id))
 	second := drain(c, ms)[0]
 	is.Equal(second.ID, id)
-	is.True(second.Server != first.Server)
+	is.Equal(second.Server, other.Server) // although the first is less loaded now
 }
 
 // Guards against counters that drift, slots used beyond their share, requests
