--- a/process/entry/control_test.go
+++ b/process/entry/control_test.go
@@ -39,16 +39,18 @@
 		case "c1":
 			return nil, errors.New("connection refused")
 		case "c2":
-			return notLeader("c3"), nil
+			return notLeader("c4"), nil
+		case "c3":
+			return notLeader(""), nil
 		}
 		return ledgerResult(), nil
 	}}
-	c := NewControl(f, []string{"c1", "c2", "c3"})
+	c := NewControl(f, []string{"c1", "c2", "c3", "c4"})
 	for range 2 {
 		_, err := c.Ledger(context.Background(), &wirepb.LedgerRequest{Group: 1})
 		is.NoErr(err)
 	}
-	is.Equal(f.asked, []string{"c1", "c2", "c3", "c3"})
+	is.Equal(f.asked, []string{"c1", "c2", "c4", "c4"})
 }
 
 // Guards against a call that never ends because two processes name each other.
