--- a/connection/slots/slots.go
+++ b/connection/slots/slots.go
@@ -77,7 +77,7 @@
 type Share struct {
 	Server      string
 	Slots       uint32
-	Connections uint32
+	Connections uint32 // the server's connections divided by the number of entries
 }
 
 // decrease is a share that was taken back and may still be in use.
@@ -117,8 +117,11 @@
 	broken   *InvariantError
 }
 
-// New starts a term. Nothing is granted until each of the entries has reported,
-// or Over was called for it with an empty boot id.
+// New starts a term. Nothing is granted until each of the entries has reported
+// what it holds, or Over was called for it with an empty boot id. A restarted
+// entry holds nothing and does not know what its earlier boot held, so its
+// report does not end the wait. Pass no entries when no backend server was
+// registered before the term, as in a new cluster: then no share can be held.
 func New(term uint64, entries []string) *Allocator {
 	a := &Allocator{
 		term:     term,
@@ -285,7 +288,8 @@
 	a.touchAll()
 	h := &holder{id: r.Holder, current: make(map[string]uint32), pending: make(map[string][]decrease)}
 	a.holders[r.Holder] = h
-	if !a.silent[r.Holder.Entry] {
+	restarted := r.AckedGrant == 0 && len(r.Uses) == 0
+	if !a.silent[r.Holder.Entry] || restarted {
 		return h
 	}
 	delete(a.silent, r.Holder.Entry)
@@ -334,19 +338,15 @@
 		return 0, nil
 	}
 	shares := make([]Share, 0, len(h.current))
+	entries := uint32(max(1, len(a.live())+len(a.silent)))
 	for name, n := range h.current {
-		s := a.servers[name]
-		shares = append(shares, Share{Server: name, Slots: n, Connections: a.connections(s)})
+		connections := max(1, a.servers[name].Connections/entries)
+		shares = append(shares, Share{Server: name, Slots: n, Connections: connections})
 	}
 	slices.SortFunc(shares, func(x, y Share) int { return cmp.Compare(x.Server, y.Server) })
 	return h.number, shares
 }
 
-// connections is the part of a server's connections that each entry may use.
-func (a *Allocator) connections(s Server) uint32 {
-	return max(1, s.Connections/uint32(max(1, len(a.live())+len(a.silent))))
-}
-
 // live returns the entries that take shares, in order.
 func (a *Allocator) live() []*holder {
 	out := make([]*holder, 0, len(a.holders))
--- a/connection/slots/slots_test.go
+++ b/connection/slots/slots_test.go
@@ -52,10 +52,13 @@
 	return Server{Name: fmt.Sprintf("s%d", i), Service: "booking", Slots: slots, Connections: 64}
 }
 
+// newAllocator waits for the entries that hold grants of an earlier term.
 func newAllocator(term uint64, servers int, entries ...*entry) *Allocator {
 	var names []string
 	for _, e := range entries {
-		names = append(names, e.id.Entry)
+		if e.acked > 0 {
+			names = append(names, e.id.Entry)
+		}
 	}
 	a := New(term, names)
 	for i := range servers {
@@ -64,7 +67,7 @@
 	return a
 }
 
-// round reports, rebalances and takes grants until nothing changes.
+// settle reports, rebalances and takes grants until nothing changes.
 func settle(a *Allocator, entries ...*entry) {
 	for range 50 {
 		for _, e := range entries {
@@ -110,6 +113,54 @@
 	is.True(y.total() > 2)
 }
 
+// Guards against taking an entry's report as all that it uses: a grant that it
+// took since may hold more.
+func TestUnreportedGrantCounts(t *testing.T) {
+	is := is.New(t)
+	x := newEntry("x", "1")
+	y := newEntry("y", "1")
+	a := newAllocator(1, 1, x, y)
+	x.demand = 8
+	a.Report(x.report())
+	a.Report(y.report())
+	a.Rebalance()
+	x.take(a)
+	y.take(a)
+	is.Equal(x.total(), 6) // x has not reported that it holds them
+	y.demand = 100
+	for range 3 {
+		a.Report(y.report())
+		a.Rebalance()
+		y.take(a)
+		y.demand++
+	}
+	is.Equal(y.total(), 2)
+}
+
+// Guards against a server that comes back and is granted anew while an entry
+// still uses its share from before.
+func TestReturnedServerCountsOldShares(t *testing.T) {
+	is := is.New(t)
+	x := newEntry("x", "1")
+	y := newEntry("y", "1")
+	a := newAllocator(1, 1, x, y)
+	a.Report(x.report())
+	a.Report(y.report())
+	a.Rebalance()
+	x.take(a)
+	is.Equal(x.total(), 4) // neither has reported what it holds
+	a.RemoveServer("s0")
+	a.SetServer(serverOf(0, 8))
+	y.demand = 100
+	for range 3 {
+		a.Report(y.report())
+		a.Rebalance()
+		y.take(a)
+		y.demand++
+	}
+	is.Equal(y.total(), 4)
+}
+
 // Guards against granting what an entry may still use, and against losing its
 // slots for good.
 func TestLostEntryFreesAfterLease(t *testing.T) {
@@ -152,6 +203,24 @@
 	is.Equal(silent.Rebalance(), []Holder{x.id})
 }
 
+// Guards against granting the slots of a crashed entry at once because its next
+// boot reports, to a leader that does not know the earlier boot.
+func TestRestartedEntryDoesNotEndWait(t *testing.T) {
+	is := is.New(t)
+	x := newEntry("x", "1")
+	y := newEntry("y", "1")
+	settle(newAllocator(1, 2, x, y), x, y)
+	a := newAllocator(2, 2, x, y)
+	restarted := newEntry("y", "2")
+	x.demand = 100
+	settle(a, x, restarted)
+	is.Equal(x.total(), 8) // as adopted
+	is.Equal(restarted.total(), 0)
+	a.Over(Holder{Entry: "y"})
+	settle(a, x, restarted)
+	is.Equal(x.total()+restarted.total(), 16)
+}
+
 // Guards against an entry without any slot of a service, and against starving
 // when slots are scarce.
 func TestEveryEntryKeepsOne(t *testing.T) {
@@ -223,12 +292,12 @@
 			entries[name] = newEntry(name, "0")
 		}
 		term := uint64(1)
-		a := New(term, names)
+		a := New(term, nil)
 		slots := make(map[string]uint32)
 		boots := 0
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
 			e := entries[rapid.SampledFrom(names).Draw(t, "entry")]
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 19).Draw(t, "step") {
 			case 0:
 				s := serverOf(rapid.IntRange(0, 3).Draw(t, "server"), uint32(rapid.IntRange(1, 8).Draw(t, "slots")))
 				if slots[s.Name] == 0 {
@@ -243,26 +312,36 @@
 				gone[e.id] = e
 				entries[e.id.Entry] = newEntry(e.id.Entry, fmt.Sprint(boots))
 			case 3:
+				// 12 s pass in which only the reporting entries are answered. One
+				// that has not reported drops its shares by itself.
 				for id := range gone {
 					a.Over(id)
 				}
 				clear(gone)
+				for _, name := range names {
+					if _, reported := a.holders[entries[name].id]; !reported {
+						entries[name].shares = make(map[string]uint32)
+					}
+					a.Over(Holder{Entry: name})
+				}
 			case 4:
-				// A new leader: all live entries report to it before any grant.
+				// A new leader. It cannot know an earlier boot of an entry whose
+				// later boot reports a grant, and that boot sends nothing more.
 				for id := range gone {
-					a.Over(id)
+					if entries[id.Entry].acked > 0 {
+						delete(gone, id)
+					}
 				}
-				clear(gone)
 				servers := a.Servers()
 				term++
 				a = New(term, names)
 				for _, s := range servers {
 					a.SetServer(s)
 				}
-			case 5, 6:
+			case 5, 6, 7, 8, 9:
 				e.demand = float64(rapid.IntRange(0, 50).Draw(t, "demand"))
 				a.Report(e.report())
-			case 7:
+			case 10, 11, 12, 13, 14:
 				a.Rebalance()
 			default:
 				e.take(a)
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -47,13 +47,13 @@
 		{"process", "zone", "", true, both, "Availability zone of this process.", "use letters, digits, '-', '_' and '.'", name},
 		{"process", "address", "", true, both, "IP address that other processes reach this process at.", "write an IP address, such as 10.0.1.5, not a host name", ipAddress},
 		{"process", "log_level", "info", false, both | ClientProgram, "Least level that is logged.", "use debug, info, warn or error", oneOf("debug", "info", "warn", "error")},
-		{"listeners", "peers", "", true, both, "Listener for other processes of the cluster.", addressRemedy, address},
+		{"listeners", "peers", "", true, both, "Listener for other processes of the cluster. An entry does not listen on it so far; its IP address identifies the entry.", addressRemedy, address},
 		{"listeners", "operators", "", true, ControlProgram, "Listener for operators (HTTP).", addressRemedy, address},
 		{"listeners", "callers", "", true, EntryProgram, "Listener for callers (HTTP).", addressRemedy, address},
 		{"listeners", "announcements", "", true, EntryProgram, "Listener for announcements of backend servers (HTTP).", addressRemedy, address},
 		{"listeners", "observe", "", true, both, "Listener for metrics, state dump and health.", addressRemedy, address},
 		{"peers", "*", "", false, both, "One line for each control process: its name and its listener for peers. A line for this process itself is allowed.", addressRemedy, address},
-		{"entries", "*", "", false, ControlProgram, "One line for each entry process: its name and its listener for peers. Only these may report as entries.", addressRemedy, address},
+		{"entries", "*", "", false, ControlProgram, "One line for each entry process: its name and its listener for peers. Only these may report as entries, and only from that IP address.", addressRemedy, address},
 		{"control", "voters", "", true, ControlProgram, "Voters at the cluster's first start, separated by spaces. Later changes go through `marjoramtiller voters`.", "name 3 or 5 control processes once each", names},
 		{"control", "data_folder", "", true, ControlProgram, "Folder of logs and snapshots.", "write an absolute path", absolutePath},
 		{"control", "ledger_groups", "4", false, both, "Number of ledger groups. The same in every process, and fixed for the life of the cluster.", "use 1 to 64", integer(1, 64)},
@@ -78,9 +78,9 @@
 		{"timeouts", "shutdown", "30s", false, both, "Time that a graceful shutdown may take.", "use a duration from 1s to 1h, such as 30s", duration("1s", "1h")},
 		{"queue", "per_caller", "64", false, EntryProgram, "Most requests that wait for one caller and service.", "use 1 to 65536", integer(1, 65536)},
 		{"queue", "per_service", "4096", false, EntryProgram, "Most requests that wait for one service.", "use 1 to 1048576, and at least per_caller", integer(1, 1048576)},
-		{"queue", "short_work_percent", "25", false, EntryProgram, "Share of slots kept for short work where the pool declares none.", "use 0 to 90", integer(0, 90)},
-		{"queue", "default_deadline", "30s", false, EntryProgram, "Deadline of a request where neither the request nor the pool has one.", "use a duration from 10ms to 1h, such as 30s", duration("10ms", "1h")},
-		{"retry", "budget_percent", "10", false, EntryProgram, "Retries as a share of requests.", "use 0 to 100", integer(0, 100)},
+		{"queue", "short_work_percent", "25", false, EntryProgram, "Share of slots kept for short work where the pool declares none. Without effect so far: the entry takes the pool's share only.", "use 0 to 90", integer(0, 90)},
+		{"queue", "default_deadline", "30s", false, EntryProgram, "Deadline of a request where neither the request nor the pool has one. Without effect so far: such a request has no deadline.", "use a duration from 10ms to 1h, such as 30s", duration("10ms", "1h")},
+		{"retry", "budget_percent", "10", false, EntryProgram, "Retries as a share of requests. Without effect so far: the entry's budget is fixed at 10.", "use 0 to 100", integer(0, 100)},
 	}
 }
 
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -59,6 +59,7 @@
 		is.NoErr(err)
 		is.Equal(len(c.Voters), 3)
 		is.Equal(len(c.Peers), 3)
+		is.Equal(len(c.Entries), 6)
 		is.Equal(c.Cluster, user)
 		is.Equal(c.OperatorsListener.String(), "10.0.1.10:7401")
 		e, err := ParseEntry(example(t, user+"/entry.ini"))
@@ -82,6 +83,7 @@
 	text = strings.Replace(text, "buffer_weight = 1", "buffer_weight = -1", 1)
 	text = strings.Replace(text, "voters = control-a control-b", "voters = control-a control-x", 1)
 	text = strings.Replace(text, "data_folder", "data_foldr", 1)
+	text = strings.Replace(text, "entry-6 =", "control-b =", 1)
 	text += "\n[surprise]\nkey = 1\n[process]\nzone = ub-z\n"
 	c, err := ParseControl([]byte(text))
 	is.True(c == nil)
@@ -92,6 +94,7 @@
 		`[listeners] operators = "10.0.1.10:7401" is also the address of the listener peers`,
 		`[policy] buffer_weight = "-1"`,
 		`names control-x, which has no line in [peers]; add its address`,
+		`[entries] control-b = "10.0.3.11:7410" is the name of a control process`,
 		`[control] data_foldr = "/var/lib/marjoramtiller" is an unknown key`,
 		`[control] data_folder = "" is missing; write an absolute path`,
 		`[surprise]  = "" is an unknown section`,
@@ -101,7 +104,7 @@
 			t.Errorf("no fault %q in:\n%v", want, err)
 		}
 	}
-	is.Equal(len(faults.Faults), 8)
+	is.Equal(len(faults.Faults), 9)
 }
 
 // Guards against a file that is not INI, empty or too large being accepted.
--- a/version/plan/job_test.go
+++ b/version/plan/job_test.go
@@ -57,6 +57,31 @@
 	is.True(!started) // it would need the accelerators of urgent work
 }
 
+// Guards against urgent work that waits for ever on a worker that does not answer while
+// another worker has room.
+func TestUnservedReservationIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	s := simpleSim(2).s
+	s.SetJob(Job{Name: "normal", Pool: "p", Team: "t", Count: 2, Size: gb(8, 16, 4)})
+	is.Equal(len(s.Decide(time.Second)), 2)
+	s.SetJob(Job{Name: "urgent", Pool: "p", Team: "u", Count: 1, Size: gb(8, 16, 4), Urgent: true})
+	victim := s.Decide(2 * time.Second)[0]
+	is.Equal(victim.Kind, ActionCheckpoint)
+	for _, task := range []string{"normal/0", "normal/1"} {
+		if task != victim.Task {
+			s.Event(task, TaskDone)
+		}
+	}
+	started := false
+	for now := 3 * time.Second; now < 20*time.Second; now += controlInterval {
+		for _, a := range s.Decide(now) {
+			started = started || a.Kind == ActionStart && a.Task == "urgent/0" && a.Worker != victim.Worker
+		}
+	}
+	is.True(started)
+	verify(t, s)
+}
+
 // Guards against a team that takes more than its quota, and against a quota filled by
 // the team's own normal work that keeps out its urgent work.
 func TestQuotaHoldsAndUrgentWorkReplacesTheTeamsOwn(t *testing.T) {
@@ -76,6 +101,26 @@
 	verify(t, m.s)
 }
 
+// Guards against a team at its quota that preempts another team's work, which frees
+// nothing of its quota, when that work started later on the same worker.
+func TestTeamAtItsQuotaPreemptsOnlyItsOwnWork(t *testing.T) {
+	is := is.New(t)
+	m := simpleSim(1)
+	m.s.SetTeam(Team{"small", gb(64, 64, 2)})
+	m.submit(Job{Name: "own", Pool: "p", Team: "small", Count: 2, Size: gb(4, 4, 1)})
+	m.run(time.Second)
+	m.submit(Job{Name: "other", Pool: "p", Team: "t", Count: 2, Size: gb(4, 4, 1)})
+	m.run(time.Second)
+	m.submit(Job{Name: "urgent", Pool: "p", Team: "small", Count: 1, Size: gb(4, 4, 1), Urgent: true})
+	m.tick()
+	for _, o := range m.s.jobs["other"].tasks {
+		is.Equal(o.phase, phaseRunning)
+	}
+	m.run(5 * time.Second)
+	is.Equal(len(m.urgentWait), 1)
+	verify(t, m.s)
+}
+
 // Guards against a job that can never run, which is not named or holds up jobs after it.
 func TestJobsThatCanNeverRunAreNamedAndHoldUpNoOther(t *testing.T) {
 	is := is.New(t)
@@ -122,7 +167,9 @@
 	m.run(time.Second)
 	is.Equal(m.actions[ActionStart], 2)
 	use.At = started - time.Second
+	use.Used = gb(60, 60, 0)
 	m.s.Report(use) // belongs to an earlier attempt
+	use.Used = gb(10, 10, 0)
 	use.At = started + 2*time.Minute
 	m.s.Report(use)
 	m.run(time.Second)
--- a/version/plan/optimise.go
+++ b/version/plan/optimise.go
@@ -17,10 +17,12 @@
 	for _, pool := range order {
 		s, ok := p.chooseShape(pool, left)
 		if !ok {
-			s, _ = p.chooseShape(pool, p.capacity())
+			s, ok = p.chooseShape(pool, p.capacity())
 		}
 		shapes[pool] = s
-		p.release(pool, s)
+		if ok {
+			p.release(pool, s)
+		}
 		// Later pools see only the racks' remaining hosts.
 		p.grow(pool, s)
 		for i := range left {
@@ -30,9 +32,6 @@
 	for _, pool := range order {
 		p.complete(pool, shapes)
 	}
-	for _, pool := range order {
-		p.trim(pool)
-	}
 	p.undoMoves()
 	clear(p.dirty)
 	return Assignment{Moves: p.changes(), Reserve: p.reserve(), Shortfalls: p.shortfalls()}
@@ -74,9 +73,6 @@
 
 // release returns the pool's hosts beyond the bounds of s to the spare pool.
 func (p *Planner) release(pool *poolState, s shape) {
-	if s.size == 0 {
-		return
-	}
 	for _, r := range p.racks {
 		for pool.racks[r.id] > s.perRack {
 			p.assign(hostIn(r, pool), p.spare)
@@ -229,12 +225,6 @@
 	return true
 }
 
-// trim returns hosts that the exact rule does not need; the bounds of a shape count
-// the largest rack as lying outside the largest zone even where it cannot.
-func (p *Planner) trim(pool *poolState) {
-	p.giveBack(pool)
-}
-
 // changes lists the hosts whose pool differs from that before the plan.
 func (p *Planner) changes() []Move {
 	var out []Move
