--- a/version/plan/optimise.go
+++ b/version/plan/optimise.go
@@ -12,21 +12,15 @@
 func (p *Planner) Optimise() Assignment {
 	p.remember()
 	order := p.servicePools()
-	left := p.capacity()
+	capacity := p.capacity()
 	shapes := make(map[*poolState]shape, len(order))
 	for _, pool := range order {
-		s, ok := p.chooseShape(pool, left)
-		if !ok {
-			s, ok = p.chooseShape(pool, p.capacity())
-		}
+		// Hosts that other pools hold count too, since exchanges can free them.
+		s, ok := p.chooseShape(pool, capacity)
 		shapes[pool] = s
 		if ok {
 			p.release(pool, s)
-		}
-		// Later pools see only the racks' remaining hosts.
-		p.grow(pool, s)
-		for i := range left {
-			left[i] -= pool.racks[i]
+			p.grow(pool, s)
 		}
 	}
 	for _, pool := range order {
--- a/version/plan/placement_test.go
+++ b/version/plan/placement_test.go
@@ -200,3 +200,19 @@
 		}
 	})
 }
+
+// Guards against a pool that gets a larger reserve because another pool, planned before
+// it, holds hosts that it could exchange for others.
+func TestPlacementExchangesHostsBetweenPools(t *testing.T) {
+	is := is.New(t)
+	hosts := grid(3, 2, 2)
+	for i, pool := range []string{"p0", "spare", "spare", "p1", "spare", "p0", "p0", "p0", "p1", "p1", "p1", "spare"} {
+		hosts[i].Pool = pool
+		hosts[i].Available = i != 0 && i != 2
+	}
+	both := Tolerance{Rack: true, Zone: true}
+	p := NewPlanner([]Pool{{Name: "p0", Promised: 1, Tolerance: both}, {Name: "p1", Promised: 2, Tolerance: both}, {Name: "spare", Spare: true}}, hosts, DefaultWeights())
+	is.Equal(p.Optimise().Reserve, 2+3)
+	is.Equal(p.Budget("p0").Margin(), 0)
+	is.Equal(p.Budget("p1").Margin(), 0)
+}
