--- /dev/null
+++ b/tests/faults/cluster_test.go
@@ -0,0 +1,338 @@
+package faults
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	api "marjoramtiller.example/marjoramtiller/process/platform"
+	"marjoramtiller.example/marjoramtiller/standin/platform"
+)
+
+const (
+	controlCount = 3
+	entryCount   = 6
+	ledgerGroups = 2
+)
+
+// daemon is a process with its addresses.
+type daemon struct {
+	*process
+	peers, operators, observe, callers, announcements string
+	data                                              string
+	links                                             map[string]*relay // to control processes, by name
+}
+
+// cluster is 3 control and 6 entry processes. Every connection to a control
+// process goes through a relay of its own.
+type cluster struct {
+	t        *testing.T
+	folder   string
+	voters   []string // founding voters
+	controls []*daemon
+	entries  []*daemon
+	platform *platform.Platform
+	web      *httptest.Server
+	operator *http.Client // short time limit: a frozen process does not answer
+	caller   *http.Client
+	requests int // request ids given out
+}
+
+// newCluster starts the processes and applies the configuration of newFleet.
+func newCluster(t *testing.T, f fleetSpec) *cluster {
+	t.Helper()
+	started := time.Now()
+	c := &cluster{t: t, folder: t.TempDir(), operator: client(3 * time.Second), caller: client(waitLimit)}
+	c.platform = platform.New(platform.Options{Seed: 1, Now: func() time.Duration { return time.Since(started) }, BootTime: time.Second}, f.workers())
+	c.web = httptest.NewServer(c.platform.Handler())
+	t.Cleanup(c.web.Close)
+	for i := range controlCount {
+		c.voters = append(c.voters, fmt.Sprintf("control-%d", i+1))
+		c.controls = append(c.controls, c.newControl(c.voters[i]))
+	}
+	for i := range entryCount {
+		c.entries = append(c.entries, c.newEntry(fmt.Sprintf("entry-%d", i+1)))
+	}
+	for _, d := range c.all() {
+		c.write(d)
+		d.start()
+	}
+	c.mustConfigure(f.changes()...)
+	c.waitInForce()
+	return c
+}
+
+// client keeps no connection, so that the transport sends no request again.
+func client(limit time.Duration) *http.Client {
+	return &http.Client{Timeout: limit, Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+func (c *cluster) newControl(name string) *daemon {
+	d := c.newDaemon(name, "marjoramtiller-control")
+	d.peers, d.operators = freeAddress(c.t), freeAddress(c.t)
+	d.data = filepath.Join(c.folder, name)
+	if err := os.Mkdir(d.data, 0o700); err != nil {
+		c.t.Fatal(err)
+	}
+	return d
+}
+
+func (c *cluster) newEntry(name string) *daemon {
+	d := c.newDaemon(name, "marjoramtiller-entry")
+	d.peers, d.callers, d.announcements = freeAddress(c.t), freeAddress(c.t), freeAddress(c.t)
+	return d
+}
+
+func (c *cluster) newDaemon(name, program string) *daemon {
+	done := make(chan struct{})
+	close(done)
+	p := &process{t: c.t, name: name, program: program, done: done,
+		settings: filepath.Join(c.folder, name+".ini"), log: filepath.Join(c.folder, name+".log")}
+	c.t.Cleanup(p.cleanup)
+	return &daemon{process: p, observe: freeAddress(c.t), links: make(map[string]*relay)}
+}
+
+func (c *cluster) all() []*daemon { return append(append([]*daemon(nil), c.controls...), c.entries...) }
+
+// write writes a daemon's settings. The peers are relays, one for each pair.
+func (c *cluster) write(d *daemon) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[cluster]\nname = faults\n[process]\nname = %s\nzone = z1\naddress = 127.0.0.1\n", d.name)
+	fmt.Fprintf(&b, "[listeners]\npeers = %s\nobserve = %s\n", d.peers, d.observe)
+	if d.operators != "" {
+		fmt.Fprintf(&b, "operators = %s\n", d.operators)
+	} else {
+		fmt.Fprintf(&b, "callers = %s\nannouncements = %s\n", d.callers, d.announcements)
+	}
+	b.WriteString("[peers]\n")
+	for _, to := range c.controls {
+		if to.name == d.name {
+			continue
+		}
+		if d.links[to.name] == nil {
+			d.links[to.name] = newRelay(c.t, to.peers)
+		}
+		fmt.Fprintf(&b, "%s = %s\n", to.name, d.links[to.name].address())
+	}
+	if d.operators != "" {
+		b.WriteString("[entries]\n")
+		for _, e := range c.entries {
+			fmt.Fprintf(&b, "%s = %s\n", e.name, e.peers)
+		}
+	}
+	fmt.Fprintf(&b, "[control]\nledger_groups = %d\n", ledgerGroups)
+	if d.operators != "" {
+		fmt.Fprintf(&b, "voters = %s\ndata_folder = %s\nplatform_url = %s\n", strings.Join(c.voters, " "), d.data, c.web.URL)
+	}
+	if err := os.WriteFile(d.settings, []byte(b.String()), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// isolate makes every link of a daemon to control processes silent, and for a
+// control process also the links to it.
+func (c *cluster) isolate(d *daemon, silent bool) {
+	for _, r := range d.links {
+		r.silence(silent, silent)
+	}
+	for _, other := range c.all() {
+		if r := other.links[d.name]; r != nil {
+			r.silence(silent, silent)
+		}
+	}
+}
+
+// reply is an HTTP answer of the operators' interface; status 0 without one.
+type reply struct {
+	status int
+	body   string
+}
+
+func (c *cluster) ask(d *daemon, method, path string, body any) reply {
+	raw, _ := json.Marshal(body)
+	req, err := http.NewRequest(method, "http://"+d.operators+path, bytes.NewReader(raw))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.operator.Do(req)
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	return reply{resp.StatusCode, string(text)}
+}
+
+// definite sends to the control processes in turn until one gives an answer
+// that is neither "nothing was done" nor "outcome unknown".
+func (c *cluster) definite(method, path string, body any) reply {
+	c.t.Helper()
+	var last reply
+	for limit := time.Now().Add(waitLimit); time.Now().Before(limit); {
+		for _, d := range c.controls {
+			last = c.ask(d, method, path, body)
+			if last.status != 0 && last.status < 500 {
+				return last
+			}
+		}
+		time.Sleep(pollInterval)
+	}
+	c.t.Fatalf("no definite answer to %s %s within %v; the last one: %d %s", method, path, waitLimit, last.status, last.body)
+	return last
+}
+
+// change is a body of POST /v1/configuration.
+func change(id, operator string, base uint64, changes ...any) map[string]any {
+	return map[string]any{"request_id": id, "operator": operator, "base_version": base, "changes": changes}
+}
+
+func (c *cluster) nextID() string {
+	c.requests++
+	return fmt.Sprintf("request-%d", c.requests)
+}
+
+func (c *cluster) mustConfigure(changes ...any) {
+	c.t.Helper()
+	r := c.definite("POST", "/v1/configuration", change(c.nextID(), "planner", c.view().Version, changes...))
+	if r.status != http.StatusOK {
+		c.t.Fatalf("configuration was not accepted: %d %s", r.status, r.body)
+	}
+}
+
+// view is the part of GET /v1/configuration that the tests read.
+type view struct {
+	Version uint64 `json:"version,string"`
+	Hosts   []hostView
+	Pools   []struct {
+		Name          string
+		PromisedHosts uint32 `json:"promised_hosts"`
+	}
+	Waves []struct {
+		Name  string
+		State string
+	}
+	Servers []struct{ Name string }
+}
+
+type hostView struct {
+	Name, Pool, Rack, State, Wave string
+	MoveTo                        string `json:"move_to"`
+	Epoch                         uint64 `json:"epoch,string"`
+}
+
+// view reads the configuration through the leader.
+func (c *cluster) view() view {
+	c.t.Helper()
+	r := c.definite("GET", "/v1/configuration", nil)
+	var v view
+	if err := json.Unmarshal([]byte(r.body), &v); err != nil {
+		c.t.Fatalf("%v in %d %s", err, r.status, r.body)
+	}
+	return v
+}
+
+func (v view) host(name string) hostView {
+	for _, h := range v.Hosts {
+		if h.Name == name {
+			return h
+		}
+	}
+	return hostView{}
+}
+
+// waitInForce waits until the accepted version is in force everywhere.
+func (c *cluster) waitInForce() {
+	c.t.Helper()
+	eventually(c.t, "the accepted version is in force", func() bool {
+		var v struct {
+			Accepted uint64 `json:"accepted"`
+			InForce  uint64 `json:"in_force"`
+		}
+		r := c.definite("GET", "/v1/configuration/in-force", nil)
+		return json.Unmarshal([]byte(r.body), &v) == nil && v.Accepted == v.InForce
+	})
+}
+
+// leader waits for the leader of a group and returns it.
+func (c *cluster) leader(group string) *daemon {
+	c.t.Helper()
+	var found *daemon
+	eventually(c.t, group+" has a leader", func() bool {
+		for _, d := range c.controls {
+			var dump struct {
+				Groups []struct{ Group, Leader string }
+			}
+			r := c.ask(d, "GET", "/v1/dump", nil)
+			if json.Unmarshal([]byte(r.body), &dump) != nil {
+				continue
+			}
+			for _, g := range dump.Groups {
+				if g.Group == group && g.Leader == d.name {
+					found = d
+					return true
+				}
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// hostSpec and fleetSpec describe pools and their hosts. A pool's name is its
+// service; the pool "spare" has none.
+type hostSpec struct{ name, pool, rack string }
+
+type poolSpec struct {
+	promised    int
+	surviveRack bool
+}
+
+type fleetSpec struct {
+	pools map[string]poolSpec
+	hosts []hostSpec
+}
+
+// smallFleet has two pools with two hosts each and one spare host.
+func smallFleet() fleetSpec {
+	return fleetSpec{
+		pools: map[string]poolSpec{"ledger": {promised: 1}, "accrual": {promised: 1}, "spare": {}},
+		hosts: []hostSpec{{"l1", "ledger", "r1"}, {"l2", "ledger", "r2"}, {"a1", "accrual", "r1"}, {"a2", "accrual", "r2"}, {"s1", "spare", "r3"}},
+	}
+}
+
+func (f fleetSpec) changes() []any {
+	var out []any
+	for name, p := range f.pools {
+		pool := map[string]any{"name": name, "promised_hosts": p.promised, "survive_rack": p.surviveRack}
+		if name == "spare" {
+			pool["spare"] = true
+		} else {
+			pool["service"] = name
+		}
+		out = append(out, map[string]any{"pool": pool})
+	}
+	for _, h := range f.hosts {
+		out = append(out, map[string]any{"host": map[string]any{"name": h.name, "pool": h.pool, "rack": h.rack, "zone": "z1", "cores": 64, "memory_gb": 256}})
+	}
+	return out
+}
+
+func (f fleetSpec) workers() []api.Worker {
+	var out []api.Worker
+	for _, h := range f.hosts {
+		out = append(out, api.Worker{Name: h.name, Zone: "z1", Rack: h.rack, Cores: 64, MemoryGB: 256, Up: true})
+	}
+	return out
+}
