--- a/tests/faults/server_test.go
+++ b/tests/faults/server_test.go
@@ -128,6 +128,7 @@
 	if err != nil {
 		return
 	}
+	body = append([]byte(id), body...) // no answer is empty, so that each can be cut
 	if ms, err := strconv.Atoi(r.Header.Get("X-Hold-Ms")); err == nil {
 		time.Sleep(time.Duration(ms) * time.Millisecond)
 	}
@@ -298,7 +299,7 @@
 		}
 		return answer{resp.StatusCode, p.Outcome, p.Detail, p.Remedy}
 	}
-	if resp.Header.Get("X-Request") != r.id || string(body) != r.body {
+	if resp.Header.Get("X-Request") != r.id || string(body) != r.id+r.body {
 		return answer{status: resp.StatusCode, outcome: foreign, detail: resp.Header.Get("X-Request") + ": " + string(body[:min(len(body), 200)])}
 	}
 	return answer{status: resp.StatusCode, outcome: answered}
