Wait for the caller's close before a session ends; reserve ports outside the ephemeral range

Cause: a graceful stop closed a session as soon as the last response was written, and the response could be lost: TestShutdownWaitsForCalls failed in all 8 of 8 processes of 400 runs side by side ('session shutdown'). Tests that found a free port by listening on port 0 lost it again, because a dial to a port of the ephemeral range can connect to itself: TestReplicasOverWire failed 5 of 10 runs with 'address already in use'. Change: a call counts as finished once the caller has closed its side, for at most 2 s; standin/address reserves ports below the ephemeral range. Result: 0 of 3,200 runs of the first test and 0 of 20 of the second fail.

--- a/cmd/marjoramtiller/daemons_test.go
+++ b/cmd/marjoramtiller/daemons_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/standin/address"
 )
 
 // pollInterval is the pause between two attempts while a daemon starts.
@@ -59,17 +60,15 @@
 
 // freeAddresses returns loopback addresses whose ports were free just now.
 func freeAddresses(t *testing.T, count int) []string {
-	t.Helper()
-	var list []string
-	for range count {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer l.Close()
-		list = append(list, l.Addr().String())
+	found, err := address.Reserve(count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, a := range found {
+		out = append(out, a.String())
 	}
-	return list
+	return out
 }
 
 // eventually repeats try until it succeeds; the test binary's own time-out
--- a/connection/wire/server.go
+++ b/connection/wire/server.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -247,8 +248,21 @@
 		s.o.Logger.Error().Err(err).Str("peer", peer).Msg("response can't be sent")
 		return
 	}
-	if stream.SetWriteDeadline(time.Now().Add(responseWriteLimit)) == nil {
-		_, _ = stream.Write(data)
+	if stream.SetWriteDeadline(time.Now().Add(responseWriteLimit)) != nil {
+		return
+	}
+	if _, err := stream.Write(data); err != nil {
+		return
+	}
+	awaitClose(stream, r)
+}
+
+// awaitClose waits until the caller has closed its side, which it does once it
+// has read the response. A session that is closed earlier can lose a response
+// that was written.
+func awaitClose(stream *yamux.Stream, r *bufio.Reader) {
+	if stream.Close() == nil && stream.SetReadDeadline(time.Now().Add(responseReadLimit)) == nil {
+		_, _ = io.Copy(io.Discard, r)
 	}
 }
 
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -43,6 +43,7 @@
 	snapshotTimeout     = 30 * time.Second
 	requestReadTimeout  = 10 * time.Second
 	responseWriteLimit  = 10 * time.Second
+	responseReadLimit   = 2 * time.Second
 	keepAliveInterval   = 700 * time.Millisecond
 	keepAliveTimeout    = time.Second
 	streamCloseTimeout  = 10 * time.Second
--- a/process/embedded/embedded.go
+++ b/process/embedded/embedded.go
@@ -6,20 +6,17 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"marjoramtiller.example/marjoramtiller/process/daemon"
 	"marjoramtiller.example/marjoramtiller/process/service"
 	"marjoramtiller.example/marjoramtiller/process/settings"
+	"marjoramtiller.example/marjoramtiller/standin/address"
 )
 
 // Options are the parameters of a Cluster.
@@ -85,41 +82,6 @@
 	return err
 }
 
-// loopback is the address of every process of an embedded cluster.
-var loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
-
-// Ports are taken from below the range that Linux gives to outgoing connections,
-// so that none is taken by one between the search and the start of a process.
-const (
-	firstPort = 10000
-	portCount = 20000
-)
-
-var nextPort atomic.Uint32
-
-// reserve returns n addresses with ports that are free. Processes start their
-// search at different ports, so that test packages can run side by side.
-func reserve(n int) ([]netip.AddrPort, error) {
-	var out []netip.AddrPort
-	for range portCount {
-		if len(out) == n {
-			return out, nil
-		}
-		offset := (uint32(os.Getpid())*portsOfProcess + nextPort.Add(1)) % portCount
-		address := netip.AddrPortFrom(loopback, uint16(firstPort+offset))
-		l, err := net.Listen("tcp", address.String())
-		if err != nil {
-			continue
-		}
-		_ = l.Close()
-		out = append(out, address)
-	}
-	return nil, errors.New("too few free ports on the loopback address; end other programs that listen there")
-}
-
-// portsOfProcess is the distance between the first ports of two processes.
-const portsOfProcess = 128
-
 // Listeners of each process.
 const (
 	controlListeners = 3
@@ -128,7 +90,7 @@
 
 // Start starts a cluster. It returns before the cluster has a leader.
 func Start(o Options) (*Cluster, error) {
-	ports, err := reserve(o.Controls*controlListeners + o.Entries*entryListeners)
+	ports, err := address.Reserve(o.Controls*controlListeners + o.Entries*entryListeners)
 	if err != nil {
 		return nil, err
 	}
@@ -172,7 +134,7 @@
 }
 
 func identity(o Options, name string, i int) settings.Identity {
-	return settings.Identity{Cluster: o.Name, Process: name, Zone: o.Zones[i%len(o.Zones)], Address: loopback}
+	return settings.Identity{Cluster: o.Name, Process: name, Zone: o.Zones[i%len(o.Zones)], Address: address.Loopback}
 }
 
 func controlSettings(o Options, i int, ports []netip.AddrPort) *settings.Control {
--- a/process/replica/wire_test.go
+++ b/process/replica/wire_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -15,6 +14,7 @@
 	"marjoramtiller.example/marjoramtiller/connection/wire"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/process/consensus"
+	"marjoramtiller.example/marjoramtiller/standin/address"
 )
 
 // wireNode is a replica whose messages go through connection/wire.
@@ -40,12 +40,11 @@
 }
 
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	found, err := address.Reserve(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return found[0].String()
 }
 
 // Guards against messages that the wire does not carry as the replicas need
