Apply the entry's settings, report request totals, share lease and configuration cores

The settings queue.short_work_percent, queue.default_deadline and retry.budget_percent had no effect, the entry reported no request totals, and it kept its own copies of the lease and delta rules of connection/lease and version/fleet.

The settings now reach the entry, where a pool's own values win; new keys are timeouts.answer, timeouts.health_grace and queue.body_bytes. Syncs carry totals since the entry's start and the 99th percentile of short work's wait in the last minute. A boot older than the leader's term adds nothing with its first report (new field uptime_ms).

The entry uses lease.Serving and fleet.Copy. Serving lists a revoked server again after a later partial sync that still has it; before, a server that had refused one connection would have stayed unused until the next full list.

--- a/connection/lease/serving.go
+++ b/connection/lease/serving.go
@@ -56,6 +56,9 @@
 	end     time.Duration
 	revoked time.Duration // a sync sent at or before this does not list it again
 	listed  bool
+	// known: the leader's list names the backend server, which stays so while
+	// its lease here is revoked.
+	known bool
 }
 
 // Serving is an entry's right to send work. It is not safe for concurrent use.
@@ -135,26 +138,34 @@
 		v = &serverLease{revoked: -1}
 		s.servers[live.Name] = v
 	}
-	if sentAt <= v.revoked {
-		return
-	}
-	v.listed = true
-	v.end = max(v.end, sentAt+min(live.Lease, ServerLease))
+	v.known = true
+	v.renew(sentAt, live.Lease)
 }
 
 func (s *Serving) unlist(name string) {
 	if v := s.servers[name]; v != nil {
+		v.known = false
 		v.listed = false
 		v.end = 0
 	}
 }
 
+// renew takes a listing in an answer to a sync sent at sentAt.
+func (v *serverLease) renew(sentAt, lease time.Duration) {
+	if sentAt <= v.revoked {
+		return
+	}
+	v.listed = true
+	v.end = max(v.end, sentAt+min(lease, ServerLease))
+}
+
 // renewListed renews the servers that an earlier sync listed: an answer that is
-// not full names only changes, so it lists again all that it does not take away.
+// not full names only changes, so it lists again all that it does not take away,
+// also those that were revoked before the sync was sent.
 func (s *Serving) renewListed(sentAt time.Duration) {
 	for _, v := range s.servers {
-		if v.listed {
-			v.end = max(v.end, sentAt+ServerLease)
+		if v.known {
+			v.renew(sentAt, ServerLease)
 		}
 	}
 }
@@ -171,8 +182,7 @@
 		if keep[name] {
 			continue
 		}
-		v.listed = false
-		v.end = 0
+		s.unlist(name)
 		if v.revoked < sentAt {
 			delete(s.servers, name)
 		}
@@ -236,6 +246,15 @@
 	return Allowed
 }
 
+// ServerLeft returns what remains of a backend server's lease, or 0.
+func (s *Serving) ServerLeft(server string, now time.Duration) time.Duration {
+	v := s.servers[server]
+	if v == nil || !v.listed || !s.at(now) {
+		return 0
+	}
+	return max(0, v.end-now)
+}
+
 // ConfigLeft returns what remains of the configuration lease, or 0. The health
 // check fails and every request is rejected when it is 0.
 func (s *Serving) ConfigLeft(now time.Duration) time.Duration {
--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -72,7 +72,6 @@
 	var lost []string
 	for _, session := range expired {
 		t.slots.Over(slots.Holder{Entry: session.ID.Entry, BootID: session.ID.BootID})
-		delete(t.demand, session.ID)
 		if !hasSession(t.lease.Sessions(), session.ID.Entry) {
 			lost = append(lost, session.ID.Entry)
 		}
--- a/process/control/sync.go
+++ b/process/control/sync.go
@@ -56,7 +56,7 @@
 	if len(t.slots.Rebalance()) > 0 {
 		s.wakeLocked()
 	}
-	t.demand[id] = req.GetDemand()
+	t.counts.report(id, time.Duration(req.GetUptimeMs())*time.Millisecond, req.GetDemand(), s.clock.Now())
 	return nil
 }
 
--- a/process/control/term.go
+++ b/process/control/term.go
@@ -7,7 +7,6 @@
 
 	"marjoramtiller.example/marjoramtiller/connection/lease"
 	"marjoramtiller.example/marjoramtiller/connection/slots"
-	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/process/consensus"
 	"marjoramtiller.example/marjoramtiller/process/replica"
 	"marjoramtiller.example/marjoramtiller/version/fleet"
@@ -25,12 +24,9 @@
 	lease   *lease.Leader
 	slots   *slots.Allocator
 	live    liveSet
-	demand  map[lease.SessionID][]*wirepb.ServiceDemand
-	// sampled holds the totals that the last sample of the figures contained.
-	sampled    totals
-	hasSampled bool
-	jobs       *jobRunner
-	waves      *waveRunner
+	counts  *requestTotals
+	jobs    *jobRunner
+	waves   *waveRunner
 }
 
 // liveSet numbers the changes of the set of live backend servers, so that an
@@ -168,8 +164,7 @@
 		lease:   lease.NewLeader(now, s.o.Entries, registered),
 		slots:   slots.New(number, holders),
 		live:    newLiveSet(number),
-		demand:  make(map[lease.SessionID][]*wirepb.ServiceDemand),
-		sampled: make(totals),
+		counts:  newRequestTotals(now, number > firstTerm),
 		jobs:    newJobRunner(s.o),
 		waves:   newWaveRunner(s.o),
 	}
--- a/process/embedded/embedded.go
+++ b/process/embedded/embedded.go
@@ -207,6 +207,9 @@
 		ShortWorkPercent:      25,
 		RetryBudgetPercent:    10,
 		DefaultDeadline:       10 * time.Second,
+		AnswerTimeout:         10 * time.Minute,
+		HealthGrace:           3 * time.Second,
+		BodyBytes:             1 << 20,
 	}
 }
 
--- a/process/entry/carry.go
+++ b/process/entry/carry.go
@@ -35,8 +35,10 @@
 	}
 	for {
 		c.attempts++
+		sent := e.now()
 		resp, f := e.send(ctx, r, c, s)
 		if f == nil {
+			e.noteAnswer(s, sent, resp)
 			return e.answer(w, c, s, resp)
 		}
 		c.mayHaveRun = c.mayHaveRun || f.Written
@@ -45,7 +47,7 @@
 			e.release(s, f.Kind == forward.TimedOut)
 			return e.failed(c, f)
 		}
-		e.m.retries.Add(1)
+		e.m.retried(c.service)
 		if s, oerr = e.again(ctx, s); oerr != nil {
 			if c.record != nil {
 				e.withdraw(c.record, false)
@@ -136,7 +138,7 @@
 	now := e.now()
 	e.core.Failed(now, s.server)
 	if f.Kind == forward.DialFailed {
-		e.leases.end(s.server, now)
+		e.serving.Revoke(s.server, now)
 		e.refusing[s.server] = true
 		e.refresh(now)
 	}
@@ -182,7 +184,6 @@
 // answer passes a response on. If it turns out to be incomplete after its
 // head was sent, the caller's connection is aborted.
 func (e *Entry) answer(w http.ResponseWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
-	e.noteAnswer(s, resp)
 	if c.record != nil {
 		return e.answerRecorded(w, c, s, resp)
 	}
@@ -194,16 +195,16 @@
 	return nil
 }
 
-func (e *Entry) noteAnswer(s slot, resp *forward.Response) {
+// noteAnswer renews the lease of a server that has answered a request sent at
+// sent, or ends it if the server says that it is leaving.
+func (e *Entry) noteAnswer(s slot, sent time.Duration, resp *forward.Response) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
+	e.serving.Answered(s.server, sent, now, resp.Leaving)
 	if resp.Leaving {
-		e.leases.end(s.server, now)
 		e.refresh(now)
-		return
 	}
-	e.leases.answered(s.server, now)
 }
 
 // answerRecorded records the answer before the caller gets it. An answer that
@@ -239,6 +240,6 @@
 
 func (e *Entry) abortCaller(c *call) {
 	e.m.abortedAnswers.Add(1)
-	e.m.request(c.service, "aborted")
+	e.m.request(c.service, labelAborted)
 	panic(http.ErrAbortHandler)
 }
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -3,111 +3,45 @@
 import (
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/connection/lease"
 	"marjoramtiller.example/marjoramtiller/request/forward"
 	"marjoramtiller.example/marjoramtiller/request/queue"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
-// config is the entry's leased copy of the fleet state it needs.
-type config struct {
-	version uint64
-	pools   map[string]*fleetpb.Pool
-	hosts   map[string]*fleetpb.Host
-	servers map[string]*fleetpb.BackendServer
-}
-
-func newConfig() *config {
-	return &config{
-		pools:   make(map[string]*fleetpb.Pool),
-		hosts:   make(map[string]*fleetpb.Host),
-		servers: make(map[string]*fleetpb.BackendServer),
-	}
-}
-
-// apply brings the copy to the delta's version. A delta that is older than
-// the copy, or that starts after it, is not applied; the next sync names the
-// copy's version, so the leader sends what is missing.
-func (c *config) apply(d *fleetpb.Delta) bool {
-	if d == nil || d.GetToVersion() <= c.version && c.version > 0 {
-		return false
-	}
-	if !d.GetFull() && d.GetFromVersion() > c.version {
-		return false
-	}
-	if d.GetFull() {
-		fresh := newConfig()
-		c.pools, c.hosts, c.servers = fresh.pools, fresh.hosts, fresh.servers
-	}
-	for _, p := range d.GetPools() {
-		c.pools[p.GetName()] = p
-	}
-	for _, h := range d.GetHosts() {
-		c.hosts[h.GetName()] = h
-	}
-	for _, s := range d.GetServers() {
-		c.servers[s.GetName()] = s
-	}
-	for _, t := range d.GetDeleted() {
-		c.remove(t)
-	}
-	c.version = d.GetToVersion()
-	return true
-}
-
-// remove applies a tombstone, unless the object was created again after it.
-func (c *config) remove(t *fleetpb.Tombstone) {
-	name := t.GetName()
-	switch t.GetKind() {
-	case fleetpb.Tombstone_KIND_POOL:
-		if c.pools[name].GetModifiedVersion() <= t.GetVersion() {
-			delete(c.pools, name)
-		}
-	case fleetpb.Tombstone_KIND_HOST:
-		if c.hosts[name].GetModifiedVersion() <= t.GetVersion() {
-			delete(c.hosts, name)
-		}
-	case fleetpb.Tombstone_KIND_SERVER:
-		if c.servers[name].GetModifiedVersion() <= t.GetVersion() {
-			delete(c.servers, name)
-		}
-	}
-}
-
-// usable reports whether the configuration allows new work on a server: its
-// host is an active member of a pool of the server's service.
-func (c *config) usable(s *fleetpb.BackendServer) bool {
-	if s == nil || s.GetLeaving() {
-		return false
-	}
-	h := c.hosts[s.GetHost()]
-	if h.GetState() != fleetpb.HostState_HOST_STATE_ACTIVE {
-		return false
+// applyDelta brings the copy of the configuration to the delta's version. A
+// delta that leaves a gap is not applied: the next sync names the copy's
+// version, so the leader sends what is missing. The caller holds the mutex.
+func (e *Entry) applyDelta(d *fleetpb.Delta) {
+	if d == nil || d.GetToVersion() == e.cfg.Version() && e.configured {
+		return
+	}
+	taken, err := e.cfg.Take(d)
+	if err != nil {
+		e.o.Log.Warn().Err(err).Msg("a delta of the configuration was not applied")
+		return
+	}
+	if taken {
+		e.configured = true
+		e.configureQueue()
 	}
-	return c.pools[h.GetPool()].GetService() == s.GetService()
 }
 
-// serviceOf returns the pool that serves a service, nil if there is none.
-func (c *config) serviceOf(name string) *fleetpb.Pool {
-	if name == "" {
-		return nil
-	}
-	var found *fleetpb.Pool
-	for _, p := range c.pools {
-		if p.GetService() == name && (found == nil || p.GetName() < found.GetName()) {
-			found = p
-		}
-	}
-	return found
-}
-
-// configureQueue passes the services' limits to the queue core.
+// configureQueue passes the services' limits to the queue core. Of several
+// pools with the same service the first by name gives its limits.
 func (e *Entry) configureQueue() {
-	for _, p := range e.cfg.pools {
-		if p.GetService() == "" || e.cfg.serviceOf(p.GetService()) != p {
+	clear(e.pools)
+	for p := range e.cfg.Pools() {
+		if p.GetService() == "" || e.pools[p.GetService()] != nil {
 			continue
 		}
+		e.pools[p.GetService()] = p
+		short := int(p.GetShortSlotsPercent())
+		if short == 0 {
+			short = e.o.ShortSlotsPercent
+		}
 		e.core.SetService(p.GetService(), queue.ServiceConfig{
-			ShortSlotsPercent: int(p.GetShortSlotsPercent()),
+			ShortSlotsPercent: short,
 			LongThreshold:     time.Duration(p.GetLongThresholdMs()) * time.Millisecond,
 			MaxPerCaller:      e.o.MaxQueuedPerCaller,
 			MaxQueued:         e.o.MaxQueuedPerService,
@@ -119,10 +53,10 @@
 // refresh brings the queue core's servers in line with configuration, leases
 // and shares. The caller holds the mutex.
 func (e *Entry) refresh(now time.Duration) {
-	valid := e.leases.configValid(now)
-	for name, s := range e.cfg.servers {
+	for s := range e.cfg.Servers() {
+		name := s.GetName()
 		share := e.shares[name]
-		if !valid || share.slots == 0 || !e.cfg.usable(s) || !e.leases.serverValid(name, now) {
+		if share.slots == 0 || !e.cfg.Serves(s) || e.serving.MaySend(name, now) != lease.Allowed {
 			e.core.RemoveServer(name)
 			continue
 		}
@@ -131,7 +65,7 @@
 		e.targetOf(s, share)
 	}
 	for name, t := range e.targets {
-		if e.cfg.servers[name] == nil {
+		if e.cfg.Server(name) == nil {
 			e.core.RemoveServer(name)
 			t.t.CloseIdle()
 			delete(e.targets, name)
@@ -139,6 +73,9 @@
 	}
 }
 
+// mayServe reports whether the configuration lease is valid. The caller holds the mutex.
+func (e *Entry) mayServe(now time.Duration) bool { return e.serving.ConfigLeft(now) > 0 }
+
 // target is the transport to one boot of a backend server.
 type target struct {
 	t           *forward.Target
@@ -169,8 +106,7 @@
 func (e *Entry) mayWrite(name string, t *target) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := e.now()
-	s := e.cfg.servers[name]
-	return e.leases.configValid(now) && e.leases.serverValid(name, now) &&
-		e.cfg.usable(s) && s.GetAddress() == t.address && s.GetBootId() == t.bootID && e.shares[name].slots > 0
+	s := e.cfg.Server(name)
+	return e.serving.MaySend(name, e.now()) == lease.Allowed &&
+		e.cfg.Serves(s) && s.GetAddress() == t.address && s.GetBootId() == t.bootID && e.shares[name].slots > 0
 }
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -14,8 +14,11 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/connection/lease"
 	"marjoramtiller.example/marjoramtiller/request/queue"
 	"marjoramtiller.example/marjoramtiller/request/retry"
+	"marjoramtiller.example/marjoramtiller/version/fleet"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
 // Defaults of unset options.
@@ -25,6 +28,7 @@
 	defaultMaxBodyBytes   = 1 << 20
 	defaultMaxHeaderBytes = 32 << 10
 	defaultFinishWait     = 2 * time.Second
+	defaultRetryPercent   = 10
 	defaultBeginWait      = 3 * time.Second
 	readHeaderTimeout     = 10 * time.Second
 	callerIdleTimeout     = 60 * time.Second
@@ -50,7 +54,10 @@
 
 	MaxQueuedPerCaller  int
 	MaxQueuedPerService int
-	MaxBodyBytes        int64 // of a non-idempotent request, which is held in memory
+	ShortSlotsPercent   int           // kept for short work where the pool declares no share
+	DefaultDeadline     time.Duration // where neither request nor pool has one; 0: none
+	RetryPercent        int           // retries as a share of requests; 0: 10, negative: none
+	MaxBodyBytes        int64         // of a non-idempotent request, which is held in memory
 	MaxHeaderBytes      int
 	AnswerTimeout       time.Duration // bounds one attempt at a backend server
 	BeginWait           time.Duration // bounds the wait for a Begin
@@ -72,15 +79,17 @@
 	broken  atomic.Bool // an invariant was violated; nothing is accepted
 
 	background sync.WaitGroup // records that are still being written
-	serving    sync.WaitGroup // requests being handled
+	handling   sync.WaitGroup // requests being handled
 	hard       context.Context
 	abort      context.CancelFunc
 
 	mu           sync.Mutex
 	core         *queue.Core
 	budget       retry.Budget
-	cfg          *config
-	leases       *leases
+	cfg          *fleet.Copy
+	configured   bool                     // a delta was applied
+	pools        map[string]*fleetpb.Pool // by service
+	serving      *lease.Serving
 	shares       map[string]share
 	targets      map[string]*target
 	waiters      map[queue.ID]*waiter
@@ -108,8 +117,10 @@
 		o:            o,
 		started:      time.Now(),
 		core:         queue.New(),
-		cfg:          newConfig(),
-		leases:       newLeases(),
+		budget:       retry.NewBudget(o.RetryPercent),
+		cfg:          fleet.NewCopy(),
+		pools:        make(map[string]*fleetpb.Pool),
+		serving:      lease.NewServing(),
 		shares:       make(map[string]share),
 		targets:      make(map[string]*target),
 		waiters:      make(map[queue.ID]*waiter),
@@ -141,6 +152,9 @@
 	if o.FinishWait <= 0 {
 		o.FinishWait = defaultFinishWait
 	}
+	if o.RetryPercent == 0 {
+		o.RetryPercent = defaultRetryPercent
+	}
 	if o.HealthGrace < 0 {
 		o.HealthGrace = 0
 	} else if o.HealthGrace == 0 {
@@ -226,7 +240,7 @@
 }
 
 func (e *Entry) close() {
-	e.serving.Wait()
+	e.handling.Wait()
 	e.background.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -250,7 +264,7 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	e.refresh(now)
-	if !e.leases.configValid(now) {
+	if !e.mayServe(now) {
 		e.rejectAll()
 	}
 	e.pump()
@@ -275,6 +289,9 @@
 	if err := e.core.Check(); err != nil {
 		e.violated("queue", err)
 	}
+	if err := e.serving.Broken(); err != nil {
+		e.violated("lease", err)
+	}
 	if at, ok := e.core.Wake(now); ok {
 		e.wake.Reset(max(at-now, time.Millisecond))
 	}
@@ -291,5 +308,5 @@
 func (e *Entry) healthy() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.closing.Load() && !e.broken.Load() && e.leases.configValid(e.now())
+	return !e.closing.Load() && !e.broken.Load() && e.mayServe(e.now())
 }
--- a/process/entry/fake_test.go
+++ b/process/entry/fake_test.go
@@ -25,7 +25,7 @@
 	version  uint64
 	servers  map[string]*fleetpb.BackendServer
 	hosts    map[string]fleetpb.HostState
-	mayWait  bool
+	pool     *fleetpb.Pool
 	leaseMs  uint32
 	records  map[string]*ledgerpb.Record
 	requests []*wirepb.SyncRequest
@@ -33,7 +33,9 @@
 }
 
 func newFakeControl() *fakeControl {
-	return &fakeControl{version: 1, servers: map[string]*fleetpb.BackendServer{}, hosts: map[string]fleetpb.HostState{}, leaseMs: 12000, records: map[string]*ledgerpb.Record{}}
+	return &fakeControl{version: 1, servers: map[string]*fleetpb.BackendServer{}, hosts: map[string]fleetpb.HostState{}, leaseMs: 12000,
+		pool:    &fleetpb.Pool{Name: "p", Service: "ledger", LongThresholdMs: 1000, ShortSlotsPercent: 25},
+		records: map[string]*ledgerpb.Record{}}
 }
 
 func (f *fakeControl) add(name, address string) {
@@ -59,7 +61,7 @@
 	}
 	f.requests = append(f.requests, r)
 	d := &fleetpb.Delta{ToVersion: f.version, Full: true}
-	d.Pools = []*fleetpb.Pool{{Name: "p", Service: "ledger", LongThresholdMs: 1000, ShortSlotsPercent: 25, MayWait: f.mayWait}}
+	d.Pools = []*fleetpb.Pool{f.pool}
 	out := &wirepb.SyncResponse{LeaderTerm: 1, Version: f.version, Delta: d, ConfigLeaseMs: f.leaseMs, LiveFull: true, Grant: f.version}
 	for name, s := range f.servers {
 		d.Hosts = append(d.Hosts, &fleetpb.Host{Name: s.Host, Pool: "p", State: f.hosts[s.Host]})
--- a/process/entry/handler.go
+++ b/process/entry/handler.go
@@ -19,6 +19,7 @@
 	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
 	"marjoramtiller.example/marjoramtiller/request/queue"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
 // Paths that the entry answers itself. All others belong to services.
@@ -63,8 +64,8 @@
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
-	e.serving.Add(1)
-	defer e.serving.Done()
+	e.handling.Add(1)
+	defer e.handling.Done()
 	switch {
 	case r.URL.Path == healthPath:
 		e.serveHealth(w)
@@ -140,7 +141,7 @@
 		oerr.Write(w)
 		return
 	}
-	e.m.request(service, "answered")
+	e.m.request(service, labelAnswered)
 }
 
 // parse checks a request before it is queued.
@@ -148,20 +149,24 @@
 	if e.broken.Load() {
 		return nil, outcome.New(outcome.CauseUnavailable, "this entry has stopped after a fault").After(unavailableRetry)
 	}
-	now := e.now()
 	service, path := e.route(r)
 	e.mu.Lock()
-	valid := e.leases.configValid(now)
-	pool := e.cfg.serviceOf(service)
+	now := e.now()
+	valid := e.mayServe(now)
+	pool := e.pools[service]
 	e.mu.Unlock()
 	if !valid {
-		return nil, outcome.New(outcome.CauseUnavailable, "this entry has no valid lease").After(unavailableRetry)
+		var c *call
+		if pool != nil {
+			c = &call{service: service}
+		}
+		return c, outcome.New(outcome.CauseUnavailable, "this entry has no valid lease").After(unavailableRetry)
 	}
 	if pool == nil {
 		return nil, outcome.New(outcome.CauseUnknownService, "neither the Host header nor the path names a configured service")
 	}
 	c := &call{service: service, path: path, query: r.URL.RawQuery, idempotent: outcome.Idempotent(r.Method), arrived: now}
-	if err := c.setDeadline(r.Header.Get(deadlineHeader), pool.GetDefaultDeadlineMs()); err != nil {
+	if err := c.setDeadline(r.Header.Get(deadlineHeader), e.defaultDeadline(pool)); err != nil {
 		return c, err
 	}
 	c.req = queue.Request{Service: service, Caller: callerOf(r), Route: routeOf(r.Method, path), Deadline: c.queueDeadline(pool.GetMayWait())}
@@ -189,8 +194,20 @@
 	return label, path
 }
 
-func (c *call) setDeadline(header string, defaultMs uint32) *outcome.Error {
-	d := time.Duration(defaultMs) * time.Millisecond
+// defaultDeadline is the time allowed to a request that states none. Work of a
+// pool that may wait gets no short deadline from the settings: it would be
+// rejected before its turn.
+func (e *Entry) defaultDeadline(p *fleetpb.Pool) time.Duration {
+	switch {
+	case p.GetDefaultDeadlineMs() > 0:
+		return time.Duration(p.GetDefaultDeadlineMs()) * time.Millisecond
+	case p.GetMayWait():
+		return 0
+	}
+	return e.o.DefaultDeadline
+}
+
+func (c *call) setDeadline(header string, d time.Duration) *outcome.Error {
 	if header != "" {
 		n, err := strconv.ParseInt(header, 10, 64)
 		if err != nil || n <= 0 || n > maxDeadline.Milliseconds() {
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -32,6 +32,9 @@
 	requests   map[requestLabel]uint64
 	violations map[string]uint64
 	waits      map[queue.Class]*waitHistogram
+	retriedBy  map[string]uint64       // by service
+	unknownBy  map[string]uint64       // by service
+	recent     map[string]*recentWaits // by service
 }
 
 type waitHistogram struct {
@@ -45,6 +48,9 @@
 		requests:   make(map[requestLabel]uint64),
 		violations: make(map[string]uint64),
 		waits:      make(map[queue.Class]*waitHistogram),
+		retriedBy:  make(map[string]uint64),
+		unknownBy:  make(map[string]uint64),
+		recent:     make(map[string]*recentWaits),
 	}
 	for _, c := range []queue.Class{queue.Short, queue.Long} {
 		m.waits[c] = &waitHistogram{buckets: make([]uint64, len(waitBounds))}
@@ -64,9 +70,10 @@
 	m.violations[invariant]++
 }
 
-func (m *metrics) observeWait(a queue.Action) {
+func (m *metrics) observeWait(service string, now time.Duration, a queue.Action) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.observeRecent(service, now, a)
 	h := m.waits[a.Class]
 	h.count++
 	h.seconds += a.Waited.Seconds()
@@ -125,7 +132,7 @@
 	Term          uint64               `json:"term"`
 	Version       uint64               `json:"version"`
 	Grant         uint64               `json:"grant"`
-	ConfigLeaseMs int64                `json:"config_lease_ms"` // remaining; negative: ended
+	ConfigLeaseMs int64                `json:"config_lease_ms"` // remaining; 0: ended
 	Closing       bool                 `json:"closing"`
 	Broken        bool                 `json:"broken"`
 	Services      []queue.ServiceStats `json:"services"`
@@ -140,7 +147,7 @@
 	Address  string `json:"address"`
 	Share    int    `json:"share"`
 	InFlight int    `json:"in_flight"`
-	LeaseMs  int64  `json:"lease_ms"` // remaining; negative: ended
+	LeaseMs  int64  `json:"lease_ms"` // remaining; 0: ended
 	Usable   bool   `json:"usable"`   // the configuration allows new work
 }
 
@@ -151,8 +158,8 @@
 	now := e.now()
 	s := State{
 		Entry: e.o.Name, BootID: e.o.BootID, Leader: e.leader, Term: e.term,
-		Version: e.cfg.version, Grant: e.grant,
-		ConfigLeaseMs: (e.leases.configUntil - now).Milliseconds(),
+		Version: e.cfg.Version(), Grant: e.grant,
+		ConfigLeaseMs: e.serving.ConfigLeft(now).Milliseconds(),
 		Closing:       e.closing.Load(), Broken: e.broken.Load(),
 		Services: e.core.Services(), InFlightHosts: make(map[string]int), Counters: e.Counters(),
 	}
@@ -163,18 +170,14 @@
 	for _, st := range e.core.Servers() {
 		stats[st.Server] = st
 	}
-	for _, name := range sortedKeys(e.cfg.servers) {
-		b := e.cfg.servers[name]
+	for b := range e.cfg.Servers() {
+		name := b.GetName()
 		st, ok := stats[name]
 		if !ok {
 			st = queue.ServerStats{Server: name, Service: b.GetService()}
 		}
-		lease := -time.Millisecond
-		if r := e.leases.servers[name]; r != nil {
-			lease = r.until - now
-		}
 		s.Servers = append(s.Servers, ServerState{ServerStats: st, Address: b.GetAddress(), Share: e.shares[name].slots,
-			InFlight: e.inFlight[name], LeaseMs: lease.Milliseconds(), Usable: e.cfg.usable(b)})
+			InFlight: e.inFlight[name], LeaseMs: e.serving.ServerLeft(name, now).Milliseconds(), Usable: e.cfg.Serves(b)})
 	}
 	return s
 }
--- /dev/null
+++ b/process/entry/options_test.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+)
+
+// Guards against settings without effect, and against settings that override
+// what a pool declares itself.
+func TestDefaultsApplyWherePoolDeclaresNone(t *testing.T) {
+	is := is.New(t)
+	e := &Entry{o: Options{DefaultDeadline: time.Second}}
+	is.Equal(e.defaultDeadline(&fleetpb.Pool{}), time.Second)
+	is.Equal(e.defaultDeadline(&fleetpb.Pool{DefaultDeadlineMs: 5000}), 5*time.Second)
+	is.Equal(e.defaultDeadline(&fleetpb.Pool{MayWait: true}), time.Duration(0))
+	is.Equal(e.defaultDeadline(&fleetpb.Pool{MayWait: true, DefaultDeadlineMs: 5000}), 5*time.Second)
+	for _, c := range []struct {
+		pool      uint32
+		mayRunNow int // of 4 slots, work of an unknown route
+	}{{0, 1}, {25, 3}} {
+		leave := make(chan struct{})
+		f := start(t, func(o *Options) {
+			o.ShortSlotsPercent = 75
+			o.Control.(*fakeControl).pool.ShortSlotsPercent = c.pool
+		})
+		f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) { <-leave }))
+		f.serving(4)
+		done := make(chan answer, 4)
+		for range 4 {
+			go func() { done <- f.send("GET", "/s/ledger/x", "", "") }()
+		}
+		f.until("all are queued or running", func() bool {
+			s := f.entry.Dump().(State).Services[0]
+			return s.Queued+s.Running == 4
+		})
+		is.Equal(f.entry.Dump().(State).Services[0].Running, c.mayRunNow)
+		close(leave)
+		for range 4 {
+			is.Equal((<-done).status, 200)
+		}
+		is.NoErr(f.stop())
+	}
+}
+
+// Guards against a retry budget of the settings that is not used.
+func TestRetryPercent(t *testing.T) {
+	is := is.New(t)
+	for percent, want := range map[int]uint64{-1: 0, 100: 1} {
+		first := true
+		f := start(t, func(o *Options) { o.RetryPercent = percent })
+		f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) {
+			if first {
+				first = false
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		f.serving(4)
+		f.send("GET", "/s/ledger/x", "", "")
+		f.until("the sync reports the totals", func() bool {
+			d := f.lastDemand()
+			return d.GetRequests() == 1 && d.GetRetried() == want
+		})
+		is.NoErr(f.stop())
+	}
+}
--- a/process/entry/record.go
+++ b/process/entry/record.go
@@ -87,6 +87,9 @@
 // Until the record is written a resent key gets "running" or "unknown", never
 // a second run.
 func (e *Entry) finish(r *record, a *ledgerpb.Answer, unknown bool) {
+	if unknown {
+		e.m.unknown(r.service)
+	}
 	done := make(chan struct{})
 	e.background.Go(func() {
 		defer close(done)
--- a/process/entry/slot.go
+++ b/process/entry/slot.go
@@ -17,10 +17,11 @@
 
 // slot is the right to send one request to a backend server.
 type slot struct {
-	id     queue.ID
-	server string
-	host   string
-	target *target
+	id      queue.ID
+	service string
+	server  string
+	host    string
+	target  *target
 }
 
 const unavailableRetry = 2 * time.Second
@@ -30,7 +31,7 @@
 func (e *Entry) acquire(ctx context.Context, r queue.Request) (slot, *outcome.Error) {
 	e.mu.Lock()
 	now := e.now()
-	if !e.leases.configValid(now) {
+	if !e.mayServe(now) {
 		e.mu.Unlock()
 		return slot{}, outcome.New(outcome.CauseUnavailable, "this entry has no valid lease").After(unavailableRetry)
 	}
@@ -73,7 +74,7 @@
 func (e *Entry) again(ctx context.Context, s slot) (slot, *outcome.Error) {
 	e.mu.Lock()
 	now := e.now()
-	w := &waiter{granted: make(chan slot, 1), refused: make(chan *outcome.Error, 1)}
+	w := &waiter{service: s.service, granted: make(chan slot, 1), refused: make(chan *outcome.Error, 1)}
 	if !e.core.Requeue(now, s.id) {
 		e.mu.Unlock()
 		return slot{}, outcome.New(outcome.CauseUnavailable, "the request is no longer queued").After(unavailableRetry)
@@ -119,10 +120,13 @@
 	case a.Kind == queue.Expire && w != nil:
 		w.refused <- outcome.New(outcome.CauseDeadline, "the deadline passed while the request was queued").After(a.RetryAfter)
 	case a.Kind == queue.Start:
-		s := slot{id: a.ID, server: a.Server, host: e.cfg.servers[a.Server].GetHost(), target: e.targets[a.Server]}
+		s := slot{id: a.ID, server: a.Server, host: e.cfg.Server(a.Server).GetHost(), target: e.targets[a.Server]}
 		e.inFlight[s.server]++
 		e.inFlightHost[s.host]++
-		e.m.observeWait(a)
+		if w != nil {
+			s.service = w.service
+			e.m.observeWait(w.service, e.now(), a)
+		}
 		if w == nil || s.target == nil {
 			e.violated("start", errNoWaiter)
 			return
--- a/process/entry/sync.go
+++ b/process/entry/sync.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/connection/lease"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
@@ -73,9 +74,10 @@
 	r := &wirepb.SyncRequest{
 		Entry:        e.o.Name,
 		BootId:       e.o.BootID,
-		AckedVersion: e.cfg.version,
+		AckedVersion: e.cfg.Version(),
 		AckedGrant:   e.grant,
 		AckedLive:    e.liveNumber,
+		UptimeMs:     uint64(now.Milliseconds()),
 		WaitMs:       uint32(syncWait / time.Millisecond),
 	}
 	r.FailedServers = sortedKeys(e.refusing)
@@ -87,12 +89,14 @@
 			a = &arrivals{at: now, seen: s.Arrived}
 			e.rates[s.Service] = a
 		}
-		r.Demand = append(r.Demand, &wirepb.ServiceDemand{
+		d := &wirepb.ServiceDemand{
 			Service:           s.Service,
 			Queued:            uint32(s.Queued),
 			Running:           uint32(s.Running),
 			ArrivalsPerSecond: a.update(s.Arrived, now),
-		})
+		}
+		e.m.fill(d, now)
+		r.Demand = append(r.Demand, d)
 	}
 	r.Draining = e.draining()
 	return r
@@ -120,9 +124,9 @@
 // those without work in flight: the leader waits for the zero.
 func (e *Entry) draining() []*wirepb.HostInFlight {
 	counts := make(map[string]uint32)
-	for name, h := range e.cfg.hosts {
+	for h := range e.cfg.Inactive() {
 		if h.GetState() == fleetpb.HostState_HOST_STATE_DRAINING {
-			counts[name] = 0
+			counts[h.GetName()] = 0
 		}
 	}
 	for host, n := range e.inFlightHost {
@@ -155,15 +159,8 @@
 	newTerm := r.GetLeaderTerm() > e.term
 	e.term = r.GetLeaderTerm()
 	e.leader = r.GetLeader()
-	if e.cfg.apply(r.GetDelta()) {
-		e.configureQueue()
-	}
-	if e.cfg.version == r.GetVersion() {
-		// The lease covers the version that the leader knows. An entry that is
-		// behind it, or a leader that is behind the entry, renews nothing.
-		e.leases.synced(sent, time.Duration(r.GetConfigLeaseMs())*time.Millisecond)
-	}
-	e.applyLive(sent, r)
+	e.applyDelta(r.GetDelta())
+	e.applyLeases(sent, r)
 	if newTerm || r.GetGrant() > e.grant {
 		e.applyGrant(r)
 	}
@@ -171,26 +168,20 @@
 	e.pump()
 }
 
-// applyLive brings the list of live servers up to date. An answer renews every
-// server of the list but those that it names as gone.
-func (e *Entry) applyLive(sent time.Duration, r *wirepb.SyncResponse) {
-	listed := make(map[string]bool)
-	for _, s := range r.GetLive() {
-		listed[s.GetServer()] = true
-	}
-	if r.GetLiveFull() {
-		e.leases.keepOnly(listed)
-	}
-	for _, name := range r.GetGone() {
-		e.leases.gone(name)
-	}
-	for name := range e.leases.servers {
-		e.leases.listed(name, sent, serverLease)
+// applyLeases renews the configuration lease and those of the live servers.
+// The configuration lease covers the version that the leader knows: an entry
+// that is behind it, or a leader that is behind the entry, renews nothing.
+func (e *Entry) applyLeases(sent time.Duration, r *wirepb.SyncResponse) {
+	y := lease.Sync{SentAt: sent, Term: r.GetLeaderTerm(), Full: r.GetLiveFull(), Gone: r.GetGone()}
+	if e.cfg.Version() == r.GetVersion() {
+		y.ConfigLease = time.Duration(r.GetConfigLeaseMs()) * time.Millisecond
 	}
 	for _, s := range r.GetLive() {
-		e.leases.listed(s.GetServer(), sent, time.Duration(s.GetLeaseMs())*time.Millisecond)
+		y.Live = append(y.Live, lease.LiveServer{Name: s.GetServer(), Lease: time.Duration(s.GetLeaseMs()) * time.Millisecond})
+	}
+	if e.serving.Synced(y, e.now()) {
+		e.liveNumber = r.GetLiveNumber()
 	}
-	e.liveNumber = r.GetLiveNumber()
 }
 
 func (e *Entry) applyGrant(r *wirepb.SyncResponse) {
@@ -209,7 +200,9 @@
 func (e *Entry) Announce(ctx context.Context, r *wirepb.AnnounceRequest) (*wirepb.AnnounceResponse, error) {
 	if r.GetLeaving() {
 		e.mu.Lock()
-		e.leases.end(r.GetServer().GetName(), e.now())
+		if name := r.GetServer().GetName(); e.cfg.Server(name) != nil {
+			e.serving.Revoke(name, e.now())
+		}
 		e.refresh(e.now())
 		e.mu.Unlock()
 	}
--- a/process/service/entry.go
+++ b/process/service/entry.go
@@ -54,11 +54,26 @@
 		CheckKey:            checkKey,
 		MaxQueuedPerCaller:  s.QueuePerCaller,
 		MaxQueuedPerService: s.QueuePerService,
+		ShortSlotsPercent:   s.ShortWorkPercent,
+		DefaultDeadline:     s.DefaultDeadline,
+		RetryPercent:        orNone(s.RetryBudgetPercent),
+		MaxBodyBytes:        int64(s.BodyBytes),
+		AnswerTimeout:       s.AnswerTimeout,
+		HealthGrace:         orNone(s.HealthGrace),
 		ShutdownTimeout:     s.Timeouts.Shutdown,
 		Log:                 e.Logger,
 	}
 }
 
+// orNone maps a setting of zero to the negative value that an option takes for
+// "none", as its zero value stands for the default.
+func orNone[T int | time.Duration](v T) T {
+	if v == 0 {
+		return -1
+	}
+	return v
+}
+
 // checkKey checks a header and returns the key in its text form.
 func checkKey(header string) (string, error) {
 	k, err := key.Parse(header)
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -76,11 +76,14 @@
 		{"timeouts", "request", "10s", false, both, "Timeout of one HTTP exchange with an operator or a backend server's announcement.", "use a duration from 100ms to 5m, such as 10s", duration("100ms", "5m")},
 		{"timeouts", "idle", "60s", false, both, "Time after which an idle HTTP connection is closed.", "use a duration from 1s to 1h, such as 60s", duration("1s", "1h")},
 		{"timeouts", "shutdown", "30s", false, both, "Time that a graceful shutdown may take.", "use a duration from 1s to 1h, such as 30s", duration("1s", "1h")},
+		{"timeouts", "answer", "10m", false, EntryProgram, "Longest time that one attempt at a backend server may take, until the end of its answer.", "use a duration from 1s to 24h, such as 10m", duration("1s", "24h")},
+		{"timeouts", "health_grace", "3s", false, EntryProgram, "Time for which the health check fails before the callers' listener closes at a shutdown, so that the balancer redirects callers first.", "use a duration from 0s to 5m, such as 3s", duration("0s", "5m")},
+		{"queue", "body_bytes", "1048576", false, EntryProgram, "Largest body of a non-idempotent request, which is held in memory.", "use 1 to 67108864", integer(1, 64<<20)},
 		{"queue", "per_caller", "64", false, EntryProgram, "Most requests that wait for one caller and service.", "use 1 to 65536", integer(1, 65536)},
 		{"queue", "per_service", "4096", false, EntryProgram, "Most requests that wait for one service.", "use 1 to 1048576, and at least per_caller", integer(1, 1048576)},
-		{"queue", "short_work_percent", "25", false, EntryProgram, "Share of slots kept for short work where the pool declares none. Without effect so far: the entry takes the pool's share only.", "use 0 to 90", integer(0, 90)},
-		{"queue", "default_deadline", "30s", false, EntryProgram, "Deadline of a request where neither the request nor the pool has one. Without effect so far: such a request has no deadline.", "use a duration from 10ms to 1h, such as 30s", duration("10ms", "1h")},
-		{"retry", "budget_percent", "10", false, EntryProgram, "Retries as a share of requests. Without effect so far: the entry's budget is fixed at 10.", "use 0 to 100", integer(0, 100)},
+		{"queue", "short_work_percent", "25", false, EntryProgram, "Share of slots kept for short work where the pool declares none.", "use 0 to 90", integer(0, 90)},
+		{"queue", "default_deadline", "30s", false, EntryProgram, "Deadline of a request where neither the request nor the pool has one. Requests of a pool that may wait get none; they stay queued for up to a day.", "use a duration from 10ms to 1h, such as 30s", duration("10ms", "1h")},
+		{"retry", "budget_percent", "10", false, EntryProgram, "Retries as a share of requests.", "use 0 to 100", integer(0, 100)},
 	}
 }
 
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -75,6 +75,9 @@
 		ShortWorkPercent:      get[int](v, "queue", "short_work_percent"),
 		RetryBudgetPercent:    get[int](v, "retry", "budget_percent"),
 		DefaultDeadline:       get[time.Duration](v, "queue", "default_deadline"),
+		AnswerTimeout:         get[time.Duration](v, "timeouts", "answer"),
+		HealthGrace:           get[time.Duration](v, "timeouts", "health_grace"),
+		BodyBytes:             get[int](v, "queue", "body_bytes"),
 	}
 	v.checkListeners("peers", "callers", "announcements", "observe")
 	if len(e.Peers) == 0 {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -82,6 +82,9 @@
 	ShortWorkPercent      int // default share of slots kept for short work
 	RetryBudgetPercent    int // retries as a share of requests
 	DefaultDeadline       time.Duration
+	AnswerTimeout         time.Duration // one attempt at a backend server
+	HealthGrace           time.Duration // the health check fails this long before the listener closes
+	BodyBytes             int           // largest body of a non-idempotent request
 }
 
 // Client holds the settings of the command-line tool.
--- a/request/retry/retry.go
+++ b/request/retry/retry.go
@@ -6,9 +6,8 @@
 import "time"
 
 const (
-	// tokensPerRequest is a tenth of a retry: the budget is 10% of requests.
-	tokensPerRequest = 1
-	tokensPerRetry   = 10
+	// tokensPerRetry makes the tokens of one request equal to the budget's percentage.
+	tokensPerRetry = 100
 	// maxTokens bounds a burst of retries after a long time without failures.
 	maxTokens = 20 * tokensPerRetry
 	// idleReset discards credit earned by traffic that has ended.
@@ -18,17 +17,21 @@
 )
 
 // Budget is a token bucket filled by requests and emptied by retries. It is
-// not safe for concurrent use.
+// not safe for concurrent use. The zero value allows no retries.
 type Budget struct {
-	tokens int
-	last   time.Duration
+	percent int
+	tokens  int
+	last    time.Duration
 }
 
+// NewBudget returns a budget for retries as a percentage of requests.
+func NewBudget(percent int) Budget { return Budget{percent: max(0, percent)} }
+
 // Request records the arrival of a request.
 func (b *Budget) Request(now time.Duration) {
 	b.expire(now)
 	b.last = now
-	b.tokens = min(b.tokens+tokensPerRequest, maxTokens)
+	b.tokens = min(b.tokens+b.percent, maxTokens)
 }
 
 // Take reports whether the budget allows one retry, and if so charges it.
--- a/request/retry/retry_test.go
+++ b/request/retry/retry_test.go
@@ -8,25 +8,28 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against retries that multiply load during an outage.
-func TestBudgetAllowsATenth(t *testing.T) {
+// Guards against retries that multiply load during an outage, and against a
+// configured share that has no effect.
+func TestBudgetAllowsItsShare(t *testing.T) {
 	is := is.New(t)
-	var b Budget
-	retries := 0
-	for i := range 1000 {
-		now := time.Duration(i) * time.Millisecond
-		b.Request(now)
-		if b.Take(now) {
-			retries++
+	for percent, want := range map[int]int{0: 0, 10: 100, 25: 250} {
+		b := NewBudget(percent)
+		retries := 0
+		for i := range 1000 {
+			now := time.Duration(i) * time.Millisecond
+			b.Request(now)
+			if b.Take(now) {
+				retries++
+			}
 		}
+		is.Equal(retries, want)
 	}
-	is.Equal(retries, 100)
 }
 
 // Guards against credit of earlier traffic that allows a burst of retries later.
 func TestBudgetExpires(t *testing.T) {
 	is := is.New(t)
-	var b Budget
+	b := NewBudget(10)
 	for range 1000 {
 		b.Request(0)
 	}
