Bound what slow callers hold: slots, memory, connections and time

A caller that read its answer slowly held a slot of a backend server until the last byte, large or chunked bodies were read while a slot was held, and neither memory nor connections of all callers together were bounded.

Bodies up to 64 KiB are read before a request is queued, answers are read up to 256 KiB ahead of the caller, and read and write deadlines grow with progress. Bytes and open requests come from pools of which half is divided evenly among the services, so one service's callers cannot take all of them.

--- a/process/embedded/embedded.go
+++ b/process/embedded/embedded.go
@@ -210,6 +210,8 @@
 		AnswerTimeout:         10 * time.Minute,
 		HealthGrace:           3 * time.Second,
 		BodyBytes:             1 << 20,
+		MemoryBytes:           64 << 20,
+		Connections:           4096,
 	}
 }
 
--- /dev/null
+++ b/process/entry/body.go
@@ -0,0 +1,149 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"marjoramtiller.example/marjoramtiller/request/outcome"
+)
+
+const (
+	// resendLimit is the greatest body of an idempotent request that is held in
+	// memory, so that it is read before a slot is taken and can be sent again. Of
+	// a larger one this much is read before, and the rest streams.
+	resendLimit = 64 << 10
+	// answerAhead is how much of an answer is read ahead of its caller.
+	answerAhead = 256 << 10
+)
+
+// take counts bytes that are held for a request until giveAll.
+func (e *Entry) take(c *call, n int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.memory.Take(c.service, n) {
+		return false
+	}
+	c.held += n
+	return true
+}
+
+// endCall returns what a request has taken of the bounds of its service.
+func (e *Entry) endCall(c *call) {
+	e.give(c, c.held)
+	if c.opened {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.open.Give(c.service, 1)
+	}
+}
+
+func (e *Entry) give(c *call, n int64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.memory.Give(c.service, n)
+	c.held -= n
+}
+
+// readBody reads up to limit bytes of the body into memory. whole tells whether
+// that is all of it.
+func (e *Entry) readBody(r *http.Request, c *call, limit int64) (whole bool, oerr *outcome.Error) {
+	if r.ContentLength == 0 {
+		return true, nil
+	}
+	// One byte more than the limit tells whether the body ends at the limit.
+	want := limit + 1
+	if r.ContentLength > 0 {
+		want = min(want, r.ContentLength)
+	}
+	if !e.take(c, want) {
+		return false, outcome.New(outcome.CauseUnavailable, "the memory for the service's requests is full").After(unavailableRetry)
+	}
+	b, err := readAtMost(r.Body, want)
+	if err != nil {
+		return false, bodyError(err)
+	}
+	c.body = b
+	e.give(c, max(0, want-int64(cap(b))))
+	return int64(len(b)) <= limit, nil
+}
+
+// readAtMost reads up to n bytes. It does not allocate for bytes that have not
+// come, but for up to as many again as have.
+func readAtMost(r io.Reader, n int64) ([]byte, error) {
+	var buf bytes.Buffer
+	if _, err := io.Copy(&buf, io.LimitReader(r, n)); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+func bodyError(err error) *outcome.Error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errSlowBody
+	} else {
+		err = errors.New("the body could not be read")
+	}
+	return outcome.New(outcome.CauseInvalidRequest, err.Error())
+}
+
+func (e *Entry) readIdempotent(r *http.Request, c *call) *outcome.Error {
+	whole, oerr := e.readBody(r, c, resendLimit)
+	if oerr != nil || whole {
+		return oerr
+	}
+	if b, ok := r.Body.(*pacedBody); ok {
+		b.pace = b.pace.hasten() // the rest is read while a slot is held
+	}
+	c.stream = &countReader{r: io.MultiReader(bytes.NewReader(c.body), r.Body)}
+	c.body = nil
+	return nil
+}
+
+// readNonIdempotent checks the key and holds the body in memory, as the
+// fingerprint covers the whole body and is needed before the request may run.
+func (e *Entry) readNonIdempotent(r *http.Request, c *call) *outcome.Error {
+	raw := r.Header.Values(keyHeader)
+	if len(raw) != 1 {
+		return outcome.New(outcome.CauseInvalidKey, "send exactly one "+keyHeader+" header")
+	}
+	key, err := e.o.CheckKey(raw[0])
+	if err != nil {
+		return outcome.New(outcome.CauseInvalidKey, err.Error())
+	}
+	tooLarge := outcome.New(outcome.CauseBodyTooLarge, "the limit is "+strconv.FormatInt(e.o.MaxBodyBytes, 10)+" bytes")
+	if r.ContentLength > e.o.MaxBodyBytes {
+		return tooLarge
+	}
+	whole, oerr := e.readBody(r, c, e.o.MaxBodyBytes)
+	if oerr != nil {
+		return oerr
+	}
+	if !whole {
+		return tooLarge
+	}
+	c.record = &record{
+		key:         key,
+		fingerprint: fingerprint(c.service, r.Method, c.path+"?"+c.query, c.body),
+		service:     c.service,
+		attempt:     e.attempt.Add(1),
+	}
+	return nil
+}
+
+// readAhead takes memory for the part of an answer that is read ahead of its
+// caller. Without memory the answer is passed on as the caller takes it.
+func (e *Entry) readAhead(c *call, length int64) int {
+	n := int64(answerAhead)
+	if length >= 0 {
+		n = min(n, length)
+	}
+	if !e.take(c, n) {
+		return 0
+	}
+	return int(n)
+}
--- a/process/entry/carry.go
+++ b/process/entry/carry.go
@@ -15,7 +15,7 @@
 
 // carry takes a request through its slot, its record, the backend server and
 // back. It returns nil if the caller has an answer.
-func (e *Entry) carry(w http.ResponseWriter, r *http.Request, c *call) *outcome.Error {
+func (e *Entry) carry(w *callerWriter, r *http.Request, c *call) *outcome.Error {
 	ctx := r.Context()
 	e.mu.Lock()
 	e.budget.Request(c.arrived)
@@ -183,16 +183,26 @@
 
 // answer passes a response on. If it turns out to be incomplete after its
 // head was sent, the caller's connection is aborted.
-func (e *Entry) answer(w http.ResponseWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
+func (e *Entry) answer(w *callerWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
 	if c.record != nil {
 		return e.answerRecorded(w, c, s, resp)
 	}
-	err := resp.CopyTo(w, nil)
-	e.release(s, err == nil)
+	e.relay(w, c, s, resp, nil)
+	return nil
+}
+
+// relay passes a response on. The slot is free as soon as the backend server's
+// answer was read to its end, however slowly the caller takes it; while the
+// slot is held, the caller has to be faster.
+func (e *Entry) relay(w *callerWriter, c *call, s slot, resp *forward.Response, prefix []byte) {
+	w.usePace(e.newPace().hasten())
+	err := resp.Relay(w, prefix, e.readAhead(c, resp.ContentLength), func(err error) {
+		w.usePace(e.newPace())
+		e.release(s, err == nil)
+	})
 	if err != nil {
 		e.abortCaller(c)
 	}
-	return nil
 }
 
 // noteAnswer renews the lease of a server that has answered a request sent at
@@ -210,7 +220,7 @@
 // answerRecorded records the answer before the caller gets it. An answer that
 // is too large to record is recorded by its head once that many bytes of it
 // have come, and streams from there.
-func (e *Entry) answerRecorded(w http.ResponseWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
+func (e *Entry) answerRecorded(w *callerWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRecordedBody+1))
 	if err != nil || (resp.ContentLength >= 0 && resp.ContentLength <= maxRecordedBody && int64(len(body)) != resp.ContentLength) {
 		_ = resp.Body.Close()
@@ -223,11 +233,7 @@
 	}
 	if len(body) > maxRecordedBody {
 		e.finish(c.record, answerOf(resp, nil, true), false)
-		err = resp.CopyTo(w, body)
-		e.release(s, err == nil)
-		if err != nil {
-			e.abortCaller(c)
-		}
+		e.relay(w, c, s, resp, body)
 		return nil
 	}
 	_ = resp.Body.Close()
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -48,6 +48,8 @@
 			Deferrable:        p.GetMayWait(),
 		})
 	}
+	e.memory.SetServices(len(e.pools))
+	e.open.SetServices(len(e.pools))
 }
 
 // refresh brings the queue core's servers in line with configuration, leases
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"marjoramtiller.example/marjoramtiller/connection/lease"
+	"marjoramtiller.example/marjoramtiller/request/memory"
 	"marjoramtiller.example/marjoramtiller/request/queue"
 	"marjoramtiller.example/marjoramtiller/request/retry"
 	"marjoramtiller.example/marjoramtiller/version/fleet"
@@ -29,6 +30,10 @@
 	defaultMaxHeaderBytes = 32 << 10
 	defaultFinishWait     = 2 * time.Second
 	defaultRetryPercent   = 10
+	defaultMaxConnections = 8192
+	defaultMemoryBytes    = 256 << 20
+	defaultCallerGrace    = 10 * time.Second
+	defaultCallerRate     = 8 << 10
 	defaultBeginWait      = 3 * time.Second
 	readHeaderTimeout     = 10 * time.Second
 	callerIdleTimeout     = 60 * time.Second
@@ -59,6 +64,10 @@
 	RetryPercent        int           // retries as a share of requests; 0: 10, negative: none
 	MaxBodyBytes        int64         // of a non-idempotent request, which is held in memory
 	MaxHeaderBytes      int
+	MaxConnections      int           // of callers, at once
+	MemoryBytes         int64         // held for all callers together
+	CallerGrace         time.Duration // a caller may keep the entry waiting this long, and longer with each byte
+	CallerRate          int64         // bytes per second that a caller must sustain
 	AnswerTimeout       time.Duration // bounds one attempt at a backend server
 	BeginWait           time.Duration // bounds the wait for a Begin
 	FinishWait          time.Duration // bounds how long an answer waits for its record
@@ -86,6 +95,8 @@
 	mu           sync.Mutex
 	core         *queue.Core
 	budget       retry.Budget
+	memory       *memory.Pool // bytes
+	open         *memory.Pool // requests being handled, of MaxConnections
 	cfg          *fleet.Copy
 	configured   bool                     // a delta was applied
 	pools        map[string]*fleetpb.Pool // by service
@@ -118,6 +129,8 @@
 		started:      time.Now(),
 		core:         queue.New(),
 		budget:       retry.NewBudget(o.RetryPercent),
+		memory:       memory.New(o.MemoryBytes),
+		open:         memory.New(int64(o.MaxConnections)),
 		cfg:          fleet.NewCopy(),
 		pools:        make(map[string]*fleetpb.Pool),
 		serving:      lease.NewServing(),
@@ -143,6 +156,18 @@
 	if o.MaxHeaderBytes <= 0 {
 		o.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
+	if o.MaxConnections <= 0 {
+		o.MaxConnections = defaultMaxConnections
+	}
+	if o.MemoryBytes <= 0 {
+		o.MemoryBytes = defaultMemoryBytes
+	}
+	if o.CallerGrace <= 0 {
+		o.CallerGrace = defaultCallerGrace
+	}
+	if o.CallerRate <= 0 {
+		o.CallerRate = defaultCallerRate
+	}
 	if o.AnswerTimeout <= 0 {
 		o.AnswerTimeout = defaultAnswerTimeout
 	}
@@ -191,7 +216,7 @@
 	running.Go(func() { e.sweepLoop(loops) })
 	running.Go(func() { e.bootLoop(loops) })
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(l) }()
+	go func() { served <- srv.Serve(limitConnections(l, e.o.MaxConnections)) }()
 	e.o.Log.Info().Str("address", l.Addr().String()).Msg("serving callers")
 
 	var err error
@@ -289,6 +314,11 @@
 	if err := e.core.Check(); err != nil {
 		e.violated("queue", err)
 	}
+	for _, p := range []*memory.Pool{e.memory, e.open} {
+		if err := p.Check(); err != nil {
+			e.violated("memory", err)
+		}
+	}
 	if err := e.serving.Broken(); err != nil {
 		e.violated("lease", err)
 	}
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -50,20 +49,13 @@
 	return a
 }
 
-func backend(t *testing.T, h http.HandlerFunc) string {
-	t.Helper()
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	return s.Listener.Addr().String()
-}
-
 // Guards against a second run of a key, and against a replay that differs
 // from the first answer.
 func TestKeyRunsOnce(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int32
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(w http.ResponseWriter, r *http.Request) {
+	f.control.add("b1", server(t, func(w http.ResponseWriter, r *http.Request) {
 		runs.Add(1)
 		b, _ := io.ReadAll(r.Body)
 		w.Header().Set("X-Run", "1")
@@ -90,7 +82,7 @@
 	is := is.New(t)
 	var runs atomic.Int32
 	f := start(t, func(o *Options) { o.MaxBodyBytes = 10 })
-	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
 	f.serving(4)
 	for _, c := range []struct {
 		path, key, body string
@@ -115,7 +107,7 @@
 	is := is.New(t)
 	var runs atomic.Int32
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+	f.control.add("b1", server(t, func(w http.ResponseWriter, _ *http.Request) {
 		runs.Add(1)
 		w.Header().Set("Content-Length", "10")
 		_, _ = io.WriteString(w, "half")
@@ -151,7 +143,7 @@
 	f.until("the record is withdrawn", func() bool {
 		return f.control.has("key-1", ledgerpb.RecordState_RECORD_STATE_UNSPECIFIED)
 	})
-	f.control.add("b-live", backend(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
+	f.control.add("b-live", server(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") }))
 	f.until("the live server is used", func() bool {
 		for _, s := range f.entry.Dump().(State).Servers {
 			if s.Server == "b-live" && s.ServerStats.Slots == 4 {
@@ -172,7 +164,7 @@
 	is := is.New(t)
 	var runs atomic.Int32
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
 	f.serving(4)
 	f.control.set(func() { f.control.noLedger = true })
 	a := f.send("POST", "/s/ledger/x", "key-1", "")
@@ -188,7 +180,7 @@
 func TestAnswerWithoutLedger(t *testing.T) {
 	is := is.New(t)
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+	f.control.add("b1", server(t, func(w http.ResponseWriter, _ *http.Request) {
 		f.control.set(func() { f.control.noLedger = true })
 		_, _ = io.WriteString(w, "done")
 	}))
@@ -210,7 +202,7 @@
 	// The lease is set before the first sync: a sync that gets the usual 12 s
 	// would keep the health check up for that long.
 	f := start(t, func(o *Options) { o.Control.(*fakeControl).leaseMs = 300 })
-	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) {}))
+	f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) {}))
 	f.serving(4)
 	is.Equal(f.send("GET", "/healthz", "", "").status, 200)
 	f.control.set(func() { f.control.cut = true })
@@ -226,7 +218,7 @@
 	is := is.New(t)
 	enter, leave := make(chan struct{}), make(chan struct{})
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) {
+	f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) {
 		close(enter)
 		<-leave
 	}))
@@ -255,7 +247,7 @@
 	is := is.New(t)
 	enter, leave := make(chan struct{}), make(chan struct{})
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+	f.control.add("b1", server(t, func(w http.ResponseWriter, _ *http.Request) {
 		close(enter)
 		<-leave
 		_, _ = io.WriteString(w, "whole")
@@ -292,7 +284,7 @@
 	is := is.New(t)
 	large := strings.Repeat("z", 100<<10)
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }))
+	f.control.add("b1", server(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, large) }))
 	f.serving(4)
 	a := f.send("POST", "/s/ledger/x", "key-1", "")
 	is.Equal(a.status, 200)
@@ -308,7 +300,7 @@
 	is := is.New(t)
 	f := start(t, nil)
 	var runs atomic.Int32
-	f.control.add("b1", backend(t, func(w http.ResponseWriter, _ *http.Request) {
+	f.control.add("b1", server(t, func(w http.ResponseWriter, _ *http.Request) {
 		f.control.set(func() { f.control.cut = true }) // no sync restores it
 		runs.Add(1)
 		w.Header().Set("Connection", "close")
--- a/process/entry/fake_test.go
+++ b/process/entry/fake_test.go
@@ -26,6 +26,7 @@
 	servers  map[string]*fleetpb.BackendServer
 	hosts    map[string]fleetpb.HostState
 	pool     *fleetpb.Pool
+	more     []*fleetpb.Pool
 	leaseMs  uint32
 	records  map[string]*ledgerpb.Record
 	requests []*wirepb.SyncRequest
@@ -53,6 +54,12 @@
 	change()
 }
 
+func (f *fakeControl) current() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version
+}
+
 func (f *fakeControl) Sync(ctx context.Context, r *wirepb.SyncRequest) (*wirepb.SyncResponse, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -61,7 +68,7 @@
 	}
 	f.requests = append(f.requests, r)
 	d := &fleetpb.Delta{ToVersion: f.version, Full: true}
-	d.Pools = []*fleetpb.Pool{f.pool}
+	d.Pools = append([]*fleetpb.Pool{f.pool}, f.more...)
 	out := &wirepb.SyncResponse{LeaderTerm: 1, Version: f.version, Delta: d, ConfigLeaseMs: f.leaseMs, LiveFull: true, Grant: f.version}
 	for name, s := range f.servers {
 		d.Hosts = append(d.Hosts, &fleetpb.Host{Name: s.Host, Pool: "p", State: f.hosts[s.Host]})
@@ -207,6 +214,6 @@
 	f.t.Helper()
 	f.until("slots", func() bool {
 		s := f.entry.Dump().(State).Services
-		return len(s) == 1 && s[0].Slots == slots
+		return len(s) > 0 && s[0].Slots == slots
 	})
 }
--- a/process/entry/handler.go
+++ b/process/entry/handler.go
@@ -43,10 +43,6 @@
 // defaultQueueTime bounds the wait of a request without a deadline.
 const defaultQueueTime = time.Minute
 
-// resendLimit is the greatest body of an idempotent request that is held in
-// memory so that the request can be sent again; a larger one streams.
-const resendLimit = 64 << 10
-
 // call is one caller's request.
 type call struct {
 	service    string
@@ -60,19 +56,24 @@
 	stream     *countReader // when streamed
 	record     *record      // non-idempotent only
 	attempts   int
-	mayHaveRun bool // an attempt was written
+	mayHaveRun bool  // an attempt was written
+	held       int64 // bytes of memory
+	opened     bool  // counted as an open request
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	e.handling.Add(1)
 	defer e.handling.Done()
+	cw := e.paceAnswer(w)
+	w = cw
+	defer e.paceBody(cw.ResponseWriter, r)()
 	switch {
 	case r.URL.Path == healthPath:
 		e.serveHealth(w)
 	case strings.HasPrefix(r.URL.Path, outcomesPath) && r.Method == http.MethodGet:
 		e.serveOutcome(w, r)
 	default:
-		e.serveRequest(w, r)
+		e.serveRequest(cw, r)
 	}
 }
 
@@ -127,11 +128,12 @@
 	_ = json.NewEncoder(w).Encode(finishedOutcome{Key: key, Outcome: "finished", Status: res.GetAnswer().GetStatus(), BodyOmitted: res.GetAnswer().GetBodyOmitted()})
 }
 
-func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) serveRequest(w *callerWriter, r *http.Request) {
 	c, oerr := e.parse(r)
 	service := ""
 	if c != nil {
 		service = c.service
+		defer e.endCall(c)
 	}
 	if oerr == nil {
 		oerr = e.carry(w, r, c)
@@ -154,6 +156,7 @@
 	now := e.now()
 	valid := e.mayServe(now)
 	pool := e.pools[service]
+	opened := valid && pool != nil && e.open.Take(service, 1)
 	e.mu.Unlock()
 	if !valid {
 		var c *call
@@ -165,13 +168,16 @@
 	if pool == nil {
 		return nil, outcome.New(outcome.CauseUnknownService, "neither the Host header nor the path names a configured service")
 	}
-	c := &call{service: service, path: path, query: r.URL.RawQuery, idempotent: outcome.Idempotent(r.Method), arrived: now}
+	if !opened {
+		return &call{service: service}, outcome.New(outcome.CauseQueueFull, "too many of the service's requests are open").After(unavailableRetry)
+	}
+	c := &call{service: service, opened: true, path: path, query: r.URL.RawQuery, idempotent: outcome.Idempotent(r.Method), arrived: now}
 	if err := c.setDeadline(r.Header.Get(deadlineHeader), e.defaultDeadline(pool)); err != nil {
 		return c, err
 	}
 	c.req = queue.Request{Service: service, Caller: callerOf(r), Route: routeOf(r.Method, path), Deadline: c.queueDeadline(pool.GetMayWait())}
 	if c.idempotent {
-		return c, c.readIdempotent(r)
+		return c, e.readIdempotent(r, c)
 	}
 	return c, e.readNonIdempotent(r, c)
 }
@@ -233,52 +239,6 @@
 	return c.arrived + defaultQueueTime
 }
 
-func (c *call) readIdempotent(r *http.Request) *outcome.Error {
-	switch {
-	case r.ContentLength == 0:
-	case r.ContentLength > 0 && r.ContentLength <= resendLimit:
-		b, err := io.ReadAll(r.Body)
-		if err != nil {
-			return outcome.New(outcome.CauseInvalidRequest, "the body could not be read")
-		}
-		c.body = b
-	default:
-		c.stream = &countReader{r: r.Body}
-	}
-	return nil
-}
-
-// readNonIdempotent checks the key and holds the body in memory, as the
-// fingerprint covers the whole body and is needed before the request may run.
-func (e *Entry) readNonIdempotent(r *http.Request, c *call) *outcome.Error {
-	raw := r.Header.Values(keyHeader)
-	if len(raw) != 1 {
-		return outcome.New(outcome.CauseInvalidKey, "send exactly one "+keyHeader+" header")
-	}
-	key, err := e.o.CheckKey(raw[0])
-	if err != nil {
-		return outcome.New(outcome.CauseInvalidKey, err.Error())
-	}
-	tooLarge := outcome.New(outcome.CauseBodyTooLarge, "the limit is "+strconv.FormatInt(e.o.MaxBodyBytes, 10)+" bytes")
-	if r.ContentLength > e.o.MaxBodyBytes {
-		return tooLarge
-	}
-	c.body, err = io.ReadAll(io.LimitReader(r.Body, e.o.MaxBodyBytes+1))
-	if err != nil {
-		return outcome.New(outcome.CauseInvalidRequest, "the body could not be read")
-	}
-	if int64(len(c.body)) > e.o.MaxBodyBytes {
-		return tooLarge
-	}
-	c.record = &record{
-		key:         key,
-		fingerprint: fingerprint(c.service, r.Method, c.path+"?"+c.query, c.body),
-		service:     c.service,
-		attempt:     e.attempt.Add(1),
-	}
-	return nil
-}
-
 // fingerprint hashes the parts with their lengths, so that no two requests
 // have the same sequence of bytes.
 func fingerprint(service, method, path string, body []byte) []byte {
--- a/process/entry/options_test.go
+++ b/process/entry/options_test.go
@@ -28,7 +28,7 @@
 			o.ShortSlotsPercent = 75
 			o.Control.(*fakeControl).pool.ShortSlotsPercent = c.pool
 		})
-		f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) { <-leave }))
+		f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) { <-leave }))
 		f.serving(4)
 		done := make(chan answer, 4)
 		for range 4 {
@@ -53,7 +53,7 @@
 	for percent, want := range map[int]uint64{-1: 0, 100: 1} {
 		first := true
 		f := start(t, func(o *Options) { o.RetryPercent = percent })
-		f.control.add("b1", backend(t, func(http.ResponseWriter, *http.Request) {
+		f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) {
 			if first {
 				first = false
 				panic(http.ErrAbortHandler)
--- a/process/entry/totals_test.go
+++ b/process/entry/totals_test.go
@@ -26,7 +26,7 @@
 func TestTotalsAreReported(t *testing.T) {
 	is := is.New(t)
 	f := start(t, nil)
-	f.control.add("b1", backend(t, func(_ http.ResponseWriter, r *http.Request) {
+	f.control.add("b1", server(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/cut" {
 			panic(http.ErrAbortHandler)
 		}
--- a/process/service/entry.go
+++ b/process/service/entry.go
@@ -58,6 +58,8 @@
 		DefaultDeadline:     s.DefaultDeadline,
 		RetryPercent:        orNone(s.RetryBudgetPercent),
 		MaxBodyBytes:        int64(s.BodyBytes),
+		MemoryBytes:         int64(s.MemoryBytes),
+		MaxConnections:      s.Connections,
 		AnswerTimeout:       s.AnswerTimeout,
 		HealthGrace:         orNone(s.HealthGrace),
 		ShutdownTimeout:     s.Timeouts.Shutdown,
--- a/process/service/entry_test.go
+++ b/process/service/entry_test.go
@@ -16,7 +16,7 @@
 	is := is.New(t)
 	s := &settings.Entry{
 		LedgerGroups: 1, QueuePerCaller: 1, QueuePerService: 2, ShortWorkPercent: 3, RetryBudgetPercent: 4,
-		DefaultDeadline: 5 * time.Second, AnswerTimeout: 6 * time.Second, HealthGrace: 7 * time.Second, BodyBytes: 8,
+		DefaultDeadline: 5 * time.Second, AnswerTimeout: 6 * time.Second, HealthGrace: 7 * time.Second, BodyBytes: 8, MemoryBytes: 10, Connections: 11,
 		Timeouts: settings.Timeouts{Shutdown: 9 * time.Second},
 	}
 	o := entryOptions(s, daemon.Environment{}, "boot", nil)
@@ -28,6 +28,8 @@
 	is.Equal(o.AnswerTimeout, 6*time.Second)
 	is.Equal(o.HealthGrace, 7*time.Second)
 	is.Equal(o.MaxBodyBytes, int64(8))
+	is.Equal(o.MemoryBytes, int64(10))
+	is.Equal(o.MaxConnections, 11)
 	is.Equal(o.ShutdownTimeout, 9*time.Second)
 	s.RetryBudgetPercent, s.HealthGrace = 0, 0
 	o = entryOptions(s, daemon.Environment{}, "boot", nil)
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -79,6 +79,8 @@
 		{"timeouts", "answer", "10m", false, EntryProgram, "Longest time that one attempt at a backend server may take, until the end of its answer.", "use a duration from 1s to 24h, such as 10m", duration("1s", "24h")},
 		{"timeouts", "health_grace", "3s", false, EntryProgram, "Time for which the health check fails before the callers' listener closes at a shutdown, so that the balancer redirects callers first.", "use a duration from 0s to 5m, such as 3s", duration("0s", "5m")},
 		{"queue", "body_bytes", "1048576", false, EntryProgram, "Largest body of a non-idempotent request, which is held in memory.", "use 1 to 67108864", integer(1, 64<<20)},
+		{"queue", "memory_bytes", "268435456", false, EntryProgram, "Memory for bodies and answers of all callers together. Half of it is divided evenly among the services.", "use 1048576 to 17179869184", integer(1<<20, 16<<30)},
+		{"queue", "connections", "8192", false, EntryProgram, "Most callers' connections at once; further ones are closed at once.", "use 1 to 1048576", integer(1, 1048576)},
 		{"queue", "per_caller", "64", false, EntryProgram, "Most requests that wait for one caller and service.", "use 1 to 65536", integer(1, 65536)},
 		{"queue", "per_service", "4096", false, EntryProgram, "Most requests that wait for one service.", "use 1 to 1048576, and at least per_caller", integer(1, 1048576)},
 		{"queue", "short_work_percent", "25", false, EntryProgram, "Share of slots kept for short work where the pool declares none.", "use 0 to 90", integer(0, 90)},
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -77,6 +77,8 @@
 		DefaultDeadline:       get[time.Duration](v, "queue", "default_deadline"),
 		AnswerTimeout:         get[time.Duration](v, "timeouts", "answer"),
 		HealthGrace:           get[time.Duration](v, "timeouts", "health_grace"),
+		MemoryBytes:           get[int](v, "queue", "memory_bytes"),
+		Connections:           get[int](v, "queue", "connections"),
 		BodyBytes:             get[int](v, "queue", "body_bytes"),
 	}
 	v.checkListeners("peers", "callers", "announcements", "observe")
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -84,6 +84,8 @@
 	DefaultDeadline       time.Duration
 	AnswerTimeout         time.Duration // one attempt at a backend server
 	HealthGrace           time.Duration // the health check fails this long before the listener closes
+	MemoryBytes           int           // held for all callers together
+	Connections           int           // of callers, at once
 	BodyBytes             int           // largest body of a non-idempotent request
 }
 
--- a/request/forward/forward.go
+++ b/request/forward/forward.go
@@ -317,11 +317,7 @@
 // rather than a short answer. prefix is a part of the body read before.
 func (r *Response) CopyTo(w http.ResponseWriter, prefix []byte) error {
 	defer r.Body.Close()
-	h := w.Header()
-	for name, values := range r.Header {
-		h[name] = values
-	}
-	w.WriteHeader(r.Status)
+	r.head(w)
 	total := int64(len(prefix))
 	if _, err := w.Write(prefix); err != nil && len(prefix) > 0 {
 		return errors.Wrap(err, "write to the caller")
--- a/request/forward/forward_test.go
+++ b/request/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -169,33 +170,45 @@
 		"short content length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
 		"cut chunk":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
 	} {
-		t.Run(name, func(t *testing.T) {
-			is := is.New(t)
-			addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
-				_, _ = http.ReadRequest(r)
-				reply(c, answer)
+		for _, ahead := range []int{0, copyBytes} {
+			truncated(t, fmt.Sprintf("%s, %d read ahead", name, ahead), answer, ahead)
+		}
+	}
+}
+
+func truncated(t *testing.T, name, answer string, ahead int) {
+	t.Run(name, func(t *testing.T) {
+		is := is.New(t)
+		addr := serve(t, func(_ int, c net.Conn, r *bufio.Reader) {
+			_, _ = http.ReadRequest(r)
+			reply(c, answer)
+		})
+		tg := target(t, addr)
+		front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			resp, f := tg.Do(r.Context(), Request{Method: "GET", Path: "/", Host: "h", Allowed: always})
+			if f != nil {
+				t.Error(f)
+				return
+			}
+			calls := 0
+			err := resp.Relay(w, nil, ahead, func(err error) {
+				calls++
+				is.True(err != nil)
 			})
-			tg := target(t, addr)
-			front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				resp, f := tg.Do(r.Context(), Request{Method: "GET", Path: "/", Host: "h", Allowed: always})
-				if f != nil {
-					t.Error(f)
-					return
-				}
-				if err := resp.CopyTo(w, nil); err != nil {
-					panic(http.ErrAbortHandler)
-				}
-			}))
-			defer front.Close()
-			resp, err := front.Client().Get(front.URL)
+			is.Equal(calls, 1)
 			if err != nil {
-				return // the caller sees a broken connection
+				panic(http.ErrAbortHandler)
 			}
-			defer resp.Body.Close()
-			_, err = io.ReadAll(resp.Body)
-			is.True(err != nil)
-		})
-	}
+		}))
+		defer front.Close()
+		resp, err := front.Client().Get(front.URL)
+		if err != nil {
+			return // the caller sees a broken connection
+		}
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+		is.True(err != nil)
+	})
 }
 
 // Guards against an answer without a marked end, whose truncation cannot be noticed.
