Let a configuration change declare a host's home pool only

A sheet with moves that the availability budget did not allow at once was rejected as a whole, and needed -partial and a second application. Configure now sets home_pool and changes no host's pool; host move sets it as well. A wave can be paused before its start, and a wave step can name the version that it was planned for, so that a planned resume does not undo a later pause.

--- a/cmd/marjoramtiller/main.go
+++ b/cmd/marjoramtiller/main.go
@@ -33,9 +33,7 @@
 const usage = `usage: marjoramtiller COMMAND [flags] [arguments]
 
   sheet check FILE               check a sheet
-  sheet apply [-yes [-partial]] FILE
-                                 show the difference; with -yes apply it, with
-                                 -partial without host moves not possible now
+  sheet apply [-yes] FILE        show the difference; with -yes apply it
   report -month YYYY-MM [-csv]   print the monthly figures
   status                         print versions, pools and waves
   config show                    print the configuration as JSON
--- a/cmd/marjoramtiller/sheet.go
+++ b/cmd/marjoramtiller/sheet.go
@@ -4,10 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
-	"slices"
-	"strings"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
@@ -49,7 +46,6 @@
 func sheetApply(ctx context.Context, t *tool, args []string) error {
 	a := t.arguments("sheet apply")
 	yes := a.Bool("yes", false, "apply the difference")
-	partial := a.Bool("partial", false, "leave out the host moves that are not possible now")
 	s, c, err := t.connect(a, args, 1)
 	if err != nil {
 		return err
@@ -72,54 +68,7 @@
 		fmt.Fprintf(t.out, "%d change(s) to version %d, not applied; add -yes to apply\n", len(changes), current.Version)
 		return nil
 	}
-	err = t.applyChanges(ctx, c, s, current.Version, changes)
-	blocked := blockedMoves(err, current, changes)
-	if len(blocked) == 0 {
-		return err
-	}
-	if !*partial {
-		return errors.WithMessage(err, "add -partial to apply the rest of the sheet now")
-	}
-	possible := slices.DeleteFunc(changes, func(change *fleetpb.Change) bool {
-		message, drop := blocked[change.GetHost().GetName()]
-		if drop {
-			fmt.Fprintf(t.out, "later: host %s: %s\n", change.GetHost().GetName(), message)
-		}
-		return drop
-	})
-	if len(possible) == 0 {
-		return err
-	}
-	return t.applyChanges(ctx, c, s, current.Version, possible)
-}
-
-// blockedMoves returns the hosts whose moves were rejected with the reason, if
-// that is all that was rejected. A pool's availability budget may allow only a
-// part of a sheet's moves at once.
-func blockedMoves(err error, current *fleetpb.Snapshot, changes []*fleetpb.Change) map[string]string {
-	var p *operator.Problem
-	if !errors.As(err, &p) || p.Status != http.StatusUnprocessableEntity {
-		return nil
-	}
-	pools := map[string]string{}
-	for _, h := range current.Hosts {
-		pools[h.Name] = h.Pool
-	}
-	moves := map[string]bool{}
-	for _, change := range changes {
-		h := change.GetHost()
-		from, known := pools[h.GetName()]
-		moves[h.GetName()] = known && from != h.GetPool()
-	}
-	blocked := map[string]string{}
-	for _, f := range p.Faults {
-		host, isHost := strings.CutPrefix(f.Object, "host/")
-		if !isHost || !moves[host] {
-			return nil
-		}
-		blocked[host] = f.Message
-	}
-	return blocked
+	return t.applyChanges(ctx, c, s, current.Version, changes)
 }
 
 func (t *tool) applyChanges(ctx context.Context, c *client, s *settings.Client, base uint64, changes []*fleetpb.Change) error {
--- a/process/operator/operator_test.go
+++ b/process/operator/operator_test.go
@@ -251,6 +251,7 @@
 	step := f.commands[0].GetHostStep()
 	is.Equal(step.Host, "h-1")
 	is.Equal(step.MoveTo, "q")
+	is.True(step.SetHome)
 	is.Equal(step.Kind, fleetpb.HostStep_KIND_DRAIN)
 	is.Equal(step.ExpectedState, fleetpb.HostState_HOST_STATE_ACTIVE)
 	response, _ = f.serve(t, "POST", "/v1/voters", `{"operator":"o","change":"add-learner","id":"control-d"}`)
--- a/process/operator/operators.go
+++ b/process/operator/operators.go
@@ -224,7 +224,7 @@
 		Body: &fleetpb.Command_HostStep{HostStep: &fleetpb.HostStep{
 			Host: ctx.Params().Get("name"), Kind: fleetpb.HostStep_KIND_DRAIN,
 			ExpectedEpoch: *body.ExpectedEpoch, ExpectedState: fleetpb.HostState_HOST_STATE_ACTIVE,
-			MoveTo: body.ToPool,
+			MoveTo: body.ToPool, SetHome: true,
 		}},
 	})
 }
--- a/version/fleet/configure.go
+++ b/version/fleet/configure.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"fmt"
-
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
@@ -67,7 +65,6 @@
 		t.faults = append(t.faults, &fleetpb.Fault{Object: "command", Field: "base_version", Message: "it is above the current version: read the configuration again"})
 	}
 	seen := make(map[objectID]bool)
-	var moves []*fleetpb.Host
 	for _, ch := range cfg.Changes {
 		id := target(ch)
 		if id.name == "" {
@@ -79,14 +76,9 @@
 			continue
 		}
 		seen[id] = true
-		if move := t.change(id, ch); move != nil {
-			moves = append(moves, move)
-		}
+		t.change(id, ch)
 	}
 	t.validate()
-	for _, move := range moves {
-		t.startMove(move)
-	}
 	return t.declared(seen)
 }
 
@@ -101,14 +93,13 @@
 	return ids
 }
 
-// change applies one upsert or delete. It returns the desired host when the
-// host must first drain to another pool.
-func (t *tx) change(id objectID, c *fleetpb.Change) *fleetpb.Host {
+// change applies one upsert or delete.
+func (t *tx) change(id objectID, c *fleetpb.Change) {
 	switch o := c.Object.(type) {
 	case *fleetpb.Change_Pool:
 		t.upsertPool(o.Pool)
 	case *fleetpb.Change_Host:
-		return t.upsertHost(o.Host)
+		t.upsertHost(o.Host)
 	case *fleetpb.Change_Job:
 		t.upsertJob(o.Job)
 	case *fleetpb.Change_Wave:
@@ -118,7 +109,6 @@
 	default:
 		t.deleteObject(id)
 	}
-	return nil
 }
 
 func (t *tx) upsertPool(p *fleetpb.Pool) {
@@ -175,12 +165,17 @@
 	t.setWave(w.Name, w)
 }
 
-// upsertHost takes the declared fields of a host. State, epoch and moves belong
-// to the host steps. It returns the declared host when its pool differs.
-func (t *tx) upsertHost(declared *fleetpb.Host) *fleetpb.Host {
+// upsertHost takes the declared fields of a host. The pool that an operator
+// declares is its home pool: home_pool, or pool where that is empty. A new host
+// starts in it; any other is moved by host steps, as the budget allows.
+func (t *tx) upsertHost(declared *fleetpb.Host) {
+	home := declared.HomePool
+	if home == "" {
+		home = declared.Pool
+	}
 	old := t.f.Host(declared.Name)
 	h := &fleetpb.Host{
-		Pool:             declared.Pool,
+		Pool:             home,
 		State:            fleetpb.HostState_HOST_STATE_ACTIVE,
 		Epoch:            1,
 		StateSinceUnixMs: t.f.nowMs,
@@ -195,27 +190,29 @@
 	h.Cores = declared.Cores
 	h.MemoryGb = declared.MemoryGb
 	h.Accelerators = declared.Accelerators
+	if h.HomePool != home {
+		t.setHome(h, home)
+	}
 	if old == nil || !proto.Equal(old, h) {
 		t.setHost(h.Name, h)
 	}
-	if old != nil && old.Pool != declared.Pool {
-		return declared
-	}
-	return nil
 }
 
-// startMove drains a host to the pool that an operator declared for it.
-func (t *tx) startMove(declared *fleetpb.Host) {
-	id := objectID{fleetpb.Tombstone_KIND_HOST, declared.Name}
-	h := t.f.Host(declared.Name)
-	if h == nil || h.MoveTo == declared.Pool {
-		return
+// setHome changes a host's home pool. A move to the former home pool goes to
+// the new one instead, or ends if the host is there: its drain is the same for
+// every target.
+func (t *tx) setHome(h *fleetpb.Host, home string) {
+	if h.MoveTo != "" && h.MoveTo == h.HomePool {
+		h.MoveTo = home
 	}
-	if h.State != fleetpb.HostState_HOST_STATE_ACTIVE {
-		t.fault(id, "pool", fmt.Sprintf("the host is %s: wait until it is active, then move it", stateName(h.State)))
-		return
+	if h.MoveTo == h.Pool && h.State == fleetpb.HostState_HOST_STATE_DRAINING {
+		h.State = fleetpb.HostState_HOST_STATE_ACTIVE
+		h.StateSinceUnixMs = t.f.nowMs
+		h.MoveTo = ""
+		h.DrainVersion = 0
 	}
-	t.drain(h, declared.Pool, "")
+	h.HomePool = home
+	h.Lent = false
 }
 
 // deleteObject removes an object. References to it are checked by validate.
--- a/version/fleet/fleet.go
+++ b/version/fleet/fleet.go
@@ -88,6 +88,7 @@
 	tasks   *table[*fleetpb.Task]
 
 	poolHosts   index // pool to its hosts
+	homeHosts   index // pool to the hosts whose home pool it is
 	moveTargets index // pool to the hosts that move to it
 	waveHosts   index // wave to the hosts that it has draining, released or out
 	hostServers index // host to its backend servers
@@ -132,6 +133,7 @@
 	f.servers = newTable[*fleetpb.BackendServer]()
 	f.tasks = newTable[*fleetpb.Task]()
 	f.poolHosts = make(index)
+	f.homeHosts = make(index)
 	f.moveTargets = make(index)
 	f.waveHosts = make(index)
 	f.hostServers = make(index)
--- a/version/fleet/random_test.go
+++ b/version/fleet/random_test.go
@@ -67,6 +67,7 @@
 			s.Wave = drawName(t, "w", 2)
 		} else {
 			s.MoveTo = drawName(t, "p", 3)
+			s.SetHome = rapid.Bool().Draw(t, "home")
 		}
 		c.Body = &fleetpb.Command_HostStep{HostStep: s}
 	case 6:
@@ -150,6 +151,11 @@
 				t.Fatal("version does not follow")
 			}
 			checkDrains(t, r.f, before)
+			for h := range r.f.Hosts() {
+				if r.f.Pool(h.HomePool) == nil || h.Lent && h.HomePool == h.Pool && h.MoveTo == "" {
+					t.Fatalf("host %v has no home pool, or is lent to it", h)
+				}
+			}
 			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
 				if _, err := entry.Take(r.f.Delta(entry.Version(), false)); err != nil {
 					t.Fatal(err)
--- a/version/fleet/snapshot.go
+++ b/version/fleet/snapshot.go
@@ -82,6 +82,9 @@
 		f.storeTeam(t.Name, t)
 	}
 	for _, h := range s.Hosts {
+		if h.HomePool == "" { // of a release without home pools
+			h.HomePool = cmp.Or(h.MoveTo, h.Pool)
+		}
 		f.storeHost(h.Name, h)
 	}
 	for _, j := range s.Jobs {
--- a/version/fleet/steps.go
+++ b/version/fleet/steps.go
@@ -35,8 +35,8 @@
 	fleetpb.HostStep_KIND_CANCEL:  fleetpb.HostState_HOST_STATE_DRAINING,
 }
 
-// hostStep executes one step of a host. It returns the host when its declared
-// pool changes, so that a later Configure on an older base is a conflict.
+// hostStep executes one step of a host. It returns the host when its home pool
+// changes, so that a later Configure on an older base is a conflict.
 func (t *tx) hostStep(s *fleetpb.HostStep) []objectID {
 	id := objectID{fleetpb.Tombstone_KIND_HOST, s.Host}
 	h := t.f.Host(s.Host)
@@ -53,7 +53,7 @@
 	case fleetpb.HostStep_KIND_RELEASE:
 		t.release(id, h)
 	case fleetpb.HostStep_KIND_ASSIGN:
-		return t.assign(id, h)
+		t.assign(id, h)
 	case fleetpb.HostStep_KIND_OUT:
 		t.out(id, h)
 	case fleetpb.HostStep_KIND_RETURN:
@@ -102,6 +102,7 @@
 	n.MoveTo = ""
 	n.Wave = ""
 	n.DrainVersion = 0
+	n.Lent = n.Lent && n.Pool != n.HomePool
 	if nextEpoch {
 		n.Epoch++
 	}
@@ -113,10 +114,17 @@
 		t.fault(id, "move_to", "a drain is for either a wave or a move: set one of wave and move_to")
 		return nil
 	}
-	t.drain(h, s.MoveTo, s.Wave)
-	if s.MoveTo == "" {
+	if !s.SetHome || s.MoveTo == "" {
+		t.drain(h, s.MoveTo, s.Wave)
 		return nil
 	}
+	n := proto.Clone(h).(*fleetpb.Host)
+	t.setHome(n, s.MoveTo)
+	if h.Pool == s.MoveTo && h.HomePool != s.MoveTo {
+		t.setHost(n.Name, n) // a lent host stays where it is
+		return []objectID{id}
+	}
+	t.drain(n, s.MoveTo, "")
 	return []objectID{id}
 }
 
@@ -140,6 +148,7 @@
 	n.StateSinceUnixMs = t.f.nowMs
 	n.MoveTo = moveTo
 	n.Wave = wave
+	n.Lent = n.Lent || moveTo != "" && moveTo != n.HomePool
 	n.DrainVersion = t.version
 	t.setHost(n.Name, n)
 	t.drained = append(t.drained, h.Pool)
@@ -177,17 +186,16 @@
 
 // assign puts a released host into its new pool. Backend servers of another
 // service cannot stay on it.
-func (t *tx) assign(id objectID, h *fleetpb.Host) []objectID {
+func (t *tx) assign(id objectID, h *fleetpb.Host) {
 	pool := t.f.Pool(h.MoveTo)
 	if pool == nil {
 		t.fault(id, "move_to", "the released host has no pool to move to: plan again")
-		return nil
+		return
 	}
 	moved := proto.Clone(h).(*fleetpb.Host)
 	moved.Pool = pool.Name
 	t.removeServers(h.Name, pool.Service)
 	t.toState(moved, fleetpb.HostState_HOST_STATE_ACTIVE, true)
-	return []objectID{id}
 }
 
 func (t *tx) out(id objectID, h *fleetpb.Host) {
@@ -213,13 +221,15 @@
 	} else {
 		w.DoneHosts = insertName(w.DoneHosts, h.Name)
 		w.FailedHosts = removeName(w.FailedHosts, h.Name)
+		w.ReturnedHosts++
+		w.MaintenanceMs += max(0, t.f.nowMs-h.StateSinceUnixMs)
 	}
 	t.setWave(w.Name, w)
 }
 
 // waveNext lists the states that a wave may enter from each state.
 var waveNext = map[waveState][]waveState{
-	fleetpb.WaveState_WAVE_STATE_PENDING: {fleetpb.WaveState_WAVE_STATE_RUNNING},
+	fleetpb.WaveState_WAVE_STATE_PENDING: {fleetpb.WaveState_WAVE_STATE_RUNNING, fleetpb.WaveState_WAVE_STATE_PAUSED},
 	fleetpb.WaveState_WAVE_STATE_RUNNING: {fleetpb.WaveState_WAVE_STATE_RUNNING, fleetpb.WaveState_WAVE_STATE_PAUSED, fleetpb.WaveState_WAVE_STATE_DONE},
 	fleetpb.WaveState_WAVE_STATE_PAUSED:  {fleetpb.WaveState_WAVE_STATE_PAUSED, fleetpb.WaveState_WAVE_STATE_RUNNING, fleetpb.WaveState_WAVE_STATE_DONE},
 }
@@ -227,12 +237,19 @@
 func (t *tx) waveStep(s *fleetpb.WaveStep) {
 	id := objectID{fleetpb.Tombstone_KIND_WAVE, s.Wave}
 	old := t.f.Wave(s.Wave)
+	waits := old.GetStartedUnixMs() == 0 && t.f.nowMs < old.GetNotBeforeUnixMs()
+	state := s.State
+	if waits && old.GetState() == fleetpb.WaveState_WAVE_STATE_PAUSED && state == fleetpb.WaveState_WAVE_STATE_RUNNING {
+		state = fleetpb.WaveState_WAVE_STATE_PENDING // it was paused before its start
+	}
 	switch {
 	case old == nil:
 		t.fault(id, "name", "the wave does not exist: read the configuration again")
+	case s.ExpectedVersion != 0 && s.ExpectedVersion != old.ModifiedVersion:
+		t.fault(id, "state", "the wave has changed since the step was planned: plan again")
 	case !slices.Contains(waveNext[old.State], s.State):
 		t.fault(id, "state", "a wave that is "+waveStateName(old.State)+" cannot become "+waveStateName(s.State)+": plan again")
-	case s.State == fleetpb.WaveState_WAVE_STATE_RUNNING && t.f.nowMs < old.NotBeforeUnixMs:
+	case waits && state == fleetpb.WaveState_WAVE_STATE_RUNNING:
 		t.fault(id, "not_before", "the wave may not start yet: wait until then")
 	case s.State == fleetpb.WaveState_WAVE_STATE_DONE && len(t.f.waveHosts[s.Wave]) > 0:
 		t.fault(id, "hosts", "host "+t.f.waveHosts[s.Wave][0]+" is out: wait until it has returned or failed")
@@ -241,7 +258,7 @@
 		return
 	}
 	w := proto.Clone(old).(*fleetpb.Wave)
-	w.State = s.State
+	w.State = state
 	w.PauseReason = ""
 	if s.State == fleetpb.WaveState_WAVE_STATE_PAUSED {
 		w.PauseReason = s.Reason
@@ -249,7 +266,7 @@
 	for _, name := range s.FailedHosts {
 		w.FailedHosts = insertName(w.FailedHosts, name)
 	}
-	if w.StartedUnixMs == 0 {
+	if w.StartedUnixMs == 0 && state == fleetpb.WaveState_WAVE_STATE_RUNNING {
 		w.StartedUnixMs = t.f.nowMs
 	}
 	if s.State == fleetpb.WaveState_WAVE_STATE_DONE {
--- a/version/fleet/store.go
+++ b/version/fleet/store.go
@@ -10,6 +10,7 @@
 func (f *Fleet) storeHost(name string, h *fleetpb.Host) {
 	old := f.Host(name)
 	f.poolHosts.move(old.GetPool(), h.GetPool(), name)
+	f.homeHosts.move(old.GetHomePool(), h.GetHomePool(), name)
 	f.moveTargets.move(old.GetMoveTo(), h.GetMoveTo(), name)
 	f.waveHosts.move(old.GetWave(), h.GetWave(), name)
 	if h == nil {
--- a/version/fleet/validate.go
+++ b/version/fleet/validate.go
@@ -74,8 +74,8 @@
 }
 
 func (t *tx) validateHost(id objectID, h *fleetpb.Host) {
-	if t.f.Pool(h.Pool) == nil {
-		t.fault(id, "pool", fmt.Sprintf("pool %q does not exist: declare it, or name another", h.Pool))
+	if t.f.Pool(h.HomePool) == nil {
+		t.fault(id, "pool", fmt.Sprintf("pool %q does not exist: declare it, or name another", h.HomePool))
 	}
 }
 
@@ -135,6 +135,7 @@
 	case fleetpb.Tombstone_KIND_POOL:
 		t.unreferenced(id, "hosts", t.f.poolHosts[id.name], "host %s is in the pool: move it first")
 		t.unreferenced(id, "hosts", t.f.moveTargets[id.name], "host %s moves to the pool: wait until it has arrived, then move it on")
+		t.unreferenced(id, "hosts", t.f.homeHosts[id.name], "the pool is the home pool of host %s: declare another for the host first")
 		t.unreferenced(id, "jobs", t.f.poolJobs[id.name], "job %s names the pool: change it first")
 	case fleetpb.Tombstone_KIND_TEAM:
 		t.unreferenced(id, "jobs", t.f.teamJobs[id.name], "job %s names the team: change it first")
--- a/version/sheet/diff.go
+++ b/version/sheet/diff.go
@@ -12,8 +12,8 @@
 // Diff returns the changes that bring the declared state to the sheet. It
 // returns none when the sheet is in force already. Runtime fields and waves in
 // progress are never changed; a host is deleted only when it is out of use.
-// A host's Pool is the desired one: the control group starts a move for it and
-// changes the pool itself only after the drain. Only active hosts are moved.
+// A host's pool in the sheet is its home pool: the control group moves the host
+// there in its own time, so a sheet is not held up by the availability budget.
 func (s *Sheet) Diff(current *fleetpb.Snapshot) []*fleetpb.Change {
 	d := newDiff(s, current)
 	return d.changes
@@ -122,11 +122,12 @@
 	for _, h := range d.s.Hosts {
 		have, known := current[h.Name]
 		if !known {
-			d.add(&fleetpb.Change{Object: &fleetpb.Change_Host{Host: proto.CloneOf(h)}})
+			added := proto.CloneOf(h)
+			added.HomePool = h.Pool
+			d.add(&fleetpb.Change{Object: &fleetpb.Change_Host{Host: added}})
 			continue
 		}
-		desired := d.desiredHost(have, h)
-		d.keepPools(have)
+		desired := desiredHost(have, h)
 		d.keepPools(desired)
 		if !proto.Equal(have, desired) {
 			d.add(&fleetpb.Change{Object: &fleetpb.Change_Host{Host: desired}})
@@ -134,7 +135,7 @@
 	}
 }
 
-func (d *diff) desiredHost(have, sheet *fleetpb.Host) *fleetpb.Host {
+func desiredHost(have, sheet *fleetpb.Host) *fleetpb.Host {
 	desired := proto.CloneOf(have)
 	desired.Rack = sheet.Rack
 	desired.Zone = sheet.Zone
@@ -142,17 +143,7 @@
 	desired.Cores = sheet.Cores
 	desired.MemoryGb = sheet.MemoryGb
 	desired.Accelerators = sheet.Accelerators
-	if have.State == fleetpb.HostState_HOST_STATE_ACTIVE {
-		desired.Pool = sheet.Pool
-		return desired
-	}
-	destination := have.Pool
-	if have.MoveTo != "" {
-		destination = have.MoveTo
-	}
-	if sheet.Pool != destination {
-		d.postpone("host %s moves to pool %s once it is active again", have.Name, sheet.Pool)
-	}
+	desired.HomePool = sheet.Pool
 	return desired
 }
 
@@ -252,4 +243,5 @@
 func (d *diff) keepPools(h *fleetpb.Host) {
 	d.kept[h.Pool] = true
 	d.kept[h.MoveTo] = true
+	d.kept[h.HomePool] = true
 }
