Run waves and pools from version/reconcile in the control process

process/control keeps the submission of the commands. It also passes on the requests in flight at each host, so that hosts with many of them drain first.

--- a/process/control/operators.go
+++ b/process/control/operators.go
@@ -14,6 +14,7 @@
 	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 	"marjoramtiller.example/marjoramtiller/version/plan"
+	"marjoramtiller.example/marjoramtiller/version/reconcile"
 )
 
 // Operators is the operators' view of a Server; it implements operator.Control.
@@ -58,7 +59,7 @@
 
 // PauseWave implements operator.Control.
 func (o *Operators) PauseWave(ctx context.Context, w operator.WaveRequest) (*fleetpb.Result, error) {
-	return o.waveStep(ctx, w, fleetpb.WaveState_WAVE_STATE_PAUSED, operatorPaused+w.Reason)
+	return o.waveStep(ctx, w, fleetpb.WaveState_WAVE_STATE_PAUSED, reconcile.OperatorPause+w.Reason)
 }
 
 // ResumeWave implements operator.Control.
--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -73,6 +73,7 @@
 	for _, session := range expired {
 		t.slots.Over(slots.Holder{Entry: session.ID.Entry, BootID: session.ID.BootID})
 		delete(t.demand, session.ID)
+		delete(t.uses, session.ID)
 		if !hasSession(t.lease.Sessions(), session.ID.Entry) {
 			lost = append(lost, session.ID.Entry)
 		}
--- a/process/control/sync.go
+++ b/process/control/sync.go
@@ -57,6 +57,7 @@
 		s.wakeLocked()
 	}
 	t.demand[id] = req.GetDemand()
+	t.uses[id] = req.GetServers()
 	return nil
 }
 
--- a/process/control/term.go
+++ b/process/control/term.go
@@ -30,7 +30,7 @@
 	sampled    totals
 	hasSampled bool
 	jobs       *jobRunner
-	waves      *waveRunner
+	uses       map[lease.SessionID]serverUses
 }
 
 // liveSet numbers the changes of the set of live backend servers, so that an
@@ -171,7 +171,7 @@
 		demand:  make(map[lease.SessionID][]*wirepb.ServiceDemand),
 		sampled: make(totals),
 		jobs:    newJobRunner(s.o),
-		waves:   newWaveRunner(s.o),
+		uses:    make(map[lease.SessionID]serverUses),
 	}
 	s.log.Info().Uint64("term", number).Msg("leads the fleet group")
 	return s.term
