--- a/process/control/term.go
+++ b/process/control/term.go
@@ -26,7 +26,7 @@
 	live    liveSet
 	counts  *requestTotals
 	jobs    *jobRunner
-	waves   *waveRunner
+	uses    map[lease.SessionID]serverUses
 }
 
 // liveSet numbers the changes of the set of live backend servers, so that an
@@ -166,7 +166,7 @@
 		live:    newLiveSet(number),
 		counts:  newRequestTotals(now, number > firstTerm),
 		jobs:    newJobRunner(s.o),
-		waves:   newWaveRunner(s.o),
+		uses:    make(map[lease.SessionID]serverUses),
 	}
 	s.log.Info().Uint64("term", number).Msg("leads the fleet group")
 	return s.term
