Move the simulation of short and long work out of the tests

Cause: the bench command has to run it, and test files cannot be imported. Change: package measure/shortwork; the tests of request/queue use it and keep their names, bounds and seeds.

--- a/request/queue/workload_test.go
+++ b/measure/shortwork/workload.go
@@ -1,4 +1,7 @@
-package queue
+// Package shortwork simulates one entry's queue in virtual time under the two
+// users' workloads, and measures how long short work waits with and without long
+// work. The figures are the same on every run and machine.
+package shortwork
 
 import (
 	"container/heap"
@@ -8,14 +11,17 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"marjoramtiller.example/marjoramtiller/request/queue"
 )
 
-// The benchmarks run in virtual time: one entry's share of a pool of backend
-// servers, each of which only holds a slot for a drawn time.
+// The simulation has one entry's share of a pool of backend
+// servers, each of which only holds a slot for a drawn time. Servers, Slots (of
+// each server) and Duration give its size, which utilization is relative to.
 const (
-	simServers      = 8
-	simSlots        = 8 // per server
-	simDuration     = 130 * time.Second
+	Servers         = 8
+	Slots           = 8 // per server
+	Duration        = 130 * time.Second
 	simBurst        = 5 * time.Second // of each service in turn
 	burstFactor     = 5.0
 	quietFactor     = 0.05
@@ -23,10 +29,11 @@
 	stragglerFactor = 50
 	simThreshold    = 500 * time.Millisecond
 	keptPercent     = 50
+	never           = time.Duration(1<<63 - 1)
 )
 
-// kindOfWork is one service of a workload.
-type kindOfWork struct {
+// Work is one service of a workload.
+type Work struct {
 	name       string
 	mean       time.Duration // run time, exponentially distributed
 	load       float64       // mean share of all slots
@@ -37,17 +44,17 @@
 	doors      time.Duration // absolute deadline of deferrable work; 0: none
 }
 
-// savings and events are the workloads of the two users. In a burst a short
+// Savings and Events are the workloads of the two users. In a burst a short
 // service demands 5 times its mean, 1.2 times a quarter of the slots, which
 // stands for its pool; a long one demands more than all slots.
 var (
-	savings = []kindOfWork{
+	Savings = []Work{
 		{name: "accrual", mean: 20 * time.Millisecond, load: 0.06, deadline: 2 * time.Second},
 		{name: "ledger", mean: 50 * time.Millisecond, load: 0.06, deadline: 10 * time.Second},
 		{name: "correction", mean: 50 * time.Millisecond, load: 0.06, deadline: 10 * time.Second},
 		{name: "statement", mean: 2 * time.Second, load: 0.3, deadline: 60 * time.Second, long: true, deferrable: true},
 	}
-	events = []kindOfWork{
+	Events = []Work{
 		{name: "booking", mean: 40 * time.Millisecond, load: 0.06, deadline: 2 * time.Second},
 		{name: "inquiry", mean: 15 * time.Millisecond, load: 0.06, deadline: 2 * time.Second},
 		{name: "badge", mean: 1500 * time.Millisecond, load: 0.25, long: true, deferrable: true, doors: 150 * time.Second},
@@ -55,9 +62,9 @@
 	}
 )
 
-// scaled returns a workload with the load of its short services multiplied.
-func scaled(w []kindOfWork, factor float64) []kindOfWork {
-	out := append([]kindOfWork(nil), w...)
+// Scaled returns a workload with the load of its short services multiplied.
+func Scaled(w []Work, factor float64) []Work {
+	out := append([]Work(nil), w...)
 	for i := range out {
 		if !out[i].long {
 			out[i].load *= factor
@@ -66,37 +73,38 @@
 	return out
 }
 
-// steady returns a workload whose short services arrive at a constant rate, so
+// Steady returns a workload whose short services arrive at a constant rate, so
 // that bursts of long work meet a full load of short work.
-func steady(w []kindOfWork, factor float64) []kindOfWork {
-	out := scaled(w, factor)
+func Steady(w []Work, factor float64) []Work {
+	out := Scaled(w, factor)
 	for i := range out {
 		out[i].steady = !out[i].long
 	}
 	return out
 }
 
-type job struct {
+// Job is one request of a workload.
+type Job struct {
 	kind     int
 	arrive   time.Duration
 	run      time.Duration
 	deadline time.Duration
-	id       ID
+	id       queue.ID
 	server   int
 }
 
-// arrivalsOf draws each service's arrivals from its own source, so that the
+// Arrivals draws each service's arrivals from its own source, so that the
 // short load is the same with and without long work.
-func arrivalsOf(w []kindOfWork, withLong bool, seed uint64) []*job {
-	var jobs []*job
+func Arrivals(w []Work, withLong bool, seed uint64) []*Job {
+	var jobs []*Job
 	cycle := simBurst * time.Duration(len(w)+1) // the spare pool's turn is quiet
 	for k, kind := range w {
 		if kind.long && !withLong {
 			continue
 		}
 		r := rand.New(rand.NewPCG(seed, uint64(k)))
-		perSecond := kind.load * simServers * simSlots / kind.mean.Seconds()
-		for now := time.Duration(0); now < simDuration; {
+		perSecond := kind.load * Servers * Slots / kind.mean.Seconds()
+		for now := time.Duration(0); now < Duration; {
 			rate := perSecond * quietFactor
 			if int(now%cycle/simBurst) == k {
 				rate = perSecond * burstFactor
@@ -109,7 +117,7 @@
 			if r.Float64() < stragglerShare {
 				run *= stragglerFactor
 			}
-			j := &job{kind: k, arrive: now, run: run, deadline: now + kind.deadline}
+			j := &Job{kind: k, arrive: now, run: run, deadline: now + kind.deadline}
 			if kind.doors > 0 {
 				j.deadline = kind.doors
 			}
@@ -120,32 +128,35 @@
 	return jobs
 }
 
-// policy decides when and where jobs start.
-type policy interface {
-	arrive(now time.Duration, j *job) bool // false: rejected
-	next(now time.Duration) (j *job, expired, ok bool)
-	done(now time.Duration, j *job)
+// Policy decides when and where jobs start.
+type Policy interface {
+	arrive(now time.Duration, j *Job) bool // false: rejected
+	next(now time.Duration) (j *Job, expired, ok bool)
+	done(now time.Duration, j *Job)
 	wake(now time.Duration) (time.Duration, bool)
 }
 
-type figures struct {
+// Figures are the results of one simulation. The counts are requests; Busy is
+// the time that slots held work.
+type Figures struct {
 	short          *hdrhistogram.Histogram // waits in microseconds
-	arrived        int
-	rejected       int
-	shortArrived   int
-	shortRejected  int
-	busy           time.Duration
-	deferrable     int
-	deferrableTime int // finished before the deadline
+	Arrived        int
+	Rejected       int
+	ShortArrived   int
+	ShortRejected  int
+	Busy           time.Duration
+	Deferrable     int
+	DeferrableTime int // finished before the deadline
 }
 
-func (f *figures) p(q float64) float64 { return float64(f.short.ValueAtQuantile(q)) / 1000 }
+// P returns a quantile (0 to 100) of the wait of short work in milliseconds.
+func (f *Figures) P(q float64) float64 { return float64(f.short.ValueAtQuantile(q)) / 1000 }
 
 type endHeap []*ending
 type ending struct {
 	at time.Duration
 	n  int
-	j  *job
+	j  *Job
 }
 
 func (h endHeap) Len() int { return len(h) }
@@ -161,19 +172,19 @@
 	return e
 }
 
-// simulate runs a workload to its end.
-func simulate(w []kindOfWork, jobs []*job, p policy) *figures {
-	f := &figures{short: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)}
+// Simulate runs a workload to its end.
+func Simulate(w []Work, jobs []*Job, p Policy) *Figures {
+	f := &Figures{short: hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)}
 	var ends endHeap
 	started, next := 0, 0
-	reject := func(j *job) {
-		f.rejected++
+	reject := func(j *Job) {
+		f.Rejected++
 		if !w[j.kind].long {
-			f.shortRejected++
+			f.ShortRejected++
 		}
 	}
 	for {
-		now, what := noDeadline, 0
+		now, what := never, 0
 		if next < len(jobs) {
 			now, what = jobs[next].arrive, 1
 		}
@@ -181,7 +192,7 @@
 			now, what = ends[0].at, 2
 		}
 		if what == 0 {
-			if at, ok := p.wake(now); !ok || at == noDeadline {
+			if at, ok := p.wake(now); !ok || at == never {
 				return f
 			}
 		}
@@ -189,12 +200,12 @@
 		case 1:
 			j := jobs[next]
 			next++
-			f.arrived++
+			f.Arrived++
 			if w[j.kind].deferrable {
-				f.deferrable++
+				f.Deferrable++
 			}
 			if !w[j.kind].long {
-				f.shortArrived++
+				f.ShortArrived++
 			}
 			if !p.arrive(now, j) {
 				reject(j)
@@ -203,7 +214,7 @@
 			e := heap.Pop(&ends).(*ending)
 			p.done(now, e.j)
 			if w[e.j.kind].deferrable && now <= e.j.deadline {
-				f.deferrableTime++
+				f.DeferrableTime++
 			}
 		}
 		// The core asks to be called at its wake times; they matter only when
@@ -220,32 +231,33 @@
 			if !w[j.kind].long {
 				_ = f.short.RecordValue((now - j.arrive).Microseconds())
 			}
-			f.busy += j.run
+			f.Busy += j.run
 			started++
 			heap.Push(&ends, &ending{at: now + j.run, n: started, j: j})
 		}
 	}
 }
 
-// corePolicy is the policy of this package.
+// corePolicy is the Policy of this package.
 type corePolicy struct {
-	w    []kindOfWork
-	c    *Core
-	jobs map[ID]*job
+	w    []Work
+	c    *queue.Core
+	jobs map[queue.ID]*Job
 }
 
-func newCorePolicy(w []kindOfWork) policy {
-	p := &corePolicy{w: w, c: New(), jobs: make(map[ID]*job)}
-	p.c.SetService("pool", ServiceConfig{ShortSlotsPercent: keptPercent, LongThreshold: simThreshold, MaxPerCaller: 4096, MaxQueued: 16384})
-	for k := range simServers {
-		p.c.SetServer(strconv.Itoa(k), "pool", simSlots)
+// NewCore returns the policy of package queue.
+func NewCore(w []Work) Policy {
+	p := &corePolicy{w: w, c: queue.New(), jobs: make(map[queue.ID]*Job)}
+	p.c.SetService("pool", queue.ServiceConfig{ShortSlotsPercent: keptPercent, LongThreshold: simThreshold, MaxPerCaller: 4096, MaxQueued: 16384})
+	for k := range Servers {
+		p.c.SetServer(strconv.Itoa(k), "pool", Slots)
 	}
 	return p
 }
 
-func (p *corePolicy) arrive(now time.Duration, j *job) bool {
+func (p *corePolicy) arrive(now time.Duration, j *Job) bool {
 	kind := p.w[j.kind]
-	id, rej := p.c.Submit(now, Request{Service: "pool", Caller: kind.name, Route: kind.name, Deadline: j.deadline, Deferrable: kind.deferrable})
+	id, rej := p.c.Submit(now, queue.Request{Service: "pool", Caller: kind.name, Route: kind.name, Deadline: j.deadline, Deferrable: kind.deferrable})
 	if rej != nil {
 		return false
 	}
@@ -254,30 +266,30 @@
 	return true
 }
 
-func (p *corePolicy) next(now time.Duration) (*job, bool, bool) {
+func (p *corePolicy) next(now time.Duration) (*Job, bool, bool) {
 	a, ok := p.c.Next(now)
 	if !ok {
 		return nil, false, false
 	}
 	j := p.jobs[a.ID]
 	delete(p.jobs, a.ID)
-	return j, a.Kind == Expire, true
+	return j, a.Kind == queue.Expire, true
 }
 
-func (p *corePolicy) done(now time.Duration, j *job)               { p.c.Done(now, j.id, true) }
+func (p *corePolicy) done(now time.Duration, j *Job)               { p.c.Done(now, j.id, true) }
 func (p *corePolicy) wake(now time.Duration) (time.Duration, bool) { return p.c.Wake(now) }
 
 // queues is a baseline of first-come queues, each with its own slots.
 type queues struct {
-	waiting [][]*job
+	waiting [][]*Job
 	free    []int
-	pick    func(q *queues, j *job) int
+	pick    func(q *queues, j *Job) int
 	turn    int
 }
 
 const baselineQueued = 16384 // all baselines and the core bound their queues alike
 
-func (q *queues) arrive(_ time.Duration, j *job) bool {
+func (q *queues) arrive(_ time.Duration, j *Job) bool {
 	k := q.pick(q, j)
 	if len(q.waiting[k]) >= baselineQueued {
 		return false
@@ -287,7 +299,7 @@
 	return true
 }
 
-func (q *queues) next(now time.Duration) (*job, bool, bool) {
+func (q *queues) next(now time.Duration) (*Job, bool, bool) {
 	for range q.waiting {
 		k := q.turn % len(q.waiting)
 		if len(q.waiting[k]) > 0 && q.free[k] > 0 {
@@ -304,27 +316,30 @@
 	return nil, false, false
 }
 
-func (q *queues) done(_ time.Duration, j *job)             { q.free[j.server]++ }
+func (q *queues) done(_ time.Duration, j *Job)             { q.free[j.server]++ }
 func (q *queues) wake(time.Duration) (time.Duration, bool) { return 0, false }
-func newQueues(n, slots int, pick func(*queues, *job) int) *queues {
-	q := &queues{waiting: make([][]*job, n), free: make([]int, n), pick: pick}
+func newQueues(n, slots int, pick func(*queues, *Job) int) *queues {
+	q := &queues{waiting: make([][]*Job, n), free: make([]int, n), pick: pick}
 	for k := range q.free {
 		q.free[k] = slots
 	}
 	return q
 }
 
-func newFIFO([]kindOfWork) policy {
-	return newQueues(1, simServers*simSlots, func(*queues, *job) int { return 0 })
+// NewFIFO returns one first-come queue over all slots.
+func NewFIFO([]Work) Policy {
+	return newQueues(1, Servers*Slots, func(*queues, *Job) int { return 0 })
 }
 
-func newRandom([]kindOfWork) policy {
+// NewRandom sends each request to a server drawn at random.
+func NewRandom([]Work) Policy {
 	r := rand.New(rand.NewPCG(7, 7))
-	return newQueues(simServers, simSlots, func(*queues, *job) int { return r.IntN(simServers) })
+	return newQueues(Servers, Slots, func(*queues, *Job) int { return r.IntN(Servers) })
 }
 
-func newLeastLoaded([]kindOfWork) policy {
-	return newQueues(simServers, simSlots, func(q *queues, _ *job) int {
+// NewLeastLoaded sends each request to the server with the least load.
+func NewLeastLoaded([]Work) Policy {
+	return newQueues(Servers, Slots, func(q *queues, _ *Job) int {
 		best := 0
 		for k := range q.free {
 			if len(q.waiting[k])-q.free[k] < len(q.waiting[best])-q.free[best] {
@@ -335,6 +350,7 @@
 	})
 }
 
-func newPartition(w []kindOfWork) policy {
-	return newQueues(len(w), simServers*simSlots/len(w), func(_ *queues, j *job) int { return j.kind })
+// NewPartition divides the slots evenly among the services.
+func NewPartition(w []Work) Policy {
+	return newQueues(len(w), Servers*Slots/len(w), func(_ *queues, j *Job) int { return j.kind })
 }
--- a/request/queue/bench_test.go
+++ b/request/queue/bench_test.go
@@ -1,49 +1,38 @@
-package queue
+package queue_test
 
 import (
 	"fmt"
 	"testing"
 	"time"
-)
-
-var policies = []struct {
-	name string
-	make func([]kindOfWork) policy
-}{
-	{"fifo", newFIFO}, {"random", newRandom}, {"least-loaded", newLeastLoaded}, {"fixed-partition", newPartition}, {"core", newCorePolicy},
-}
 
-var workloads = []struct {
-	name string
-	work []kindOfWork
-}{
-	{"savings", savings}, {"events", events},
-	{"savings-steady", steady(savings, 2)}, {"events-steady", steady(events, 2)},
-	{"savings-busy", scaled(savings, 2.3)}, {"events-busy", scaled(events, 2.3)},
-	{"savings-overload", scaled(savings, 4)}, {"events-overload", scaled(events, 4)},
-}
+	"marjoramtiller.example/marjoramtiller/measure/shortwork"
+	"marjoramtiller.example/marjoramtiller/request/queue"
+)
 
-const simSeed = 1
+var (
+	policies  = shortwork.Policies()
+	workloads = shortwork.Workloads()
+)
 
 // BenchmarkWait reports the figures of every policy; they are the same on
 // every run.
 func BenchmarkWait(b *testing.B) {
 	for _, w := range workloads {
 		for _, p := range policies {
-			b.Run(w.name+"/"+p.name, func(b *testing.B) {
-				var with, without *figures
+			b.Run(w.Name+"/"+p.Name, func(b *testing.B) {
+				var with, without *shortwork.Figures
 				for b.Loop() {
-					with = simulate(w.work, arrivalsOf(w.work, true, simSeed), p.make(w.work))
-					without = simulate(w.work, arrivalsOf(w.work, false, simSeed), p.make(w.work))
+					with = shortwork.Simulate(w.Work, shortwork.Arrivals(w.Work, true, shortwork.Seed), p.Make(w.Work))
+					without = shortwork.Simulate(w.Work, shortwork.Arrivals(w.Work, false, shortwork.Seed), p.Make(w.Work))
 				}
-				b.ReportMetric(with.p(50), "p50-ms")
-				b.ReportMetric(with.p(99), "p99-ms")
-				b.ReportMetric(without.p(50), "nolong-p50-ms")
-				b.ReportMetric(without.p(99), "nolong-p99-ms")
-				b.ReportMetric(100*float64(with.rejected)/float64(with.arrived), "rejected-%")
-				b.ReportMetric(100*float64(with.shortRejected)/float64(with.shortArrived), "short-rejected-%")
-				b.ReportMetric(100*with.busy.Seconds()/(simDuration.Seconds()*simServers*simSlots), "utilization-%")
-				b.ReportMetric(100*float64(with.deferrableTime)/float64(with.deferrable), "deferrable-in-time-%")
+				b.ReportMetric(with.P(50), "p50-ms")
+				b.ReportMetric(with.P(99), "p99-ms")
+				b.ReportMetric(without.P(50), "nolong-p50-ms")
+				b.ReportMetric(without.P(99), "nolong-p99-ms")
+				b.ReportMetric(100*float64(with.Rejected)/float64(with.Arrived), "rejected-%")
+				b.ReportMetric(100*float64(with.ShortRejected)/float64(with.ShortArrived), "short-rejected-%")
+				b.ReportMetric(100*with.Busy.Seconds()/(shortwork.Duration.Seconds()*shortwork.Servers*shortwork.Slots), "utilization-%")
+				b.ReportMetric(100*float64(with.DeferrableTime)/float64(with.Deferrable), "deferrable-in-time-%")
 			})
 		}
 	}
@@ -54,11 +43,11 @@
 func BenchmarkQueueLength(b *testing.B) {
 	for _, n := range []int{100, 1000, 10000, 100000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			c := New()
-			c.SetService("s", ServiceConfig{MaxPerCaller: n + 10, MaxQueued: 2*n + 10, LongThreshold: time.Hour})
+			c := queue.New()
+			c.SetService("s", queue.ServiceConfig{MaxPerCaller: n + 10, MaxQueued: 2*n + 10, LongThreshold: time.Hour})
 			c.SetServer("b", "s", 1)
 			for k := range n {
-				if _, rej := c.Submit(0, Request{Service: "s", Caller: fmt.Sprint(k % 50), Deadline: time.Hour + time.Duration(k*7919%n)}); rej != nil {
+				if _, rej := c.Submit(0, queue.Request{Service: "s", Caller: fmt.Sprint(k % 50), Deadline: time.Hour + time.Duration(k*7919%n)}); rej != nil {
 					b.Fatal(rej)
 				}
 			}
@@ -66,7 +55,7 @@
 			a, _ := c.Next(now)
 			for b.Loop() {
 				now++
-				if _, rej := c.Submit(now, Request{Service: "s", Caller: "x", Deadline: 2 * time.Hour}); rej != nil {
+				if _, rej := c.Submit(now, queue.Request{Service: "s", Caller: "x", Deadline: 2 * time.Hour}); rej != nil {
 					b.Fatal(rej)
 				}
 				c.Done(now, a.ID, true)
@@ -80,15 +69,15 @@
 // work present, relative to that without it.
 const waitTarget = 1.1
 
-func checkWaitTarget(t *testing.T, name string, work []kindOfWork) {
+func checkWaitTarget(t *testing.T, name string, work []shortwork.Work) {
 	t.Helper()
-	with := simulate(work, arrivalsOf(work, true, simSeed), newCorePolicy(work))
-	without := simulate(work, arrivalsOf(work, false, simSeed), newCorePolicy(work))
+	with := shortwork.Simulate(work, shortwork.Arrivals(work, true, shortwork.Seed), shortwork.NewCore(work))
+	without := shortwork.Simulate(work, shortwork.Arrivals(work, false, shortwork.Seed), shortwork.NewCore(work))
 	t.Logf("%s: p99 wait %.3f ms with long work, %.3f ms without; short rejected %d and %d of %d",
-		name, with.p(99), without.p(99), with.shortRejected, without.shortRejected, with.shortArrived)
-	if with.p(99) > waitTarget*without.p(99) {
+		name, with.P(99), without.P(99), with.ShortRejected, without.ShortRejected, with.ShortArrived)
+	if with.P(99) > waitTarget*without.P(99) {
 		t.Errorf("%s: p99 wait of short work is %.3f ms with long work and %.3f ms without; the target is a factor of %.1f",
-			name, with.p(99), without.p(99), waitTarget)
+			name, with.P(99), without.P(99), waitTarget)
 	}
 }
 
@@ -97,7 +86,7 @@
 func TestShortWaitWithLongWork(t *testing.T) {
 	t.Parallel()
 	for _, w := range workloads[:4] {
-		checkWaitTarget(t, w.name, w.work)
+		checkWaitTarget(t, w.Name, w.Work)
 	}
 }
 
@@ -106,7 +95,7 @@
 func TestShortWaitWithLongWorkBeyondKeptSlots(t *testing.T) {
 	t.Parallel()
 	for _, w := range workloads[4:6] {
-		checkWaitTarget(t, w.name, w.work)
+		checkWaitTarget(t, w.Name, w.Work)
 	}
 }
 
@@ -115,7 +104,7 @@
 func TestShortWaitWithLongWorkInOverload(t *testing.T) {
 	t.Parallel()
 	for _, w := range workloads[6:] {
-		checkWaitTarget(t, w.name, w.work)
+		checkWaitTarget(t, w.Name, w.Work)
 	}
 }
 
@@ -123,8 +112,8 @@
 // comparison of policies meaningless.
 func TestSimulationIsDeterministic(t *testing.T) {
 	run := func() string {
-		f := simulate(savings, arrivalsOf(savings, true, simSeed), newCorePolicy(savings))
-		return fmt.Sprint(f.p(50), f.p(99), f.arrived, f.rejected, f.busy, f.deferrableTime)
+		f := shortwork.Simulate(shortwork.Savings, shortwork.Arrivals(shortwork.Savings, true, shortwork.Seed), shortwork.NewCore(shortwork.Savings))
+		return fmt.Sprint(f.P(50), f.P(99), f.Arrived, f.Rejected, f.Busy, f.DeferrableTime)
 	}
 	if a, b := run(), run(); a != b {
 		t.Errorf("two runs differ: %s and %s", a, b)
