--- a/cmd/marjoramtiller/main.go
+++ b/cmd/marjoramtiller/main.go
@@ -44,6 +44,8 @@
   host move -to POOL [-epoch N] NAME
   voters list
   voters add-learner|promote|remove ID
+  bench                          print the metrics of both users' workloads
+                                 beside baselines and targets
   dump                           print a control process's state as JSON
   settings check [-program control|entry|client] FILE
 
@@ -90,6 +92,7 @@
 	"voters add-learner": voterCommand(operator.AddLearner),
 	"voters promote":     voterCommand(operator.Promote),
 	"voters remove":      voterCommand(operator.RemoveVoter),
+	"bench":              bench,
 	"demo":               demo,
 	"dump":               dump,
 	"settings check":     settingsCheck,
--- a/version/plan/placement_test.go
+++ b/version/plan/placement_test.go
@@ -216,3 +216,39 @@
 	is.Equal(p.Budget("p0").Margin(), 0)
 	is.Equal(p.Budget("p1").Margin(), 0)
 }
+
+// Guards against a pool that takes all spare hosts of one zone although they do not
+// raise its margin, so that no other pool can advance its wave.
+func TestLendLeavesHostsThatDoNotHelp(t *testing.T) {
+	is := is.New(t)
+	hosts := grid(3, 2, 2)
+	for i := range hosts {
+		hosts[i].Pool = "p"
+		if hosts[i].Zone == "z02" {
+			hosts[i].Pool = "spare"
+		}
+	}
+	// With z00 and z01 full, the pool survives the loss of either; hosts of z02 raise
+	// the margin until z02 is as large as they are.
+	pools := []Pool{{Name: "p", Promised: 4, Tolerance: Tolerance{Zone: true}}, {Name: "spare", Spare: true}}
+	p := NewPlanner(pools, hosts, DefaultWeights())
+	is.Equal(p.Budget("p").Margin(), 0)
+	is.Equal(len(p.Lend("p", 2)), 2)
+	is.Equal(p.Budget("p").Margin(), 2)
+
+	// All spare hosts are in the zone that is already the fullest: none helps.
+	for i := range hosts {
+		hosts[i].Pool = "p"
+		if hosts[i].Zone == "z00" && hosts[i].Rack == "r0001" {
+			hosts[i].Pool = "spare"
+		}
+		if hosts[i].Zone != "z00" && hosts[i].Rack == "r0001" {
+			hosts[i].Available = false
+		}
+	}
+	pools[0].Promised = 4
+	p = NewPlanner(pools, hosts, DefaultWeights())
+	is.Equal(p.Budget("p").Margin(), 0)
+	is.Equal(len(p.Lend("p", 1)), 0)
+	is.Equal(p.Budget("spare").Available(), 2)
+}
--- a/version/plan/replace.go
+++ b/version/plan/replace.go
@@ -22,12 +22,30 @@
 
 // Lend moves spare hosts into a pool until its margin allows n more hosts to go out,
 // or no spare host helps. It serves a pool whose wave would otherwise not advance.
+// Hosts that leave the margin as it was stay in the spare pool, where another pool
+// may need them.
 func (p *Planner) Lend(pool string, n int) []Move {
 	s := p.byPool[pool]
 	if s == nil || s == p.spare {
 		return nil
 	}
-	return p.fill(s, n, false)
+	moves := p.fill(s, n, false)
+	return p.withoutUseless(s, moves)
+}
+
+// withoutUseless returns the last of the moves, up to one that raised the margin, to
+// the spare pool.
+func (p *Planner) withoutUseless(pool *poolState, moves []Move) []Move {
+	margin := pool.budget.Margin()
+	for n := len(moves) - 1; n >= 0; n-- {
+		h := p.hosts[moves[n].Host]
+		p.assign(h, p.spare)
+		if pool.budget.Margin() < margin {
+			p.assign(h, pool)
+			return moves[:n+1]
+		}
+	}
+	return nil
 }
 
 func (p *Planner) takeDirty() []*poolState {
@@ -107,9 +125,12 @@
 }
 
 // bestSpare is the spare host that raises the pool's margin most: it is in the zone,
-// then in the rack, with the fewest hosts of the pool.
+// then in the rack, with the fewest hosts of the pool. Of equal zones it is the one with
+// most spare hosts, since other pools need spare hosts in every zone too.
 func (p *Planner) bestSpare(pool *poolState) *hostState {
-	for _, z := range p.zonesByCount(pool, 1) {
+	zones := p.zonesByCount(p.spare, -1)
+	slices.SortStableFunc(zones, func(a, b *zoneState) int { return cmp.Compare(pool.zones[a.id], pool.zones[b.id]) })
+	for _, z := range zones {
 		var best *rackState
 		for _, r := range z.racks {
 			if r.free > 0 && (best == nil || pool.racks[r.id] < pool.racks[best.id]) {
