Add benchmarks of the whole request path and of the control leader by size

Cause: no figure existed for an entry against a direct connection, nor for the leader's rounds, syncs and announcements at three sizes. Change: benchmarks in process/embedded and process/control. The platform stand-in of TestRequestEndToEnd gets a clock; without one it panicked in each poll, and the test passed without platform.

--- /dev/null
+++ b/process/control/bench_test.go
@@ -0,0 +1,262 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/connection/lease"
+	"marjoramtiller.example/marjoramtiller/connection/slots"
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/version/fleet"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+	"marjoramtiller.example/marjoramtiller/version/plan"
+)
+
+// Sizes of the benchmarks: hosts with one backend server each, and the pools of
+// the design scale in proportion.
+var benchSizes = []int{160, 1600, 16000}
+
+const (
+	benchEntries = 6
+	benchSlots   = 8
+)
+
+func benchPools(hosts int) int { return max(4, hosts*47/16000) }
+
+func benchServer(i, hosts int) *fleetpb.BackendServer {
+	return &fleetpb.BackendServer{
+		Name: fmt.Sprintf("server-%05d", i), Host: fmt.Sprintf("host-%05d", i), Service: fmt.Sprintf("service-%02d", i%benchPools(hosts)),
+		Address: fmt.Sprintf("10.%d.%d.%d:8080", i>>16, i>>8&255, i&255), Slots: benchSlots, Connections: 64,
+		BootId: "01939f5e-7a30-7c41-9d6f-0123456789ab",
+	}
+}
+
+// startSized starts the only voter of a cluster with n hosts and backend servers
+// and returns it with its term, once all slots are granted to six entries.
+func startSized(b *testing.B, n int) (*Server, *term) {
+	b.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	address := l.Addr().String()
+	_ = l.Close()
+	var entries []string
+	for i := range benchEntries {
+		entries = append(entries, fmt.Sprintf("entry-%d", i+1))
+	}
+	s, err := New(Options{
+		Cluster: "bench", Process: "control-1", PeersListen: address, Voters: []string{"control-1"}, Entries: entries,
+		DataFolder: b.TempDir(), LedgerGroups: 1, SnapshotEntries: 1 << 20, Logger: zerolog.Nop(), Registry: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(s.Close)
+	ctx := context.Background()
+	for limit := time.Now().Add(time.Minute); !leads(s.fleet) && time.Now().Before(limit); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	configure := &fleetpb.Configure{}
+	for p := range benchPools(n) {
+		configure.Changes = append(configure.Changes, &fleetpb.Change{Object: &fleetpb.Change_Pool{Pool: &fleetpb.Pool{
+			Name: fmt.Sprintf("pool-%02d", p), Service: fmt.Sprintf("service-%02d", p),
+			PromisedHosts: uint32(n / benchPools(n) / 2), SurviveRack: true, SurviveZone: true,
+		}}})
+	}
+	configure.Changes = append(configure.Changes, &fleetpb.Change{Object: &fleetpb.Change_Pool{Pool: &fleetpb.Pool{Name: "spare", Spare: true}}})
+	for i := range n {
+		configure.Changes = append(configure.Changes, &fleetpb.Change{Object: &fleetpb.Change_Host{Host: &fleetpb.Host{
+			Name: fmt.Sprintf("host-%05d", i), Pool: fmt.Sprintf("pool-%02d", i%benchPools(n)),
+			Zone: fmt.Sprintf("zone-%02d", i/4%20), Rack: fmt.Sprintf("rack-%04d", i/4), Region: "region-1", Cores: 64, MemoryGb: 256, Accelerators: 2,
+		}}})
+	}
+	propose(b, s, &fleetpb.Command{RequestId: "bench", Actor: "bench", Body: &fleetpb.Command_Configure{Configure: configure}})
+	t, err := s.leading(ctx)
+	if err != nil {
+		b.Fatal(err)
+	}
+	work := make(chan int)
+	var wg sync.WaitGroup
+	for range 128 {
+		wg.Go(func() {
+			for i := range work {
+				propose(b, s, &fleetpb.Command{Actor: "bench", Body: &fleetpb.Command_Register{Register: &fleetpb.Register{Server: benchServer(i, n)}}})
+			}
+		})
+	}
+	for i := range n {
+		work <- i
+	}
+	close(work)
+	wg.Wait()
+	renewAll(s, t, n)
+	s.refreshServers(t)
+	for range 8 { // until all slots are granted
+		for e := range benchEntries {
+			benchSync(b, s, t, e, 1)
+		}
+	}
+	return s, t
+}
+
+func propose(b *testing.B, s *Server, c *fleetpb.Command) {
+	result, err := s.proposeFleet(context.Background(), c)
+	if err != nil || refusal(result) != "" {
+		b.Errorf("the command was not applied: %v %s", err, refusal(result))
+	}
+}
+
+// renewAll renews the leases of all backend servers, which otherwise end while a
+// benchmark is under way.
+func renewAll(s *Server, t *term, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range n {
+		b := benchServer(i, n)
+		_ = t.lease.Heartbeat(b.Name, b.BootId, s.clock.Now())
+	}
+}
+
+// benchSync reports for an entry that has taken everything granted so far.
+func benchSync(b *testing.B, s *Server, t *term, entry int, demand uint32) (*wirepb.SyncRequest, *wirepb.SyncResponse) {
+	id := lease.SessionID{Entry: fmt.Sprintf("entry-%d", entry+1), BootID: "boot"}
+	req := &wirepb.SyncRequest{Entry: id.Entry, BootId: id.BootID, AckedVersion: s.version.Load(), AckedLive: t.live.number()}
+	s.mu.Lock()
+	grant, shares := t.slots.Grant(holderOf(id))
+	s.mu.Unlock()
+	req.AckedGrant = grant
+	for _, sh := range shares {
+		req.Servers = append(req.Servers, &wirepb.ServerUse{Server: sh.Server, SlotsHeld: sh.Slots})
+	}
+	req.Demand = append(req.Demand, &wirepb.ServiceDemand{Service: "service-00", Queued: demand})
+	if err := s.report(t, id, req); err != nil {
+		b.Fatal(err)
+	}
+	out, err := s.answerSync(t, id, req)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return req, out
+}
+
+// BenchmarkSync measures one report of an entry and its answer: without news, and
+// with another demand of one service in each report.
+func BenchmarkSync(b *testing.B) {
+	for _, n := range benchSizes {
+		s, t := startSized(b, n)
+		for _, kind := range []string{"unchanged", "rebalanced"} {
+			b.Run(fmt.Sprintf("%s/hosts=%d", kind, n), func(b *testing.B) {
+				var req *wirepb.SyncRequest
+				var resp *wirepb.SyncResponse
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					demand := uint32(1)
+					if kind == "rebalanced" {
+						demand = uint32(i * 7919 % 1000)
+					}
+					req, resp = benchSync(b, s, t, i%benchEntries, demand)
+				}
+				b.ReportMetric(float64(proto.Size(req)), "request-bytes")
+				b.ReportMetric(float64(proto.Size(resp)), "response-bytes")
+			})
+		}
+	}
+}
+
+// BenchmarkRounds measures the parts of a leader's round every 500 ms that read
+// the whole fleet, without any change to act on.
+func BenchmarkRounds(b *testing.B) {
+	for _, n := range benchSizes {
+		s, t := startSized(b, n)
+		parts := []struct {
+			name string
+			run  func()
+		}{
+			{"refreshServers", func() { s.refreshServers(t) }},
+			{"expireServers", func() { s.expireServers(context.Background(), t) }},
+			{"stepHosts", func() { s.stepHosts(context.Background(), t) }},
+			{"loadHosts", func() { s.viewFleet(func(f *fleet.Fleet) { t.jobs.loadHosts(f) }) }},
+			{"snapshotFleet", func() { s.viewFleet(func(f *fleet.Fleet) { snapshotFleet(f) }) }},
+			{"planner", func() {
+				var view fleetSnapshot
+				s.viewFleet(func(f *fleet.Fleet) { view = snapshotFleet(f) })
+				plan.NewPlanner(view.pools, view.hosts, plan.DefaultWeights()).Replan()
+			}},
+			{"reconcileWaves", func() { s.reconcileWaves(context.Background(), t) }},
+		}
+		for _, p := range parts {
+			b.Run(fmt.Sprintf("%s/hosts=%d", p.name, n), func(b *testing.B) {
+				renewAll(s, t, n)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					if i%64 == 0 {
+						b.StopTimer()
+						renewAll(s, t, n)
+						b.StartTimer()
+					}
+					p.run()
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkAnnounce measures the renewal of one backend server's lease at the
+// leader, and the bytes of its messages from the entry.
+func BenchmarkAnnounce(b *testing.B) {
+	for _, n := range benchSizes {
+		s, _ := startSized(b, n)
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			var req *wirepb.Request
+			var resp *wirepb.Response
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				req = &wirepb.Request{Body: &wirepb.Request_Announce{Announce: &wirepb.AnnounceRequest{Server: benchServer(i%n, n)}}}
+				resp = s.HandleCall(context.Background(), "entry-1", req)
+				if !resp.GetAnnounce().GetAccepted() {
+					b.Fatal(resp)
+				}
+			}
+			b.ReportMetric(float64(proto.Size(req)), "request-bytes")
+			b.ReportMetric(float64(proto.Size(resp)), "response-bytes")
+		})
+	}
+}
+
+// BenchmarkLeaderMemory reports the live heap of a leader for each host with a
+// backend server, including its replicated state.
+func BenchmarkLeaderMemory(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := liveHeap()
+				s, t := startSized(b, n)
+				used := liveHeap() - before
+				b.ReportMetric(float64(used)/1e6, "heap-MB")
+				runtime.KeepAlive(s)
+				runtime.KeepAlive(t)
+			}
+		})
+	}
+}
+
+func liveHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func holderOf(id lease.SessionID) slots.Holder {
+	return slots.Holder{Entry: id.Entry, BootID: id.BootID}
+}
--- /dev/null
+++ b/process/embedded/bench_test.go
@@ -0,0 +1,204 @@
+package embedded
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+
+	api "marjoramtiller.example/marjoramtiller/process/platform"
+	"marjoramtiller.example/marjoramtiller/standin/backend"
+	"marjoramtiller.example/marjoramtiller/standin/platform"
+)
+
+// benchSlots is the number of slots of the one backend server; it exceeds the
+// callers, so that no request waits for a slot.
+const benchSlots = 64
+
+// benchCluster has three control processes, one entry and one backend server.
+type benchCluster struct {
+	entry, direct string // base addresses
+	web           *http.Client
+}
+
+func startBench(b *testing.B, ledgerGroups int) *benchCluster {
+	b.Helper()
+	workers := []api.Worker{{Name: "w1", Zone: "a", Rack: "r1", Cores: 64, MemoryGB: 256, Up: true}}
+	fake := httptest.NewServer(platform.New(platform.Options{Now: sinceStart()}, workers).Handler())
+	b.Cleanup(fake.Close)
+	c, err := Start(Options{
+		Name: "bench", Zones: []string{"a", "b", "c"}, Controls: 3, Entries: 1, LedgerGroups: ledgerGroups,
+		DataFolder: b.TempDir(), PlatformURL: fake.URL, DrainDeadline: time.Minute, Logger: zerolog.Nop(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { _ = c.Close() })
+	change := map[string]any{
+		"request_id": "first", "operator": "op", "base_version": 0,
+		"changes": []any{
+			map[string]any{"pool": map[string]any{"name": "accrual", "service": "accrual", "promised_hosts": 1, "default_deadline_ms": 60000}},
+			map[string]any{"host": map[string]any{"name": "w1", "pool": "accrual", "rack": "r1", "zone": "a", "cores": 64, "memory_gb": 256}},
+		},
+	}
+	waitFor(b, func() bool {
+		for _, o := range c.Operators() {
+			if status, _ := post(fmt.Sprintf("http://%s/v1/configuration", o), change); status == http.StatusOK {
+				return true
+			}
+		}
+		return false
+	})
+	s, err := backend.Start(backend.Options{
+		Name: "b1", Host: "w1", Service: "accrual", Address: "127.0.0.1:0", Slots: benchSlots, Connections: benchSlots, BootID: "boot-1",
+		AnnounceURL: fmt.Sprintf("http://%s/v1/announcements", c.Announcements()[0]),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	b.Cleanup(func() { cancel(); <-done })
+	out := &benchCluster{
+		entry:  fmt.Sprintf("http://%s/s/accrual", c.Callers()[0]),
+		direct: "http://" + s.Address(),
+		web:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchSlots}, Timeout: time.Minute},
+	}
+	waitFor(b, func() bool { return out.send(out.entry, http.MethodPost) == nil })
+	return out
+}
+
+func waitFor(b *testing.B, ok func() bool) {
+	b.Helper()
+	for limit := time.Now().Add(time.Minute); time.Now().Before(limit); {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	b.Fatal("the cluster does not serve after a minute")
+}
+
+var payload = bytes.Repeat([]byte("x"), 200)
+
+func (c *benchCluster) send(base, method string) error {
+	req, err := http.NewRequest(method, base+"/balance/7", bytes.NewReader(payload))
+	if err != nil {
+		return err
+	}
+	if method == http.MethodPost {
+		req.Header.Set("Idempotency-Key", uuid.Must(uuid.NewV7()).String())
+	}
+	resp, err := c.web.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// phase is the result of one load on one path.
+type phase struct {
+	perSecond float64
+	p50, p99  time.Duration
+	allocs    float64 // a request, of caller, path and backend server together
+	failed    int64
+}
+
+// load sends requests from concurrent callers, each of which waits for its answer.
+func (c *benchCluster) load(base, method string, callers, requests int) phase {
+	var next, failed atomic.Int64
+	times := make([]time.Duration, requests)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	started := time.Now()
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for i := next.Add(1) - 1; i < int64(requests); i = next.Add(1) - 1 {
+				at := time.Now()
+				if c.send(base, method) != nil {
+					failed.Add(1)
+				}
+				times[i] = time.Since(at)
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(started)
+	runtime.ReadMemStats(&after)
+	slices.Sort(times)
+	return phase{
+		perSecond: float64(requests) / took.Seconds(),
+		p50:       times[requests/2],
+		p99:       times[requests*99/100],
+		allocs:    float64(after.Mallocs-before.Mallocs) / float64(requests),
+		failed:    failed.Load(),
+	}
+}
+
+// BenchmarkForward compares requests through an entry with requests sent
+// directly to the same backend server, in one process and one run. The ratio is
+// the throughput through the entry divided by the direct one. Run it with a fixed
+// number of requests, for example -benchtime 5000x.
+func BenchmarkForward(b *testing.B) {
+	for _, kind := range []struct{ name, method string }{{"idempotent", http.MethodGet}, {"non-idempotent", http.MethodPost}} {
+		for _, callers := range []int{1, 32} {
+			b.Run(fmt.Sprintf("%s/callers=%d", kind.name, callers), func(b *testing.B) {
+				c := startBench(b, 4)
+				for _, base := range []string{c.direct, c.entry} {
+					c.load(base, kind.method, callers, 100) // opens the connections
+				}
+				b.ResetTimer()
+				direct := c.load(c.direct, kind.method, callers, b.N)
+				through := c.load(c.entry, kind.method, callers, b.N)
+				b.StopTimer()
+				b.ReportMetric(0, "ns/op")
+				b.ReportMetric(direct.perSecond, "direct-req/s")
+				b.ReportMetric(through.perSecond, "entry-req/s")
+				b.ReportMetric(through.perSecond/direct.perSecond, "ratio")
+				b.ReportMetric(float64((through.p50 - direct.p50).Microseconds()), "added-p50-us")
+				b.ReportMetric(float64((through.p99 - direct.p99).Microseconds()), "added-p99-us")
+				b.ReportMetric(through.allocs-direct.allocs, "added-allocs/req")
+				b.ReportMetric(float64(through.failed+direct.failed), "failed")
+			})
+		}
+	}
+}
+
+// BenchmarkLedgerGroups measures non-idempotent requests through one entry by the
+// number of ledger groups. The groups share the disk of one machine here.
+func BenchmarkLedgerGroups(b *testing.B) {
+	for _, groups := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprintf("groups=%d", groups), func(b *testing.B) {
+			c := startBench(b, groups)
+			c.load(c.entry, http.MethodPost, 32, 100)
+			b.ResetTimer()
+			got := c.load(c.entry, http.MethodPost, 32, b.N)
+			b.StopTimer()
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(got.perSecond, "entry-req/s")
+			b.ReportMetric(float64(got.p50.Microseconds()), "p50-us")
+			b.ReportMetric(float64(got.p99.Microseconds()), "p99-us")
+			b.ReportMetric(float64(got.failed), "failed")
+		})
+	}
+}
--- a/process/embedded/embedded_test.go
+++ b/process/embedded/embedded_test.go
@@ -49,7 +49,7 @@
 func TestRequestEndToEnd(t *testing.T) {
 	is := is.New(t)
 	workers := []api.Worker{{Name: "w1", Zone: "a", Rack: "r1", Cores: 64, MemoryGB: 256, Up: true}}
-	fake := platform.New(platform.Options{}, workers)
+	fake := platform.New(platform.Options{Now: sinceStart()}, workers)
 	web := httptest.NewServer(fake.Handler())
 	defer web.Close()
 	log := zerolog.New(os.Stderr).Level(zerolog.WarnLevel)
@@ -120,3 +120,9 @@
 		_ = i
 	}
 }
+
+// sinceStart is the clock of the platform stand-in, which has none of its own.
+func sinceStart() func() time.Duration {
+	started := time.Now()
+	return func() time.Duration { return time.Since(started) }
+}
