--- a/connection/slots/bench_test.go
+++ b/connection/slots/bench_test.go
@@ -43,3 +43,37 @@
 		})
 	}
 }
+
+// BenchmarkRebalanceByEntries is BenchmarkRebalance at 16,000 backend servers with
+// more entries; only the entry that reports takes its grant.
+func BenchmarkRebalanceByEntries(b *testing.B) {
+	const servers = 16000
+	for _, n := range []int{6, 12, 36} {
+		b.Run(fmt.Sprintf("entries=%d", n), func(b *testing.B) {
+			var entries []*entry
+			for i := range n {
+				entries = append(entries, newEntry(fmt.Sprintf("e%02d", i), "1"))
+			}
+			a := New(1, nil)
+			for i := range servers {
+				s := serverOf(i, 8)
+				s.Service = fmt.Sprintf("service-%d", i%47)
+				a.SetServer(s)
+			}
+			settle(a, entries...)
+			if entries[0].total() == 0 {
+				b.Fatal("nothing was granted")
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; b.Loop(); i++ {
+				e := entries[i%len(entries)]
+				r := e.report()
+				r.Demand = map[string]float64{"service-0": float64(i * 7919 % 1000)}
+				a.Report(r)
+				a.Rebalance()
+				e.take(a)
+			}
+		})
+	}
+}
--- a/process/embedded/bench_test.go
+++ b/process/embedded/bench_test.go
@@ -3,14 +3,17 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,6 +32,7 @@
 // benchCluster has three control processes, one entry and one backend server.
 type benchCluster struct {
 	entry, direct string // base addresses
+	announcements string // URL
 	web           *http.Client
 }
 
@@ -72,9 +76,10 @@
 	go func() { done <- s.Run(ctx) }()
 	b.Cleanup(func() { cancel(); <-done })
 	out := &benchCluster{
-		entry:  fmt.Sprintf("http://%s/s/accrual", c.Callers()[0]),
-		direct: "http://" + s.Address(),
-		web:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchSlots}, Timeout: time.Minute},
+		entry:         fmt.Sprintf("http://%s/s/accrual", c.Callers()[0]),
+		direct:        "http://" + s.Address(),
+		announcements: fmt.Sprintf("http://%s/v1/announcements", c.Announcements()[0]),
+		web:           &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: benchSlots}, Timeout: time.Minute},
 	}
 	waitFor(b, func() bool { return out.send(out.entry, http.MethodPost) == nil })
 	return out
@@ -202,3 +207,75 @@
 		})
 	}
 }
+
+// countingConn counts the bytes of a connection.
+type countingConn struct {
+	net.Conn
+	sent, received *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkAnnouncement renews a backend server's lease through an entry at the
+// control leader of three control processes. The bytes are those of HTTP on the
+// backend server's connection, one message in each direction; processor time is
+// of all processes of the cluster and the sender together, with idle loops.
+func BenchmarkAnnouncement(b *testing.B) {
+	c := startBench(b, 1)
+	var sent, received atomic.Int64
+	web := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 128, DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, address)
+		return countingConn{conn, &sent, &received}, err
+	}}}
+	body, err := json.Marshal(backend.Announcement{
+		Name: "server-00001", Host: "w1", Service: "accrual", Address: "127.0.0.1:9", Slots: 8, Connections: 64, BootID: uuid.NewString(),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	announce := func() {
+		resp, err := web.Post(c.announcements, "application/json", bytes.NewReader(body))
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			b.Error(resp.Status)
+		}
+	}
+	announce()
+	sent.Store(0)
+	received.Store(0)
+	cpu := processorTime(b)
+	b.SetParallelism(8)
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			announce()
+		}
+	})
+	b.ReportMetric(float64((processorTime(b)-cpu).Microseconds())/float64(b.N), "cpu-us/op")
+	b.ReportMetric(float64(sent.Load())/float64(b.N), "sent-bytes")
+	b.ReportMetric(float64(received.Load())/float64(b.N), "received-bytes")
+}
+
+// processorTime is the user and system time of this process.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/version/fleet/bench_test.go
+++ b/version/fleet/bench_test.go
@@ -120,3 +120,34 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// BenchmarkChanges applies one day's configuration changes one by one to a fleet of
+// 1,600 hosts. It reports the time of a change, the delta of all of them for an entry
+// that was away, the heap that they leave and the snapshot's size.
+func BenchmarkChanges(b *testing.B) {
+	for _, n := range []int{51, 510, 5100, 51000} {
+		b.Run(fmt.Sprintf("changes=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				r := sizedFleet(1600)
+				before := liveBytes()
+				from := r.f.Version()
+				b.StartTimer()
+				for i := range n {
+					r.configure(pool(&fleetpb.Pool{Name: "pool-00", Service: "pool-00", SurviveRack: true, SurviveZone: true, DefaultDeadlineMs: uint32(i + 1)}))
+				}
+				b.StopTimer()
+				used := liveBytes() - before
+				snapshot, err := r.f.Snapshot()
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(n)/float64(b.N), "us/change")
+				b.ReportMetric(float64(used)/float64(n), "heap-bytes/change")
+				b.ReportMetric(float64(proto.Size(r.f.Delta(from, false))), "delta-bytes")
+				b.ReportMetric(float64(len(snapshot)), "snapshot-bytes")
+				b.StartTimer()
+			}
+		})
+	}
+}
