--- a/process/control/bench_test.go
+++ b/process/control/bench_test.go
@@ -11,11 +11,13 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/connection/lease"
 	"marjoramtiller.example/marjoramtiller/connection/slots"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
 	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 	"marjoramtiller.example/marjoramtiller/version/plan"
@@ -260,3 +262,67 @@
 func holderOf(id lease.SessionID) slots.Holder {
 	return slots.Holder{Entry: id.Entry, BootID: id.BootID}
 }
+
+// BenchmarkOperatorsView measures the answer to an operator who reads the whole
+// configuration, and its size as JSON.
+func BenchmarkOperatorsView(b *testing.B) {
+	for _, n := range benchSizes {
+		s, _ := startSized(b, n)
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				snapshot, err := s.Operators().Snapshot(context.Background())
+				if err != nil {
+					b.Fatal(err)
+				}
+				raw, err := protojson.Marshal(snapshot)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+			}
+			b.ReportMetric(float64(size), "json-bytes")
+		})
+	}
+}
+
+// BenchmarkMessageSizes reports the marshalled sizes of the messages that one
+// posting and one host step cost between processes.
+func BenchmarkMessageSizes(b *testing.B) {
+	key := "01939f5e-7a30-7c41-9d6f-0123456789ab"
+	begin := &ledgerpb.Command{NowUnixMs: 1764800000000, Body: &ledgerpb.Command_Begin{Begin: &ledgerpb.Begin{
+		Key: key, Fingerprint: make([]byte, 32), Service: "ledger", Entry: "entry-1", BootId: key, Attempt: 1000000,
+	}}}
+	finish := &ledgerpb.Command{NowUnixMs: 1764800000000, Body: &ledgerpb.Command_Finish{Finish: &ledgerpb.Finish{
+		Key: key, Entry: "entry-1", BootId: key, Attempt: 1000000, Answer: &ledgerpb.Answer{
+			Status: 200, Headers: []*ledgerpb.Header{{Name: "Content-Type", Value: "application/json"}}, Body: make([]byte, 200),
+		},
+	}}}
+	step := &fleetpb.Command{Actor: "control-1", NowUnixMs: 1764800000000, Body: &fleetpb.Command_HostStep{HostStep: &fleetpb.HostStep{
+		Host: "host-00001", Kind: fleetpb.HostStep_KIND_DRAIN, ExpectedEpoch: 9, ExpectedState: fleetpb.HostState_HOST_STATE_ACTIVE, Wave: "2026-12-07",
+	}}}
+	sizes := map[string]proto.Message{
+		"begin-bytes":  &wirepb.Request{Body: &wirepb.Request_Ledger{Ledger: &wirepb.LedgerRequest{Group: 1, Command: begin}}},
+		"finish-bytes": &wirepb.Request{Body: &wirepb.Request_Ledger{Ledger: &wirepb.LedgerRequest{Group: 1, Command: finish}}},
+	}
+	for name, c := range map[string]proto.Message{"append-begin-bytes": begin, "append-finish-bytes": finish, "append-step-bytes": step} {
+		raw, err := proto.Marshal(c)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sizes[name] = &wirepb.RaftMessage{
+			Group: "ledger-1", Type: wirepb.RaftMessage_TYPE_APPEND, From: "control-1", To: "control-2", Term: 3, Index: 1000000, LogTerm: 3, Commit: 1000000,
+			Entries: []*wirepb.RaftEntry{{Term: 3, Index: 1000001, Data: raw}},
+		}
+	}
+	for b.Loop() {
+		for _, m := range sizes {
+			proto.Size(m)
+		}
+	}
+	b.ReportMetric(0, "ns/op")
+	for name, m := range sizes {
+		b.ReportMetric(float64(proto.Size(m)), name)
+	}
+}
