--- a/process/entry/lease_test.go
+++ b/process/entry/lease_test.go
@@ -40,3 +40,49 @@
 		}
 	})
 }
+
+// Guards against a renewal of the whole list that gives another lease than the
+// renewal of each listed server by itself.
+func TestRenewalOfTheListEqualsThatOfEachServer(t *testing.T) {
+	names := []string{"a", "b", "c"}
+	rapid.Check(t, func(t *rapid.T) {
+		list, each := newLeases(), newLeases()
+		now, lastSent := time.Duration(0), time.Duration(-1)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond
+			// An entry sends its syncs one after the other.
+			sent := max(lastSent+1, now-time.Duration(rapid.IntRange(0, 1000).Draw(t, "delay"))*time.Millisecond)
+			lastSent = sent
+			name := rapid.SampledFrom(names).Draw(t, "server")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				lease := time.Duration(rapid.IntRange(1, 6000).Draw(t, "lease")) * time.Millisecond
+				list.renewed(sent)
+				for other := range each.servers {
+					each.listed(other, sent, serverLease)
+				}
+				list.listed(name, sent, lease)
+				each.listed(name, sent, lease)
+			case 1:
+				list.renewed(sent)
+				for other := range each.servers {
+					each.listed(other, sent, serverLease)
+				}
+			case 2:
+				list.end(name, now)
+				each.end(name, now)
+			case 3:
+				list.answered(name, now)
+				each.answered(name, now)
+			case 4:
+				list.gone(name)
+				each.gone(name)
+			}
+			for _, n := range names {
+				if list.serverValid(n, now) != each.serverValid(n, now) {
+					t.Fatalf("server %s at %v: valid is %v for the list and %v by itself", n, now, list.serverValid(n, now), each.serverValid(n, now))
+				}
+			}
+		}
+	})
+}
