--- a/process/entry/carry.go
+++ b/process/entry/carry.go
@@ -138,7 +138,7 @@
 	if f.Kind == forward.DialFailed {
 		e.leases.end(s.server, now)
 		e.refusing[s.server] = true
-		e.refreshServer(s.server, e.cfg.servers[s.server], now)
+		e.refresh(now)
 	}
 }
 
@@ -200,7 +200,7 @@
 	now := e.now()
 	if resp.Leaving {
 		e.leases.end(s.server, now)
-		e.refreshServer(s.server, e.cfg.servers[s.server], now)
+		e.refresh(now)
 		return
 	}
 	e.leases.answered(s.server, now)
--- a/process/entry/config.go
+++ b/process/entry/config.go
@@ -119,9 +119,16 @@
 // refresh brings the queue core's servers in line with configuration, leases
 // and shares. The caller holds the mutex.
 func (e *Entry) refresh(now time.Duration) {
-	e.leasesUntil = e.leases.configUntil
+	valid := e.leases.configValid(now)
 	for name, s := range e.cfg.servers {
-		e.refreshServer(name, s, now)
+		share := e.shares[name]
+		if !valid || share.slots == 0 || !e.cfg.usable(s) || !e.leases.serverValid(name, now) {
+			e.core.RemoveServer(name)
+			continue
+		}
+		// One connection carries one request, so the connection limit is a slot limit too.
+		e.core.SetServer(name, s.GetService(), min(share.slots, share.connections))
+		e.targetOf(s, share)
 	}
 	for name, t := range e.targets {
 		if e.cfg.servers[name] == nil {
@@ -132,33 +139,6 @@
 	}
 }
 
-// refreshServer brings one backend server in line. The caller holds the mutex.
-func (e *Entry) refreshServer(name string, s *fleetpb.BackendServer, now time.Duration) {
-	share := e.shares[name]
-	if share.slots == 0 || !e.cfg.usable(s) {
-		e.core.RemoveServer(name)
-		return
-	}
-	if r := e.leases.servers[name]; r != nil && !r.ended {
-		e.leasesUntil = min(e.leasesUntil, e.leases.until(r))
-	}
-	if !e.leases.configValid(now) || !e.leases.serverValid(name, now) {
-		e.core.RemoveServer(name)
-		return
-	}
-	// One connection carries one request, so the connection limit is a slot limit too.
-	e.core.SetServer(name, s.GetService(), min(share.slots, share.connections))
-	e.targetOf(s, share)
-}
-
-// refreshIfEnded refreshes when a lease may have ended since the last refresh.
-// Leases only get longer between refreshes; what shortens one refreshes its server.
-func (e *Entry) refreshIfEnded(now time.Duration) {
-	if now >= e.leasesUntil {
-		e.refresh(now)
-	}
-}
-
 // target is the transport to one boot of a backend server.
 type target struct {
 	t           *forward.Target
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -90,7 +90,6 @@
 	liveNumber   uint64
 	rates        map[string]*arrivals
 	grant        uint64
-	leasesUntil  time.Duration // no lease in use ended before this at the last refresh
 	term         uint64
 	leader       string
 	wake         *time.Timer
@@ -250,7 +249,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	e.refreshIfEnded(now)
+	e.refresh(now)
 	if !e.leases.configValid(now) {
 		e.rejectAll()
 	}
--- a/process/entry/metrics.go
+++ b/process/entry/metrics.go
@@ -170,8 +170,8 @@
 			st = queue.ServerStats{Server: name, Service: b.GetService()}
 		}
 		lease := -time.Millisecond
-		if r := e.leases.servers[name]; r != nil && !r.ended {
-			lease = e.leases.until(r) - now
+		if r := e.leases.servers[name]; r != nil {
+			lease = r.until - now
 		}
 		s.Servers = append(s.Servers, ServerState{ServerStats: st, Address: b.GetAddress(), Share: e.shares[name].slots,
 			InFlight: e.inFlight[name], LeaseMs: lease.Milliseconds(), Usable: e.cfg.usable(b)})
--- a/process/entry/slot.go
+++ b/process/entry/slot.go
@@ -80,7 +80,7 @@
 	}
 	e.uncount(s)
 	e.waiters[s.id] = w
-	e.refreshIfEnded(now)
+	e.refresh(now)
 	e.pump()
 	e.mu.Unlock()
 	return e.await(ctx, s.id, w)
--- a/process/entry/sync.go
+++ b/process/entry/sync.go
@@ -101,15 +101,17 @@
 // use reports slots held. A share lowered below the work in flight is still
 // held until that work ends, so the leader cannot grant it elsewhere.
 func (e *Entry) use() []*wirepb.ServerUse {
-	out := make([]*wirepb.ServerUse, 0, len(e.shares))
-	for name, s := range e.shares {
-		n := e.inFlight[name]
-		out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(max(n, s.slots)), InFlight: uint32(n)})
+	names := make(map[string]bool)
+	for name := range e.shares {
+		names[name] = true
 	}
-	for name, n := range e.inFlight {
-		if _, shared := e.shares[name]; !shared {
-			out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(n), InFlight: uint32(n)})
-		}
+	for name := range e.inFlight {
+		names[name] = true
+	}
+	out := make([]*wirepb.ServerUse, 0, len(names))
+	for _, name := range sortedKeys(names) {
+		n := e.inFlight[name]
+		out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(max(n, e.shares[name].slots)), InFlight: uint32(n)})
 	}
 	return out
 }
@@ -153,8 +155,7 @@
 	newTerm := r.GetLeaderTerm() > e.term
 	e.term = r.GetLeaderTerm()
 	e.leader = r.GetLeader()
-	changed := e.cfg.apply(r.GetDelta())
-	if changed {
+	if e.cfg.apply(r.GetDelta()) {
 		e.configureQueue()
 	}
 	if e.cfg.version == r.GetVersion() {
@@ -162,38 +163,34 @@
 		// behind it, or a leader that is behind the entry, renews nothing.
 		e.leases.synced(sent, time.Duration(r.GetConfigLeaseMs())*time.Millisecond)
 	}
-	changed = e.applyLive(sent, r) || changed
+	e.applyLive(sent, r)
 	if newTerm || r.GetGrant() > e.grant {
 		e.applyGrant(r)
-		changed = true
-	}
-	if changed {
-		e.refresh(e.now())
-	} else {
-		e.refreshIfEnded(e.now())
 	}
+	e.refresh(e.now())
 	e.pump()
 }
 
-// applyLive brings the list of live servers up to date and reports whether it
-// changed. An answer renews every server of the list but those that it names as gone.
-func (e *Entry) applyLive(sent time.Duration, r *wirepb.SyncResponse) bool {
+// applyLive brings the list of live servers up to date. An answer renews every
+// server of the list but those that it names as gone.
+func (e *Entry) applyLive(sent time.Duration, r *wirepb.SyncResponse) {
+	listed := make(map[string]bool)
+	for _, s := range r.GetLive() {
+		listed[s.GetServer()] = true
+	}
 	if r.GetLiveFull() {
-		listed := make(map[string]bool, len(r.GetLive()))
-		for _, s := range r.GetLive() {
-			listed[s.GetServer()] = true
-		}
 		e.leases.keepOnly(listed)
 	}
 	for _, name := range r.GetGone() {
 		e.leases.gone(name)
 	}
-	restored := e.leases.renewed(sent)
+	for name := range e.leases.servers {
+		e.leases.listed(name, sent, serverLease)
+	}
 	for _, s := range r.GetLive() {
 		e.leases.listed(s.GetServer(), sent, time.Duration(s.GetLeaseMs())*time.Millisecond)
 	}
 	e.liveNumber = r.GetLiveNumber()
-	return restored || r.GetLiveFull() || len(r.GetLive()) > 0 || len(r.GetGone()) > 0
 }
 
 func (e *Entry) applyGrant(r *wirepb.SyncResponse) {
@@ -212,9 +209,8 @@
 func (e *Entry) Announce(ctx context.Context, r *wirepb.AnnounceRequest) (*wirepb.AnnounceResponse, error) {
 	if r.GetLeaving() {
 		e.mu.Lock()
-		name := r.GetServer().GetName()
-		e.leases.end(name, e.now())
-		e.refreshServer(name, e.cfg.servers[name], e.now())
+		e.leases.end(r.GetServer().GetName(), e.now())
+		e.refresh(e.now())
 		e.mu.Unlock()
 	}
 	return e.o.Control.Announce(ctx, r)
