--- a/process/replica/cluster_test.go
+++ b/process/replica/cluster_test.go
@@ -42,6 +42,7 @@
 	replicas map[string]*Replica
 	cut      map[string]bool
 	fs       map[string]storage.FS
+	machine  func() StateMachine
 }
 
 type link struct {
@@ -60,7 +61,7 @@
 }
 
 func newCluster(t testing.TB, voters ...string) *cluster {
-	c := &cluster{t: t, root: t.TempDir(), voters: voters, replicas: map[string]*Replica{}, cut: map[string]bool{}, fs: map[string]storage.FS{}}
+	c := &cluster{t: t, root: t.TempDir(), voters: voters, replicas: map[string]*Replica{}, cut: map[string]bool{}, fs: map[string]storage.FS{}, machine: func() StateMachine { return &listMachine{} }}
 	for _, name := range voters {
 		c.open(name, voters)
 	}
@@ -76,7 +77,7 @@
 	c.t.Helper()
 	r, err := Open(Options{
 		ID: name, Group: "g", Voters: voters, Dir: filepath.Join(c.root, name), FS: c.fs[name],
-		StateMachine: &listMachine{}, Transport: link{c, name}, Seed: uint64(len(name)) + uint64(name[0]),
+		StateMachine: c.machine(), Transport: link{c, name}, Seed: uint64(len(name)) + uint64(name[0]),
 		Tick: 5 * time.Millisecond, HeartbeatInterval: 15 * time.Millisecond,
 		ElectionTimeoutMin: 400 * time.Millisecond, ElectionTimeoutMax: 800 * time.Millisecond,
 		SnapshotEntries: 20,
--- a/process/replica/options.go
+++ b/process/replica/options.go
@@ -20,6 +20,14 @@
 	Restore(snapshot []byte) error
 }
 
+// Viewer is a StateMachine that hands out a consistent view of its state
+// quickly. encode gives the same bytes as Snapshot at the time of the call; it is
+// called on another goroutine while commands are applied. The state of a
+// StateMachine that is no Viewer is encoded while nothing is applied.
+type Viewer interface {
+	SnapshotView() (encode func() ([]byte, error), err error)
+}
+
 // Transport sends messages to other replicas. Send never blocks and may drop.
 type Transport interface {
 	Send(to string, m *wirepb.RaftMessage)
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -39,6 +39,9 @@
 	stalled  *consensus.Ready // not stored because the disk is full
 	retryNow bool             // a tick has passed since the last attempt to store
 	snapshot *wirepb.RaftSnapshot
+	saving   bool          // a snapshot is being encoded and stored
+	saveNext time.Duration // no snapshot is begun before
+	saved    chan savedSnapshot
 	wasRole  consensus.Role
 
 	smMu    sync.Mutex // serialises View with Apply
@@ -80,6 +83,7 @@
 		proposals: make(chan *proposal, queueLength),
 		messages:  make(chan *wirepb.RaftMessage, queueLength),
 		tasks:     make(chan func()),
+		saved:     make(chan savedSnapshot, 1),
 		stop:      make(chan struct{}),
 		done:      make(chan struct{}),
 		waiting:   map[uint64]*proposal{},
@@ -132,7 +136,7 @@
 	}
 	founding := &wirepb.RaftSnapshot{Voters: &wirepb.RaftVoters{Voters: r.o.Voters}}
 	state.Snapshot = founding
-	return r.store.SaveSnapshot(founding, false)
+	return r.store.SaveSnapshot(founding)
 }
 
 // Propose replicates a command and returns the state machine's result. The
--- a/process/replica/run.go
+++ b/process/replica/run.go
@@ -17,10 +17,13 @@
 	defer stopTicks()
 	var err error
 	for err == nil {
-		if !r.wait(ticks) {
+		var open bool
+		if open, err = r.wait(ticks); !open {
 			break
 		}
-		err = r.process()
+		if err == nil {
+			err = r.process()
+		}
 		r.publish()
 	}
 	r.finish(err)
@@ -28,10 +31,10 @@
 
 // wait takes at least one event, and then those that are queued, into the core.
 // It returns false on Close.
-func (r *Replica) wait(ticks <-chan time.Time) bool {
+func (r *Replica) wait(ticks <-chan time.Time) (open bool, err error) {
 	select {
 	case <-r.stop:
-		return false
+		return false, nil
 	case <-ticks:
 		r.tick()
 	case m := <-r.messages:
@@ -40,6 +43,8 @@
 		r.propose(p)
 	case task := <-r.tasks:
 		task()
+	case result := <-r.saved:
+		err = r.endSnapshot(result)
 	}
 	for range maxBatch {
 		select {
@@ -48,10 +53,10 @@
 		case p := <-r.proposals:
 			r.propose(p)
 		default:
-			return true
+			return true, err
 		}
 	}
-	return true
+	return true, err
 }
 
 // tick leaves the core alone while the disk is full: a replica that can't store
@@ -153,7 +158,7 @@
 	}
 	r.count.syncs.Add(1)
 	if rd.Snapshot != nil {
-		if err := r.store.SaveSnapshot(rd.Snapshot, true); err != nil {
+		if err := r.store.InstallSnapshot(rd.Snapshot); err != nil {
 			return err
 		}
 	}
@@ -256,43 +261,6 @@
 	}
 }
 
-// maybeSnapshot stores a snapshot and removes the log before it. A full disk
-// only delays it.
-func (r *Replica) maybeSnapshot() error {
-	var base uint64
-	if r.snapshot != nil {
-		base = r.snapshot.Index
-	}
-	if r.applied-base < r.o.SnapshotEntries {
-		return nil
-	}
-	s := r.core.SnapshotMeta(r.applied)
-	if s == nil {
-		return nil
-	}
-	r.smMu.Lock()
-	data, err := r.o.StateMachine.Snapshot()
-	r.smMu.Unlock()
-	if err != nil {
-		return fmt.Errorf("replica: snapshot at %d: %w", r.applied, err)
-	}
-	s.Data = data
-	err = r.store.SaveSnapshot(s, false)
-	var full *storage.DiskFullError
-	if errors.As(err, &full) {
-		r.log.Warn().Err(err).Msg("snapshot delayed")
-		return nil
-	}
-	if err != nil {
-		return err
-	}
-	r.count.snapshots.Add(1)
-	r.snapshot = s
-	// The entries since the snapshot before stay in memory for slow followers.
-	r.core.Compact(s.Index, base)
-	return r.store.Compact(s.Index)
-}
-
 func (r *Replica) finish(err error) {
 	if err != nil {
 		r.log.Error().Err(err).Msg("replica stopped")
@@ -305,6 +273,9 @@
 	for _, p := range r.waiting {
 		p.result <- outcome{err: &OutcomeUnknownError{Err: &StoppedError{Err: err}}}
 	}
+	if r.saving {
+		<-r.saved
+	}
 	_ = r.store.Close()
 	close(r.done)
 	for {
--- a/process/storage/fakefs_test.go
+++ b/process/storage/fakefs_test.go
@@ -20,6 +20,23 @@
 	spaceBytes int // bytes that can still be written, without bound if negative
 	failSync   bool
 	syncs      int
+	before     func() // called before each change of a file or folder
+}
+
+func (m *memFS) change() {
+	if m.before != nil {
+		m.before()
+	}
+}
+
+// copy returns the disk as a crash at this moment leaves it.
+func (m *memFS) copy(keep int) *memFS {
+	c := newMemFS()
+	for name, f := range m.files {
+		c.files[name] = &memFile{fs: c, data: slices.Clone(f.data), synced: slices.Clone(f.synced)}
+	}
+	c.crash(keep)
+	return c
 }
 
 type memFile struct {
@@ -40,6 +57,7 @@
 }
 
 func (m *memFS) Create(name string) (File, error) {
+	m.change()
 	m.files[name] = &memFile{fs: m}
 	return m.files[name], nil
 }
@@ -53,12 +71,14 @@
 }
 
 func (m *memFS) Rename(from, to string) error {
+	m.change()
 	m.files[to] = m.files[from]
 	delete(m.files, from)
 	return nil
 }
 
 func (m *memFS) Remove(name string) error {
+	m.change()
 	delete(m.files, name)
 	return nil
 }
@@ -74,7 +94,10 @@
 	return names, nil
 }
 
-func (m *memFS) SyncDir(string) error { return nil }
+func (m *memFS) SyncDir(string) error {
+	m.change()
+	return nil
+}
 
 // crash drops unsynced data but for a prefix of keep bytes of each file.
 func (m *memFS) crash(keep int) {
@@ -98,6 +121,7 @@
 }
 
 func (f *memFile) Write(p []byte) (int, error) {
+	f.fs.change()
 	n := len(p)
 	if f.fs.spaceBytes >= 0 {
 		n = min(n, f.fs.spaceBytes)
@@ -113,6 +137,7 @@
 func (f *memFile) Close() error { return nil }
 
 func (f *memFile) Sync() error {
+	f.fs.change()
 	f.fs.syncs++
 	if f.fs.failSync {
 		f.fs.failSync = false
--- a/process/storage/load.go
+++ b/process/storage/load.go
@@ -12,14 +12,28 @@
 
 // replace stores data with its CRC under name, atomically.
 func (s *Store) replace(name string, data []byte) error {
-	tmp := s.path(name + tmpSuffix)
+	tmp := name + tmpSuffix
+	if err := s.prepare(tmp, data); err != nil {
+		return s.stopOnSync(err)
+	}
+	return s.stopOnSync(s.publish(tmp, name))
+}
+
+// prepare writes data with its CRC to a file and syncs it. It changes nothing
+// else and may run while other methods are called.
+func (s *Store) prepare(name string, data []byte) error {
+	tmp := s.path(name)
 	f, err := s.fs.Create(tmp)
 	if err != nil {
 		return &DiskFullError{File: tmp, Err: err}
 	}
 	header := binary.LittleEndian.AppendUint32(nil, uint32(len(data)))
 	header = binary.LittleEndian.AppendUint32(header, checksum(header, data))
-	if _, err := f.Write(append(header, data...)); err != nil {
+	_, err = f.Write(header)
+	if err == nil {
+		_, err = f.Write(data)
+	}
+	if err != nil {
 		_ = f.Close()
 		_ = s.fs.Remove(tmp)
 		return &DiskFullError{File: tmp, Err: err}
@@ -27,13 +41,18 @@
 	syncErr := f.Sync()
 	closeErr := f.Close()
 	if err := errors.Join(syncErr, closeErr); err != nil {
-		return s.stop(&SyncError{File: tmp, Err: err})
+		return &SyncError{File: tmp, Err: err}
 	}
-	if err := s.fs.Rename(tmp, s.path(name)); err != nil {
-		return s.stop(&SyncError{File: tmp, Err: err})
+	return nil
+}
+
+// publish puts a prepared file in the place of name, durably.
+func (s *Store) publish(tmp, name string) error {
+	if err := s.fs.Rename(s.path(tmp), s.path(name)); err != nil {
+		return &SyncError{File: s.path(tmp), Err: err}
 	}
 	if err := s.fs.SyncDir(s.dir); err != nil {
-		return s.stop(&SyncError{File: s.dir, Err: err})
+		return &SyncError{File: s.dir, Err: err}
 	}
 	return nil
 }
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -3,8 +3,9 @@
 import (
 	"errors"
 	"fmt"
-	"io/fs"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 
 	"google.golang.org/protobuf/proto"
 
@@ -30,7 +31,8 @@
 	TruncatedBytes int64
 }
 
-// Store is an open folder. It is not safe for concurrent use. After an error
+// Store is an open folder. Only SaveSnapshot may run concurrently with the other
+// methods, once at a time and not with Close. After an error
 // other than DiskFullError and TooLargeError every call fails with that error.
 type Store struct {
 	fs           FS
@@ -41,7 +43,10 @@
 	size         int64 // intact bytes of the open segment
 	dirty        bool  // a failed write may have left bytes after size
 	hardState    *wirepb.RaftHardState
-	err          error
+	err          atomic.Pointer[error]
+
+	snapshotMu    sync.Mutex // held while the snapshot file is replaced
+	snapshotIndex uint64     // index of the stored snapshot
 }
 
 type segment struct {
@@ -79,6 +84,7 @@
 		return nil, nil, err
 	}
 	s.hardState = st.HardState
+	s.snapshotIndex = st.Snapshot.GetIndex()
 	return s, st, nil
 }
 
@@ -101,8 +107,8 @@
 
 // write appends one record; it includes the hard state if last is set.
 func (s *Store) write(b *batch, last bool, hs *wirepb.RaftHardState) error {
-	if s.err != nil {
-		return s.err
+	if err := s.stopped(); err != nil {
+		return err
 	}
 	if last {
 		b.hardState = hs
@@ -162,10 +168,18 @@
 }
 
 func (s *Store) stop(err error) error {
-	s.err = err
+	s.err.CompareAndSwap(nil, &err)
 	return err
 }
 
+// stopped returns the error that ended the use of the store, nil before it.
+func (s *Store) stopped() error {
+	if err := s.err.Load(); err != nil {
+		return *err
+	}
+	return nil
+}
+
 // split divides entries into batches that fit a record.
 func split(entries []*wirepb.RaftEntry) [][]*wirepb.RaftEntry {
 	const target = MaxRecordBytes / 2
@@ -187,46 +201,10 @@
 
 const binaryOverhead = 11 // item kind and the longest varint
 
-// SaveSnapshot stores a snapshot in place of the earlier one. With reset, the
-// log is emptied and continues after the snapshot.
-func (s *Store) SaveSnapshot(snap *wirepb.RaftSnapshot, reset bool) error {
-	if s.err != nil {
-		return s.err
-	}
-	data, err := proto.Marshal(snap)
-	if err != nil {
-		return fmt.Errorf("storage: encode snapshot: %w", err)
-	}
-	if err := s.replace(snapshotName, data); err != nil {
-		return err
-	}
-	if !reset {
-		return nil
-	}
-	start := &wirepb.RaftSnapshot{Index: snap.Index, Term: snap.Term, Voters: snap.Voters}
-	return s.write(&batch{reset: start}, false, nil)
-}
-
-// Snapshot reads the stored snapshot, nil if there is none.
-func (s *Store) Snapshot() (*wirepb.RaftSnapshot, error) {
-	data, err := s.readChecked(snapshotName)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
-	}
-	if err != nil {
-		return nil, err
-	}
-	snap := &wirepb.RaftSnapshot{}
-	if err := proto.Unmarshal(data, snap); err != nil {
-		return nil, &CorruptError{File: s.path(snapshotName), Detail: err.Error()}
-	}
-	return snap, nil
-}
-
 // Compact removes the segments whose entries all are at or below index.
 func (s *Store) Compact(index uint64) error {
-	if s.err != nil {
-		return s.err
+	if err := s.stopped(); err != nil {
+		return err
 	}
 	n := 0
 	for n < len(s.segments)-1 && s.segments[n].lastIndex <= index {
@@ -251,8 +229,6 @@
 
 // Close closes the open segment. Everything acknowledged is synced already.
 func (s *Store) Close() error {
-	if s.err == nil {
-		s.err = errors.New("storage: closed")
-	}
+	_ = s.stop(errors.New("storage: closed"))
 	return s.file.Close()
 }
--- a/process/storage/store_test.go
+++ b/process/storage/store_test.go
@@ -144,7 +144,7 @@
 	is.True(errors.As(err, &failed))
 	syncs := m.syncs
 	is.True(errors.As(s.Append(testEntries(3, 3, 1), nil), &failed))
-	is.True(errors.As(s.SaveSnapshot(&wirepb.RaftSnapshot{Index: 1, Term: 1}, false), &failed))
+	is.True(errors.As(s.SaveSnapshot(&wirepb.RaftSnapshot{Index: 1, Term: 1}), &failed))
 	is.Equal(m.syncs, syncs) // nothing is synced after the failure
 }
 
@@ -184,14 +184,14 @@
 	fill(t, s, 20)
 	before := len(m.segments())
 	snap := &wirepb.RaftSnapshot{Index: 15, Term: 1, Data: []byte("state")}
-	is.NoErr(s.SaveSnapshot(snap, false))
+	is.NoErr(s.SaveSnapshot(snap))
 	is.NoErr(s.Compact(15))
 	is.True(len(m.segments()) < before)
 	s, st := open(t, m)
 	is.True(proto.Equal(st.Snapshot, snap))
 	is.True(equalEntries(st.Entries, testEntries(16, 20, 1)))
 
-	is.NoErr(s.SaveSnapshot(&wirepb.RaftSnapshot{Index: 18, Term: 3}, true))
+	is.NoErr(s.InstallSnapshot(&wirepb.RaftSnapshot{Index: 18, Term: 3}))
 	is.NoErr(s.Append(testEntries(19, 21, 3), nil))
 	_, st = open(t, m)
 	is.True(equalEntries(st.Entries, testEntries(19, 21, 3)))
@@ -209,7 +209,7 @@
 	m := newMemFS()
 	s, _ := open(t, m)
 	fill(t, s, 5)
-	is.NoErr(s.SaveSnapshot(&wirepb.RaftSnapshot{Index: 30, Term: 2}, false))
+	is.NoErr(s.SaveSnapshot(&wirepb.RaftSnapshot{Index: 30, Term: 2}))
 	s, st := open(t, m)
 	is.Equal(len(st.Entries), 0)
 	is.NoErr(s.Append(testEntries(31, 32, 2), nil))
--- a/request/ledger/history_test.go
+++ b/request/ledger/history_test.go
@@ -176,6 +176,8 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := newRig(8)
 		other := New(8)
+		var view func() ([]byte, error)
+		var viewed []byte
 		for range rapid.IntRange(10, 60).Draw(t, "commands") {
 			r.now += int64(rapid.IntRange(0, 3_600_000).Draw(t, "ms"))
 			k := keyAt(r.now-int64(rapid.IntRange(-10_000, 90_000_000).Draw(t, "age")), rapid.IntRange(0, 3).Draw(t, "key"))
@@ -198,7 +200,14 @@
 			if rapid.IntRange(0, 4).Draw(t, "restore") > 0 {
 				continue
 			}
+			if view != nil {
+				if late, _ := view(); !bytes.Equal(late, viewed) {
+					t.Fatal("a view shows commands that were applied after it")
+				}
+			}
 			snapshot, _ := r.l.Snapshot()
+			view, _ = r.l.SnapshotView()
+			viewed = snapshot
 			if err := other.Restore(snapshot); err != nil {
 				t.Fatal(err)
 			}
--- a/request/ledger/ledger.go
+++ b/request/ledger/ledger.go
@@ -53,7 +53,7 @@
 type Ledger struct {
 	nowUnixMs  int64
 	maxRecords int
-	records    map[key.Key]*record
+	records    table
 	expiry     expiryHeap
 	running    map[string]map[key.Key]struct{} // entry to its running records
 	boots      map[string]string
@@ -74,7 +74,7 @@
 
 func (l *Ledger) reset() {
 	l.nowUnixMs = 0
-	l.records = make(map[key.Key]*record)
+	l.records = table{}
 	l.expiry = nil
 	l.running = make(map[string]map[key.Key]struct{})
 	l.boots = make(map[string]string)
@@ -91,7 +91,7 @@
 }
 
 // Len returns the number of records.
-func (l *Ledger) Len() int { return len(l.records) }
+func (l *Ledger) Len() int { return l.records.len }
 
 // NowUnixMs returns the replicated now.
 func (l *Ledger) NowUnixMs() int64 { return l.nowUnixMs }
@@ -162,9 +162,9 @@
 	if !l.currentBoot(b.Entry, b.BootId) {
 		return invalid("the entry has a later boot: send EntryBoot before Begin")
 	}
-	r := l.records[k]
+	r := l.records.get(k)
 	if r == nil {
-		if len(l.records) >= l.maxRecords {
+		if l.records.len >= l.maxRecords {
 			return full()
 		}
 		r = l.add(k)
@@ -212,9 +212,9 @@
 	if !f.Unknown && f.Answer == nil {
 		return invalid("answer is needed unless unknown is set")
 	}
-	r := l.records[k]
+	r := l.records.get(k)
 	if r == nil {
-		if len(l.records) >= l.maxRecords {
+		if l.records.len >= l.maxRecords {
 			return full()
 		}
 		r = l.add(k)
@@ -245,9 +245,9 @@
 	if refusal != nil {
 		return refusal
 	}
-	r := l.records[k]
+	r := l.records.get(k)
 	if r == nil {
-		if len(l.records) >= l.maxRecords {
+		if l.records.len >= l.maxRecords {
 			return full()
 		}
 		r = l.add(k)
@@ -266,7 +266,7 @@
 	}
 	l.boots[l.name(e.Entry)] = l.name(e.BootId)
 	for k := range l.running[e.Entry] {
-		r := l.records[k]
+		r := l.records.get(k)
 		if r.boot != e.BootId {
 			l.setState(k, r, ledgerpb.RecordState_RECORD_STATE_UNKNOWN)
 		}
@@ -287,7 +287,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	r := l.records[k]
+	r := l.records.get(k)
 	if r == nil {
 		return &ledgerpb.Result{Kind: ledgerpb.Result_KIND_NO_RECORD}
 	}
--- a/request/ledger/record.go
+++ b/request/ledger/record.go
@@ -2,10 +2,6 @@
 
 import (
 	"container/heap"
-	"slices"
-
-	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/request/key"
 	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
@@ -84,19 +80,20 @@
 	oldest := l.nowUnixMs - key.Retention.Milliseconds()
 	for len(l.expiry) > 0 && l.expiry[0].UnixMs() < oldest {
 		k := heap.Pop(&l.expiry).(key.Key)
-		l.setState(k, l.records[k], stateAborted)
-		delete(l.records, k)
+		l.setState(k, l.records.get(k), stateAborted)
+		l.records.remove(k)
 	}
 }
 
 func (l *Ledger) add(k key.Key) *record {
 	r := &record{state: stateAborted}
-	l.records[k] = r
+	l.records.put(k, r)
 	heap.Push(&l.expiry, k)
 	return r
 }
 
-// setState changes a record's state and keeps the index of running records.
+// setState changes a record's state, stores the record and keeps the index of
+// running records.
 func (l *Ledger) setState(k key.Key, r *record, state ledgerpb.RecordState) {
 	if r.state == ledgerpb.RecordState_RECORD_STATE_RUNNING {
 		delete(l.running[r.entry], k)
@@ -105,6 +102,7 @@
 		}
 	}
 	r.state = state
+	l.records.put(k, r)
 	if state != ledgerpb.RecordState_RECORD_STATE_RUNNING {
 		return
 	}
@@ -136,62 +134,10 @@
 }
 
 func (l *Ledger) checkBounds() {
-	if len(l.records) > l.maxRecords {
+	if l.records.len > l.maxRecords {
 		l.fail(InvariantRecordsBounded, "more records than the bound")
 	}
-	if len(l.records) != len(l.expiry) {
+	if l.records.len != len(l.expiry) {
 		l.fail(InvariantExpiryComplete, "a record has no expiry, or an expiry no record")
 	}
 }
-
-// Snapshot returns the state as a marshalled ledgerpb.Snapshot with records in
-// key order. It returns the *InvariantError of a broken ledger.
-func (l *Ledger) Snapshot() ([]byte, error) {
-	if l.broken != nil {
-		return nil, l.broken
-	}
-	keys := make([]key.Key, 0, len(l.records))
-	for k := range l.records {
-		keys = append(keys, k)
-	}
-	slices.SortFunc(keys, func(a, b key.Key) int { return slices.Compare(a[:], b[:]) })
-	s := &ledgerpb.Snapshot{NowUnixMs: l.nowUnixMs, Boots: l.boots}
-	s.Records = make([]*ledgerpb.Record, 0, len(keys))
-	for _, k := range keys {
-		r := l.records[k]
-		s.Records = append(s.Records, &ledgerpb.Record{
-			Key: k.String(), Fingerprint: r.fingerprint, Service: r.service, State: r.state,
-			Entry: r.entry, BootId: r.boot, Attempt: r.attempt, Answer: r.answer, KeyUnixMs: k.UnixMs(),
-		})
-	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
-	return data, errors.Wrap(err, "marshal ledger snapshot")
-}
-
-// Restore replaces the state by a snapshot. On an error the ledger is empty and
-// must not be used: fetch another snapshot.
-func (l *Ledger) Restore(snapshot []byte) error {
-	l.reset()
-	var s ledgerpb.Snapshot
-	if err := proto.Unmarshal(snapshot, &s); err != nil {
-		return errors.Wrap(err, "decode ledger snapshot: fetch another one")
-	}
-	l.nowUnixMs = s.NowUnixMs
-	for entry, boot := range s.Boots {
-		l.boots[l.name(entry)] = l.name(boot)
-	}
-	for _, p := range s.Records {
-		k, err := key.Parse(p.Key)
-		if err != nil || l.records[k] != nil {
-			l.reset()
-			return errors.Errorf("ledger snapshot holds a malformed or repeated key %q: fetch another snapshot", p.Key)
-		}
-		r := l.add(k)
-		r.fingerprint = p.Fingerprint
-		r.service = l.name(p.Service)
-		r.answer = p.Answer
-		r.setAttempt(l.name(p.Entry), l.name(p.BootId), p.Attempt)
-		l.setState(k, r, p.State)
-	}
-	return nil
-}
--- a/version/fleet/random_test.go
+++ b/version/fleet/random_test.go
@@ -134,6 +134,8 @@
 		other := New()
 		other.maxTombstones = r.f.maxTombstones
 		entry := NewCopy()
+		var view func() ([]byte, error)
+		var viewed []byte
 		for range rapid.IntRange(20, 80).Draw(t, "commands") {
 			r.now += int64(rapid.IntRange(0, 1000).Draw(t, "ms"))
 			command := marshal(drawCommand(t, r))
@@ -159,7 +161,14 @@
 				}
 			}
 			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				if view != nil {
+					if late, _ := view(); !bytes.Equal(late, viewed) {
+						t.Fatal("a view shows commands that were applied after it")
+					}
+				}
 				snapshot, _ := r.f.Snapshot()
+				view, _ = r.f.SnapshotView()
+				viewed = snapshot
 				if err := other.Restore(snapshot); err != nil {
 					t.Fatal(err)
 				}
--- a/version/fleet/snapshot.go
+++ b/version/fleet/snapshot.go
@@ -14,6 +14,13 @@
 // Full returns the whole state. Its messages are shared with the fleet and must
 // not be modified.
 func (f *Fleet) Full() *fleetpb.Snapshot {
+	s := f.unsorted()
+	sortOrigins(s)
+	return s
+}
+
+// unsorted returns the whole state with origins in no order.
+func (f *Fleet) unsorted() *fleetpb.Snapshot {
 	s := &fleetpb.Snapshot{
 		Version:   f.version,
 		NowUnixMs: f.nowMs,
@@ -34,20 +41,37 @@
 	for e := f.answers.Front(); e != nil; e = e.Next() {
 		s.Answered = append(s.Answered, e.Value.(*fleetpb.Answered))
 	}
-	for _, name := range slices.Sorted(maps.Keys(f.origins)) {
-		s.Origins = append(s.Origins, f.origins[name])
-	}
+	s.Origins = slices.AppendSeq(make([]*fleetpb.Origin, 0, len(f.origins)), maps.Values(f.origins))
 	return s
 }
 
+func sortOrigins(s *fleetpb.Snapshot) {
+	slices.SortFunc(s.Origins, func(a, b *fleetpb.Origin) int { return cmp.Compare(a.Object, b.Object) })
+}
+
 // Snapshot returns the state as a marshalled fleetpb.Snapshot, the same bytes
 // for equal states. It returns the *InvariantError of a broken fleet.
 func (f *Fleet) Snapshot() ([]byte, error) {
+	encode, err := f.SnapshotView()
+	if err != nil {
+		return nil, err
+	}
+	return encode()
+}
+
+// SnapshotView returns a function that encodes the state of the time of this
+// call, as Snapshot does. The function may run on another goroutine while
+// commands are applied, because stored messages are never modified in place.
+func (f *Fleet) SnapshotView() (func() ([]byte, error), error) {
 	if f.broken != nil {
 		return nil, f.broken
 	}
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(f.Full())
-	return data, errors.Wrap(err, "marshal fleet snapshot")
+	s := f.unsorted()
+	return func() ([]byte, error) {
+		sortOrigins(s)
+		data, err := proto.MarshalOptions{Deterministic: true}.Marshal(s)
+		return data, errors.Wrap(err, "marshal fleet snapshot")
+	}, nil
 }
 
 // Restore replaces the state by a snapshot. On an error the fleet is empty and
