--- a/connection/wire/pool.go
+++ b/connection/wire/pool.go
@@ -32,6 +32,7 @@
 	dialing chan struct{} // held while dialling
 	streams chan struct{} // bounds the calls in progress
 	queue   *raftQueue
+	chunks  *raftQueue // chunks of consensus snapshots
 
 	mu      sync.Mutex
 	session *yamux.Session
@@ -63,7 +64,8 @@
 		name: name, address: address,
 		dialing: make(chan struct{}, 1),
 		streams: make(chan struct{}, maxStreams),
-		queue:   newRaftQueue(),
+		queue:   newRaftQueue(streamRaft, raftQueueBytes, raftWriteTimeout),
+		chunks:  newRaftQueue(streamSnapshot, chunkQueueBytes, chunkWriteTimeout),
 	}
 	p.peers[name] = added
 	return added, nil
--- a/connection/wire/raft.go
+++ b/connection/wire/raft.go
@@ -20,18 +20,23 @@
 	bytes    int
 	dropped  uint64
 	started  bool
-	snapshot bool          // a snapshot is being sent
 	wake     chan struct{} // buffered
+
+	kind         byte // of its stream
+	maxBytes     int
+	writeTimeout time.Duration // of one message
 }
 
-func newRaftQueue() *raftQueue { return &raftQueue{wake: make(chan struct{}, 1)} }
+func newRaftQueue(kind byte, maxBytes int, writeTimeout time.Duration) *raftQueue {
+	return &raftQueue{wake: make(chan struct{}, 1), kind: kind, maxBytes: maxBytes, writeTimeout: writeTimeout}
+}
 
 // push adds a message and reports whether it is the first one ever.
 func (q *raftQueue) push(m *wirepb.RaftMessage) (first bool) {
 	size := proto.Size(m)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for len(q.messages) > 0 && (len(q.messages) >= raftQueueMessages || q.bytes+size > raftQueueBytes) {
+	for len(q.messages) > 0 && (len(q.messages) >= raftQueueMessages || q.bytes+size > q.maxBytes) {
 		q.bytes -= proto.Size(q.messages[0])
 		q.messages[0] = nil
 		q.messages = q.messages[1:]
@@ -56,37 +61,21 @@
 	return taken
 }
 
-// beginSnapshot reports whether no snapshot is being sent, and marks one so.
-func (q *raftQueue) beginSnapshot() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	free := !q.snapshot
-	q.snapshot = true
-	return free
-}
-
-func (q *raftQueue) endSnapshot() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.snapshot = false
-}
-
 // SendRaft queues a consensus message for a peer. It never blocks. Messages to
-// a peer that can't be reached are dropped.
+// a peer that can't be reached are dropped. Chunks of snapshots have a queue and
+// a stream of their own, so that heartbeats do not wait behind them.
 func (p *Pool) SendRaft(name string, m *wirepb.RaftMessage) {
 	c, err := p.peer(name)
 	if err != nil {
 		p.o.Logger.Debug().Err(err).Str("peer", name).Msg("consensus message dropped")
 		return
 	}
-	if m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT {
-		if c.queue.beginSnapshot() {
-			p.start(func() { p.sendSnapshot(c, m) })
-		}
-		return
+	q := c.queue
+	if m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK {
+		q = c.chunks
 	}
-	if c.queue.push(m) {
-		p.start(func() { p.sendLoop(c) })
+	if q.push(m) {
+		p.start(func() { p.sendLoop(c, q) })
 	}
 }
 
@@ -104,21 +93,21 @@
 	}()
 }
 
-// sendLoop writes a peer's queue to one long-lived stream.
-func (p *Pool) sendLoop(c *peer) {
+// sendLoop writes one of a peer's queues to one long-lived stream.
+func (p *Pool) sendLoop(c *peer, q *raftQueue) {
 	var stream *yamux.Stream
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
-		case <-c.queue.wake:
+		case <-q.wake:
 		}
 		var err error
 		if stream == nil {
-			stream, err = p.openStream(c)
+			stream, err = p.openStream(c, q.kind)
 		}
 		if err == nil {
-			err = p.writeQueue(c, stream)
+			err = p.writeQueue(c, q, stream)
 		}
 		if err == nil {
 			continue
@@ -128,7 +117,7 @@
 			_ = stream.Close()
 			stream = nil
 		}
-		c.queue.take()
+		q.take()
 		select {
 		case <-p.ctx.Done():
 			return
@@ -137,7 +126,7 @@
 	}
 }
 
-func (p *Pool) openStream(c *peer) (*yamux.Stream, error) {
+func (p *Pool) openStream(c *peer, kind byte) (*yamux.Stream, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout+helloTimeout)
 	defer cancel()
 	session, err := p.session(ctx, c)
@@ -148,21 +137,21 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := writeWithin(stream, []byte{streamRaft}, raftWriteTimeout); err != nil {
+	if err := writeWithin(stream, []byte{kind}, raftWriteTimeout); err != nil {
 		_ = stream.Close()
 		return nil, err
 	}
 	return stream, nil
 }
 
-func (p *Pool) writeQueue(c *peer, stream *yamux.Stream) error {
-	for _, m := range c.queue.take() {
+func (p *Pool) writeQueue(c *peer, q *raftQueue, stream *yamux.Stream) error {
+	for _, m := range q.take() {
 		data, err := frame(0, m)
 		if err != nil {
 			p.o.Logger.Error().Err(err).Str("peer", c.name).Msg("consensus message dropped")
 			continue
 		}
-		if err := writeWithin(stream, data, raftWriteTimeout); err != nil {
+		if err := writeWithin(stream, data, q.writeTimeout); err != nil {
 			return err
 		}
 	}
@@ -176,28 +165,3 @@
 	_, err := stream.Write(data)
 	return err
 }
-
-// sendSnapshot uses a stream of its own, so that heartbeats do not wait behind a
-// large snapshot.
-func (p *Pool) sendSnapshot(c *peer, m *wirepb.RaftMessage) {
-	defer c.queue.endSnapshot()
-	data, err := frame(streamSnapshot, m)
-	if err != nil {
-		p.o.Logger.Error().Err(err).Str("peer", c.name).Msg("snapshot dropped")
-		return
-	}
-	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout+helloTimeout)
-	defer cancel()
-	session, err := p.session(ctx, c)
-	if err != nil {
-		return
-	}
-	stream, err := session.OpenStream()
-	if err != nil {
-		return
-	}
-	defer func() { _ = stream.Close() }()
-	if err := writeWithin(stream, data, snapshotTimeout); err != nil {
-		p.o.Logger.Warn().Err(err).Str("peer", c.name).Msg("snapshot not sent")
-	}
-}
--- a/connection/wire/server.go
+++ b/connection/wire/server.go
@@ -205,15 +205,10 @@
 	switch kind {
 	case streamCall:
 		s.serveCall(ctx, peer, stream, r)
-	case streamRaft:
+	case streamRaft, streamSnapshot:
 		if stream.SetReadDeadline(time.Time{}) == nil {
 			s.serveRaft(peer, r)
 		}
-	case streamSnapshot:
-		m := &wirepb.RaftMessage{}
-		if stream.SetReadDeadline(time.Now().Add(snapshotTimeout)) == nil && readMessage(r, MaxSnapshotBytes, m) == nil {
-			s.h.HandleRaft(peer, m)
-		}
 	}
 }
 
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -3,7 +3,8 @@
 //
 // A session begins with a Hello in each direction. Each stream begins with one
 // byte that names its kind: a call (one Request, one Response), consensus
-// messages (many, for as long as the session lasts) or one consensus snapshot.
+// messages or chunks of consensus snapshots (many, for as long as the session
+// lasts).
 package wire
 
 import (
@@ -25,10 +26,8 @@
 const Protocol = 1
 
 const (
-	// MaxFrameBytes bounds each message but a snapshot.
+	// MaxFrameBytes bounds each message.
 	MaxFrameBytes = 4 << 20
-	// MaxSnapshotBytes bounds a consensus message with a snapshot.
-	MaxSnapshotBytes = 64 << 20
 
 	maxHelloBytes       = 4 << 10
 	maxStreams          = 200 // of one session; below yamux's accept backlog of 256
@@ -36,11 +35,12 @@
 	maxPendingHellos    = 32
 	raftQueueMessages   = 4096
 	raftQueueBytes      = 32 << 20
+	chunkQueueBytes     = 8 << 20
 	helloTimeout        = time.Second
 	dialTimeout         = time.Second
 	redialDelay         = 200 * time.Millisecond
 	raftWriteTimeout    = 2 * time.Second
-	snapshotTimeout     = 30 * time.Second
+	chunkWriteTimeout   = 10 * time.Second
 	requestReadTimeout  = 10 * time.Second
 	responseWriteLimit  = 10 * time.Second
 	keepAliveInterval   = 700 * time.Millisecond
@@ -121,13 +121,9 @@
 }
 
 func frame(kind byte, m proto.Message) ([]byte, error) {
-	limit := MaxFrameBytes
-	if kind == streamSnapshot {
-		limit = MaxSnapshotBytes
-	}
 	size := proto.Size(m)
-	if size > limit {
-		return nil, fmt.Errorf("message of %d bytes exceeds %d", size, limit)
+	if size > MaxFrameBytes {
+		return nil, fmt.Errorf("message of %d bytes exceeds %d", size, MaxFrameBytes)
 	}
 	w := &sliceWriter{}
 	if kind != 0 {
--- a/connection/wire/wire_test.go
+++ b/connection/wire/wire_test.go
@@ -97,9 +97,13 @@
 	for i := range uint64(50) {
 		is.Equal((<-h.raft).Index, i+1)
 	}
-	large := &wirepb.RaftMessage{Type: wirepb.RaftMessage_TYPE_SNAPSHOT, Snapshot: &wirepb.RaftSnapshot{Data: make([]byte, 2*MaxFrameBytes)}}
-	p.SendRaft("s", large)
-	is.Equal(len((<-h.raft).Snapshot.Data), 2*MaxFrameBytes)
+	for i := range uint64(4) {
+		chunk := &wirepb.SnapshotChunk{Offset: i, Data: make([]byte, 3<<20)}
+		p.SendRaft("s", &wirepb.RaftMessage{Type: wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK, Chunk: chunk})
+		got := (<-h.raft).Chunk
+		is.Equal(got.Offset, i)
+		is.Equal(len(got.Data), 3<<20)
+	}
 }
 
 // Guards against processes outside the table, of another cluster or from
@@ -260,7 +264,7 @@
 // cost of new ones.
 func TestRaftQueueDropsOldest(t *testing.T) {
 	is := is.New(t)
-	q := newRaftQueue()
+	q := newRaftQueue(streamRaft, raftQueueBytes, raftWriteTimeout)
 	for i := range uint64(raftQueueMessages + 10) {
 		q.push(&wirepb.RaftMessage{Index: i})
 	}
--- a/process/consensus/election.go
+++ b/process/consensus/election.go
@@ -20,6 +20,9 @@
 	if m.Group != c.cfg.Group || m.To != c.cfg.ID || m.From == c.cfg.ID {
 		return nil
 	}
+	if m.Type > wirepb.RaftMessage_TYPE_TIMEOUT_NOW {
+		return nil // chunks of snapshots are the caller's
+	}
 	if c.fresh && !c.stepFresh(m) {
 		return c.err
 	}
--- a/process/consensus/leader.go
+++ b/process/consensus/leader.go
@@ -200,6 +200,14 @@
 	c.send(&wirepb.RaftMessage{Type: wirepb.RaftMessage_TYPE_SNAPSHOT, To: name, Snapshot: s})
 }
 
+// SnapshotProgress tells a leader that a replica receives a snapshot, which is
+// then not begun again.
+func (c *Core) SnapshotProgress(name string) {
+	if p := c.progress[name]; c.role == Leader && p != nil && p.state == snapshotting {
+		p.retryAt = c.now + 2*c.cfg.ElectionTimeoutMax
+	}
+}
+
 func (c *Core) handleAppendResponse(m *wirepb.RaftMessage) {
 	p := c.progress[m.From]
 	if c.role != Leader || p == nil {
--- a/process/replica/cluster_test.go
+++ b/process/replica/cluster_test.go
@@ -43,6 +43,7 @@
 	cut      map[string]bool
 	fs       map[string]storage.FS
 	machine  func() StateMachine
+	lose     func(m *wirepb.RaftMessage) bool // called with mu held
 }
 
 type link struct {
@@ -53,7 +54,7 @@
 func (l link) Send(to string, m *wirepb.RaftMessage) {
 	l.c.mu.Lock()
 	r := l.c.replicas[to]
-	lost := l.c.cut[to] || l.c.cut[l.from]
+	lost := l.c.cut[to] || l.c.cut[l.from] || (l.c.lose != nil && l.c.lose(m))
 	l.c.mu.Unlock()
 	if r != nil && !lost {
 		r.Deliver(m)
@@ -80,7 +81,7 @@
 		StateMachine: c.machine(), Transport: link{c, name}, Seed: uint64(len(name)) + uint64(name[0]),
 		Tick: 5 * time.Millisecond, HeartbeatInterval: 15 * time.Millisecond,
 		ElectionTimeoutMin: 400 * time.Millisecond, ElectionTimeoutMax: 800 * time.Millisecond,
-		SnapshotEntries: 20,
+		SnapshotEntries: 20, SnapshotChunkBytes: 16, MaxSnapshotBytes: 4096,
 	})
 	if err != nil {
 		c.t.Fatalf("open %s: %v", name, err)
@@ -107,6 +108,12 @@
 	c.cut[name] = cut
 }
 
+func (c *cluster) setLose(lose func(m *wirepb.RaftMessage) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lose = lose
+}
+
 // eventually polls until ok holds or testTimeout has passed.
 func (c *cluster) eventually(what string, ok func() bool) {
 	c.t.Helper()
--- a/process/replica/options.go
+++ b/process/replica/options.go
@@ -84,6 +84,11 @@
 	ElectionTimeoutMin time.Duration // 1 s if 0
 	ElectionTimeoutMax time.Duration // 2 s if 0
 	SnapshotEntries    uint64        // applied entries between snapshots, 512 if 0
+	// SnapshotChunkBytes is the size of the parts in which a snapshot is sent,
+	// 1 MiB if 0. It must stay below the transport's bound of a message.
+	SnapshotChunkBytes int
+	// MaxSnapshotBytes bounds a received snapshot, 1 GiB if 0.
+	MaxSnapshotBytes uint64
 	// OnFatal is called once, on another goroutine, when the replica stops on an
 	// error such as a broken invariant or a failed sync.
 	OnFatal func(error)
@@ -92,6 +97,8 @@
 const (
 	defaultTick            = 50 * time.Millisecond
 	defaultSnapshotEntries = 512
+	defaultChunkBytes      = 1 << 20
+	defaultMaxSnapshot     = 1 << 30
 	queueLength            = 4096 // proposals and messages that wait
 	maxBatch               = 1024 // proposals and messages taken before a sync
 )
@@ -109,6 +116,12 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.SnapshotChunkBytes == 0 {
+		o.SnapshotChunkBytes = defaultChunkBytes
+	}
+	if o.MaxSnapshotBytes == 0 {
+		o.MaxSnapshotBytes = defaultMaxSnapshot
+	}
 	return nil
 }
 
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -42,6 +42,8 @@
 	saving   bool          // a snapshot is being encoded and stored
 	saveNext time.Duration // no snapshot is begun before
 	saved    chan savedSnapshot
+	outgoing map[string]*transfer // snapshots that are being sent, by receiver
+	incoming *assembly            // the snapshot that is being received
 	wasRole  consensus.Role
 
 	smMu    sync.Mutex // serialises View with Apply
@@ -88,6 +90,7 @@
 		done:      make(chan struct{}),
 		waiting:   map[uint64]*proposal{},
 		reads:     map[uint64]*barrier{},
+		outgoing:  map[string]*transfer{},
 	}
 	if err := r.start(state); err != nil {
 		_ = store.Close()
--- a/process/replica/run.go
+++ b/process/replica/run.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/process/consensus"
 	"marjoramtiller.example/marjoramtiller/process/storage"
@@ -64,13 +62,22 @@
 func (r *Replica) tick() {
 	if r.stalled == nil {
 		_ = r.core.Tick(r.now())
+		r.tickTransfers()
 		return
 	}
 	r.retryNow = true
 }
 
 func (r *Replica) step(m *wirepb.RaftMessage) {
-	if r.stalled == nil {
+	if r.stalled != nil || m.Group != r.o.Group || m.To != r.o.ID {
+		return
+	}
+	switch m.Type {
+	case wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK:
+		r.receiveChunk(m)
+	case wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK_RESPONSE:
+		r.chunkReceived(m)
+	default:
 		_ = r.core.Step(r.now(), m)
 	}
 }
@@ -165,15 +172,12 @@
 	return r.store.Append(rd.Entries, rd.HardState)
 }
 
-// send adds the data to snapshot messages, which the core leaves out.
+// send begins a transfer for a snapshot message, whose data the core leaves out.
 func (r *Replica) send(messages []*wirepb.RaftMessage) {
 	for _, m := range messages {
 		if m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT {
-			if r.snapshot == nil {
-				continue
-			}
-			m = proto.CloneOf(m)
-			m.Snapshot = r.snapshot
+			r.beginTransfer(m)
+			continue
 		}
 		r.o.Transport.Send(m.To, m)
 	}
--- /dev/null
+++ b/process/replica/transfer_test.go
@@ -0,0 +1,110 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+)
+
+func isChunk(m *wirepb.RaftMessage) bool {
+	return m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK || m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK_RESPONSE
+}
+
+// lag returns a cluster in which "c" needs a snapshot once it is connected.
+func lag(t *testing.T, commands int) (c *cluster, behind *Replica) {
+	c = newCluster(t, "a", "b", "c")
+	c.propose("first")
+	if l := c.leader(); l.Status().ID == "c" {
+		is.New(t).NoErr(l.TransferLeader(t.Context(), "a"))
+	}
+	c.isolate("c", true)
+	for i := range commands {
+		c.propose(fmt.Sprint(i))
+	}
+	return c, c.replicas["c"]
+}
+
+// Guards against a transfer that a lost, repeated or reordered chunk ends or
+// corrupts, that begins anew each time, or that sends the snapshot as a whole.
+func TestSnapshotSurvivesLostChunks(t *testing.T) {
+	is := is.New(t)
+	c, behind := lag(t, 60)
+	chunks, begun, whole, largest := 0, 0, 0, 0
+	c.setLose(func(m *wirepb.RaftMessage) bool {
+		if m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT {
+			whole++
+		}
+		if !isChunk(m) {
+			return false
+		}
+		chunks++
+		largest = max(largest, len(m.Chunk.Data))
+		if m.Chunk.Offset == 0 && m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK {
+			begun++
+		}
+		if chunks%5 == 2 {
+			behind.Deliver(&wirepb.RaftMessage{Group: "g", Type: m.Type, From: m.From, To: "c", Term: m.Term, Snapshot: m.Snapshot, Chunk: m.Chunk, Index: m.Index})
+		}
+		return chunks%3 == 0
+	})
+	c.isolate("c", false)
+	want := commands(c.leader())
+	c.eventually("the follower catches up", func() bool { return len(commands(behind)) == len(want) })
+	is.Equal(commands(behind), want)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	is.Equal(whole, 0)
+	is.Equal(largest, 16)
+	is.True(chunks > 20)
+	is.True(begun <= 4) // it is resumed where it was, not begun again
+}
+
+// Guards against a receiver that restarts in the middle of a transfer and never
+// gets the snapshot, or installs one that lacks its beginning.
+func TestSnapshotRestartsWithTheReceiver(t *testing.T) {
+	is := is.New(t)
+	c, _ := lag(t, 60)
+	reached := make(chan struct{})
+	sent := 0
+	c.setLose(func(m *wirepb.RaftMessage) bool {
+		if m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK {
+			if sent++; sent == 6 {
+				close(reached)
+			}
+		}
+		return isChunk(m) && sent >= 6
+	})
+	c.isolate("c", false)
+	<-reached
+	c.close("c")
+	c.setLose(nil)
+	again := c.open("c", nil)
+	want := commands(c.leader())
+	c.eventually("the follower catches up", func() bool { return len(commands(again)) == len(want) })
+	is.Equal(commands(again), want)
+}
+
+// Guards against a receiver whose memory a leader's snapshot fills, and a leader
+// that loses its other followers over one that can't take the snapshot.
+func TestSnapshotAboveTheBoundIsRefused(t *testing.T) {
+	is := is.New(t)
+	c, behind := lag(t, 900)
+	term := c.leader().Status().Term
+	offered := make(chan struct{}, 1<<10)
+	c.setLose(func(m *wirepb.RaftMessage) bool {
+		if isChunk(m) {
+			offered <- struct{}{}
+		}
+		return false
+	})
+	c.isolate("c", false)
+	for range 3 {
+		<-offered
+	}
+	c.propose("more")
+	is.Equal(len(commands(behind)), 1)
+	is.Equal(c.leader().Status().Term, term)
+}
