--- a/process/entry/carry.go
+++ b/process/entry/carry.go
@@ -15,7 +15,7 @@
 
 // carry takes a request through its slot, its record, the backend server and
 // back. It returns nil if the caller has an answer.
-func (e *Entry) carry(w http.ResponseWriter, r *http.Request, c *call) *outcome.Error {
+func (e *Entry) carry(w *callerWriter, r *http.Request, c *call) *outcome.Error {
 	ctx := r.Context()
 	e.mu.Lock()
 	e.budget.Request(c.arrived)
@@ -35,8 +35,10 @@
 	}
 	for {
 		c.attempts++
+		sent := e.now()
 		resp, f := e.send(ctx, r, c, s)
 		if f == nil {
+			e.noteAnswer(s, sent, resp)
 			return e.answer(w, c, s, resp)
 		}
 		c.mayHaveRun = c.mayHaveRun || f.Written
@@ -45,7 +47,7 @@
 			e.release(s, f.Kind == forward.TimedOut)
 			return e.failed(c, f)
 		}
-		e.m.retries.Add(1)
+		e.m.retried(c.service)
 		if s, oerr = e.again(ctx, s); oerr != nil {
 			if c.record != nil {
 				e.withdraw(c.record, false)
@@ -136,7 +138,7 @@
 	now := e.now()
 	e.core.Failed(now, s.server)
 	if f.Kind == forward.DialFailed {
-		e.leases.end(s.server, now)
+		e.serving.Revoke(s.server, now)
 		e.refusing[s.server] = true
 		e.refresh(now)
 	}
@@ -181,35 +183,44 @@
 
 // answer passes a response on. If it turns out to be incomplete after its
 // head was sent, the caller's connection is aborted.
-func (e *Entry) answer(w http.ResponseWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
-	e.noteAnswer(s, resp)
+func (e *Entry) answer(w *callerWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
 	if c.record != nil {
 		return e.answerRecorded(w, c, s, resp)
 	}
-	err := resp.CopyTo(w, nil)
-	e.release(s, err == nil)
+	e.relay(w, c, s, resp, nil)
+	return nil
+}
+
+// relay passes a response on. The slot is free as soon as the backend server's
+// answer was read to its end, however slowly the caller takes it; while the
+// slot is held, the caller has to be faster.
+func (e *Entry) relay(w *callerWriter, c *call, s slot, resp *forward.Response, prefix []byte) {
+	w.usePace(e.newPace().hasten())
+	err := resp.Relay(w, prefix, e.readAhead(c, resp.ContentLength), func(err error) {
+		w.usePace(e.newPace())
+		e.release(s, err == nil)
+	})
 	if err != nil {
 		e.abortCaller(c)
 	}
-	return nil
 }
 
-func (e *Entry) noteAnswer(s slot, resp *forward.Response) {
+// noteAnswer renews the lease of a server that has answered a request sent at
+// sent, or ends it if the server says that it is leaving.
+func (e *Entry) noteAnswer(s slot, sent time.Duration, resp *forward.Response) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
+	e.serving.Answered(s.server, sent, now, resp.Leaving)
 	if resp.Leaving {
-		e.leases.end(s.server, now)
 		e.refresh(now)
-		return
 	}
-	e.leases.answered(s.server, now)
 }
 
 // answerRecorded records the answer before the caller gets it. An answer that
 // is too large to record is recorded by its head once that many bytes of it
 // have come, and streams from there.
-func (e *Entry) answerRecorded(w http.ResponseWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
+func (e *Entry) answerRecorded(w *callerWriter, c *call, s slot, resp *forward.Response) *outcome.Error {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxRecordedBody+1))
 	if err != nil || (resp.ContentLength >= 0 && resp.ContentLength <= maxRecordedBody && int64(len(body)) != resp.ContentLength) {
 		_ = resp.Body.Close()
@@ -222,11 +233,7 @@
 	}
 	if len(body) > maxRecordedBody {
 		e.finish(c.record, answerOf(resp, nil, true), false)
-		err = resp.CopyTo(w, body)
-		e.release(s, err == nil)
-		if err != nil {
-			e.abortCaller(c)
-		}
+		e.relay(w, c, s, resp, body)
 		return nil
 	}
 	_ = resp.Body.Close()
@@ -239,6 +246,6 @@
 
 func (e *Entry) abortCaller(c *call) {
 	e.m.abortedAnswers.Add(1)
-	e.m.request(c.service, "aborted")
+	e.m.request(c.service, labelAborted)
 	panic(http.ErrAbortHandler)
 }
--- a/process/entry/handler.go
+++ b/process/entry/handler.go
@@ -19,6 +19,7 @@
 	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
 	"marjoramtiller.example/marjoramtiller/request/queue"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
 // Paths that the entry answers itself. All others belong to services.
@@ -42,10 +43,6 @@
 // defaultQueueTime bounds the wait of a request without a deadline.
 const defaultQueueTime = time.Minute
 
-// resendLimit is the greatest body of an idempotent request that is held in
-// memory so that the request can be sent again; a larger one streams.
-const resendLimit = 64 << 10
-
 // call is one caller's request.
 type call struct {
 	service    string
@@ -59,19 +56,24 @@
 	stream     *countReader // when streamed
 	record     *record      // non-idempotent only
 	attempts   int
-	mayHaveRun bool // an attempt was written
+	mayHaveRun bool  // an attempt was written
+	held       int64 // bytes of memory
+	opened     bool  // counted as an open request
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
-	e.serving.Add(1)
-	defer e.serving.Done()
+	e.handling.Add(1)
+	defer e.handling.Done()
+	cw := e.paceAnswer(w)
+	w = cw
+	defer e.paceBody(cw.ResponseWriter, r)()
 	switch {
 	case r.URL.Path == healthPath:
 		e.serveHealth(w)
 	case strings.HasPrefix(r.URL.Path, outcomesPath) && r.Method == http.MethodGet:
 		e.serveOutcome(w, r)
 	default:
-		e.serveRequest(w, r)
+		e.serveRequest(cw, r)
 	}
 }
 
@@ -137,11 +139,12 @@
 		cause != outcome.CauseKeyReused && cause != outcome.CauseInvalidKey
 }
 
-func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+func (e *Entry) serveRequest(w *callerWriter, r *http.Request) {
 	c, oerr := e.parse(r)
 	service := ""
 	if c != nil {
 		service = c.service
+		defer e.endCall(c)
 	}
 	if oerr == nil {
 		oerr = e.carry(w, r, c)
@@ -154,7 +157,7 @@
 		oerr.Write(w)
 		return
 	}
-	e.m.request(service, "answered")
+	e.m.request(service, labelAnswered)
 }
 
 // parse checks a request before it is queued.
@@ -162,25 +165,33 @@
 	if e.broken.Load() {
 		return nil, outcome.New(outcome.CauseUnavailable, "this entry has stopped after a fault").After(unavailableRetry)
 	}
-	now := e.now()
 	service, path := e.route(r)
 	e.mu.Lock()
-	valid := e.leases.configValid(now)
-	pool := e.cfg.serviceOf(service)
+	now := e.now()
+	valid := e.mayServe(now)
+	pool := e.pools[service]
+	opened := valid && pool != nil && e.open.Take(service, 1)
 	e.mu.Unlock()
 	if !valid {
-		return nil, outcome.New(outcome.CauseUnavailable, "this entry has no valid lease").After(unavailableRetry)
+		var c *call
+		if pool != nil {
+			c = &call{service: service}
+		}
+		return c, outcome.New(outcome.CauseUnavailable, "this entry has no valid lease").After(unavailableRetry)
 	}
 	if pool == nil {
 		return nil, outcome.New(outcome.CauseUnknownService, "neither the Host header nor the path names a configured service")
 	}
-	c := &call{service: service, path: path, query: r.URL.RawQuery, idempotent: outcome.Idempotent(r.Method), arrived: now}
-	if err := c.setDeadline(r.Header.Get(deadlineHeader), pool.GetDefaultDeadlineMs()); err != nil {
+	if !opened {
+		return &call{service: service}, outcome.New(outcome.CauseQueueFull, "too many of the service's requests are open").After(unavailableRetry)
+	}
+	c := &call{service: service, opened: true, path: path, query: r.URL.RawQuery, idempotent: outcome.Idempotent(r.Method), arrived: now}
+	if err := c.setDeadline(r.Header.Get(deadlineHeader), e.defaultDeadline(pool)); err != nil {
 		return c, err
 	}
 	c.req = queue.Request{Service: service, Caller: callerOf(r), Route: routeOf(r.Method, path), Deadline: c.queueDeadline(pool.GetMayWait())}
 	if c.idempotent {
-		return c, c.readIdempotent(r)
+		return c, e.readIdempotent(r, c)
 	}
 	return c, e.readNonIdempotent(r, c)
 }
@@ -203,8 +214,20 @@
 	return label, path
 }
 
-func (c *call) setDeadline(header string, defaultMs uint32) *outcome.Error {
-	d := time.Duration(defaultMs) * time.Millisecond
+// defaultDeadline is the time allowed to a request that states none. Work of a
+// pool that may wait gets no short deadline from the settings: it would be
+// rejected before its turn.
+func (e *Entry) defaultDeadline(p *fleetpb.Pool) time.Duration {
+	switch {
+	case p.GetDefaultDeadlineMs() > 0:
+		return time.Duration(p.GetDefaultDeadlineMs()) * time.Millisecond
+	case p.GetMayWait():
+		return 0
+	}
+	return e.o.DefaultDeadline
+}
+
+func (c *call) setDeadline(header string, d time.Duration) *outcome.Error {
 	if header != "" {
 		n, err := strconv.ParseInt(header, 10, 64)
 		if err != nil || n <= 0 || n > maxDeadline.Milliseconds() {
@@ -230,52 +253,6 @@
 	return c.arrived + defaultQueueTime
 }
 
-func (c *call) readIdempotent(r *http.Request) *outcome.Error {
-	switch {
-	case r.ContentLength == 0:
-	case r.ContentLength > 0 && r.ContentLength <= resendLimit:
-		b, err := io.ReadAll(r.Body)
-		if err != nil {
-			return outcome.New(outcome.CauseInvalidRequest, "the body could not be read")
-		}
-		c.body = b
-	default:
-		c.stream = &countReader{r: r.Body}
-	}
-	return nil
-}
-
-// readNonIdempotent checks the key and holds the body in memory, as the
-// fingerprint covers the whole body and is needed before the request may run.
-func (e *Entry) readNonIdempotent(r *http.Request, c *call) *outcome.Error {
-	raw := r.Header.Values(keyHeader)
-	if len(raw) != 1 {
-		return outcome.New(outcome.CauseInvalidKey, "send exactly one "+keyHeader+" header")
-	}
-	key, err := e.o.CheckKey(raw[0])
-	if err != nil {
-		return outcome.New(outcome.CauseInvalidKey, err.Error())
-	}
-	tooLarge := outcome.New(outcome.CauseBodyTooLarge, "the limit is "+strconv.FormatInt(e.o.MaxBodyBytes, 10)+" bytes")
-	if r.ContentLength > e.o.MaxBodyBytes {
-		return tooLarge
-	}
-	c.body, err = io.ReadAll(io.LimitReader(r.Body, e.o.MaxBodyBytes+1))
-	if err != nil {
-		return outcome.New(outcome.CauseInvalidRequest, "the body could not be read")
-	}
-	if int64(len(c.body)) > e.o.MaxBodyBytes {
-		return tooLarge
-	}
-	c.record = &record{
-		key:         key,
-		fingerprint: fingerprint(c.service, r.Method, c.path+"?"+c.query, c.body),
-		service:     c.service,
-		attempt:     e.attempt.Add(1),
-	}
-	return nil
-}
-
 // fingerprint hashes the parts with their lengths, so that no two requests
 // have the same sequence of bytes.
 func fingerprint(service, method, path string, body []byte) []byte {
