--- a/tests/faults/process_test.go
+++ b/tests/faults/process_test.go
@@ -110,17 +110,6 @@
 	}
 }
 
-func (p *process) running() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
 func (p *process) kill() {
 	p.signal(syscall.SIGKILL)
 	<-p.done
@@ -142,13 +131,6 @@
 	return p.cmd.ProcessState.ExitCode()
 }
 
-func (p *process) restart() {
-	if p.running() {
-		p.kill()
-	}
-	p.start()
-}
-
 // cleanup ends the process by its id and shows the end of its log after a failure.
 func (p *process) cleanup() {
 	p.kill()
