Call a rejected sending not run only if its key has no record

Cause: a caller that lost an answer sends the same key again; if that sending was rejected before the ledger was asked (full queue, no lease, body too large), it was told 'not-run' although the first sending had run, and might book again. Change: the entry asks the ledger for the key before it says not-run to a request with a key; without an answer the outcome is unknown (502, key-unchecked). Queries of a key are read from the ledger's leader after a read barrier and write no log entry.

--- a/process/control/calls.go
+++ b/process/control/calls.go
@@ -8,6 +8,7 @@
 
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/process/replica"
+	"marjoramtiller.example/marjoramtiller/request/ledger"
 	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
@@ -50,13 +51,30 @@
 	if int(req.GetGroup()) >= len(s.ledgers) || req.GetCommand() == nil {
 		return nil, &InvalidRequestError{Message: "there is no such ledger group: set the same number of ledger groups on all hosts"}
 	}
-	out, err := proposeLedger(ctx, s.ledgers[req.GetGroup()], req.GetCommand())
+	r := s.ledgers[req.GetGroup()]
+	if q := req.GetCommand().GetQuery(); q != nil {
+		return queryLedger(ctx, r, q.GetKey())
+	}
+	out, err := proposeLedger(ctx, r, req.GetCommand())
 	if err != nil {
 		return nil, err
 	}
 	return &wirepb.LedgerResponse{Result: out}, nil
 }
 
+// queryLedger reads a key's outcome without a log entry, after a quorum has
+// confirmed that this process leads.
+func queryLedger(ctx context.Context, r *replica.Replica, key string) (*wirepb.LedgerResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
+	defer cancel()
+	if err := r.ReadBarrier(ctx); err != nil {
+		return nil, err
+	}
+	var out *ledgerpb.Result
+	r.View(func(sm replica.StateMachine) { out = sm.(*ledger.Ledger).Lookup(key) })
+	return &wirepb.LedgerResponse{Result: out}, nil
+}
+
 func proposeLedger(ctx context.Context, r *replica.Replica, c *ledgerpb.Command) (*ledgerpb.Result, error) {
 	c.NowUnixMs = time.Now().UnixMilli()
 	raw, err := proto.Marshal(c)
--- a/process/entry/carry.go
+++ b/process/entry/carry.go
@@ -75,6 +75,7 @@
 	}
 	switch res.GetKind() {
 	case ledgerpb.Result_KIND_GO_AHEAD:
+		c.begun = true
 		return false, nil
 	case ledgerpb.Result_KIND_FINISHED:
 		if res.GetAnswer().GetBodyOmitted() {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -88,6 +88,7 @@
 	broken  atomic.Bool // an invariant was violated; nothing is accepted
 
 	background sync.WaitGroup // records that are still being written
+	checks     chan struct{}  // one element for each check of an earlier sending
 	handling   sync.WaitGroup // requests being handled
 	hard       context.Context
 	abort      context.CancelFunc
@@ -137,6 +138,7 @@
 		shares:       make(map[string]share),
 		targets:      make(map[string]*target),
 		waiters:      make(map[queue.ID]*waiter),
+		checks:       make(chan struct{}, maxChecks),
 		inFlight:     make(map[string]int),
 		inFlightHost: make(map[string]int),
 		refusing:     make(map[string]bool),
--- a/process/entry/handler.go
+++ b/process/entry/handler.go
@@ -57,6 +57,7 @@
 	record     *record      // non-idempotent only
 	attempts   int
 	mayHaveRun bool  // an attempt was written
+	begun      bool  // the ledger gave this sending the right to run
 	held       int64 // bytes of memory
 	opened     bool  // counted as an open request
 }
@@ -128,17 +129,6 @@
 	_ = json.NewEncoder(w).Encode(finishedOutcome{Key: key, Outcome: "finished", Status: res.GetAnswer().GetStatus(), BodyOmitted: res.GetAnswer().GetBodyOmitted()})
 }
 
-// keepKey is added to the remedy of a request with a key that was rejected. The
-// rejection may come before the ledger was asked, and then tells nothing about
-// an earlier sending of the key.
-const keepKey = " Send it with the same key: an earlier sending with this key may have run."
-
-// keyMatters reports whether an earlier sending of a rejected request's key may have run.
-func keyMatters(r *http.Request, cause outcome.Cause) bool {
-	return !outcome.Idempotent(r.Method) && r.Header.Get(keyHeader) != "" &&
-		cause != outcome.CauseKeyReused && cause != outcome.CauseInvalidKey
-}
-
 func (e *Entry) serveRequest(w *callerWriter, r *http.Request) {
 	c, oerr := e.parse(r)
 	service := ""
@@ -150,9 +140,7 @@
 		oerr = e.carry(w, r, c)
 	}
 	if oerr != nil {
-		if oerr.Kind == outcome.NotRun && keyMatters(r, oerr.Cause) {
-			oerr.Remedy += keepKey
-		}
+		oerr = e.checkEarlier(r, c, oerr)
 		e.m.request(service, string(oerr.Kind))
 		oerr.Write(w)
 		return
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -44,6 +44,8 @@
 	CauseKeyExpired     Cause = "key-expired"
 	CauseNoRecord       Cause = "no-record"
 	CauseAnswerOmitted  Cause = "answer-omitted"
+	CauseKeyUnchecked   Cause = "key-unchecked"
+	CauseKeyFinished    Cause = "key-finished"
 )
 
 // TypePrefix precedes the cause in the type member of a problem document.
@@ -94,6 +96,8 @@
 	CauseKeyRunning:     {Running, http.StatusConflict, "A request with this key is running", "Ask again after the time in Retry-After."},
 	CauseKeyExpired:     {Expired, http.StatusGone, "The idempotency key has expired", "Check the effect of the request at the service before using a new key."},
 	CauseAnswerOmitted:  {Unknown, http.StatusConflict, "The request has run; its answer was too large to keep", "Read the effect of the request at the service; do not send it again with a new key."},
+	CauseKeyUnchecked:   {Unknown, http.StatusBadGateway, "This sending of the request did not run; whether an earlier one with its key did is not known", "Send the request again with the same key after the time in Retry-After."},
+	CauseKeyFinished:    {Unknown, http.StatusConflict, "The request has run; this sending of it did not", "Send the request again with the same key after the time in Retry-After to get its answer."},
 	CauseNoRecord:       {NotRun, http.StatusNotFound, "There is no record of this key", "Send the request with this key if it is still wanted."},
 }
 
