Report bursts at once and count stragglers once in estimates of waits

The estimate of the wait counted the time of stragglers twice: in the mean run time, and by the slots that they hold.

A burst was reported only when the answer to the last report came, up to 500 ms later. Reports carry a sequence number, and the leader refuses one that was overtaken, as it would understate the work in flight.

Tried without effect and taken back: no bound on the slots taken in one rebalance, a smaller band without rebalance, and idle shares placed by remembered peaks.

--- a/process/control/figures.go
+++ b/process/control/figures.go
@@ -26,6 +26,7 @@
 
 type bootTotals struct {
 	reported time.Duration
+	sequence uint64 // of the latest report
 	services map[string]*serviceTotals
 }
 
@@ -43,16 +44,35 @@
 	return &requestTotals{started: now, successor: successor, boots: make(map[lease.SessionID]*bootTotals)}
 }
 
+// accepts reports whether a boot's report was not overtaken by a later one. An
+// old report would understate the work in flight after slots were granted on
+// the word of a newer one.
+func (r *requestTotals) accepts(id lease.SessionID, sequence uint64) bool {
+	b := r.boot(id)
+	if sequence < b.sequence {
+		return false
+	}
+	b.sequence = sequence
+	return true
+}
+
+func (r *requestTotals) boot(id lease.SessionID) *bootTotals {
+	b := r.boots[id]
+	if b == nil {
+		b = &bootTotals{reported: neverReported, services: make(map[string]*serviceTotals)}
+		r.boots[id] = b
+	}
+	return b
+}
+
+const neverReported = -totalsRetention
+
 // report takes the totals of a boot. The first report of a boot that is older
 // than this leader's term adds nothing: an earlier leader has sampled its totals.
 // A report overtaken by a later one lowers no total.
 func (r *requestTotals) report(id lease.SessionID, uptime time.Duration, demand []*wirepb.ServiceDemand, now time.Duration) {
-	b := r.boots[id]
-	first := b == nil
-	if first {
-		b = &bootTotals{services: make(map[string]*serviceTotals)}
-		r.boots[id] = b
-	}
+	b := r.boot(id)
+	first := b.reported < 0
 	b.reported = now
 	for _, d := range demand {
 		s := b.services[d.GetService()]
--- a/process/control/figures_test.go
+++ b/process/control/figures_test.go
@@ -53,6 +53,18 @@
 	})
 }
 
+// Guards against an old report that arrives late and understates the work that
+// is in flight.
+func TestOvertakenReportIsRefused(t *testing.T) {
+	is := is.New(t)
+	r := newRequestTotals(0, false)
+	id := lease.SessionID{Entry: "e", BootID: "1"}
+	is.True(r.accepts(id, 1))
+	is.True(r.accepts(id, 3))
+	is.True(!r.accepts(id, 2))
+	is.True(r.accepts(lease.SessionID{Entry: "e", BootID: "2"}, 1))
+}
+
 // Guards against a new leader that counts again what the earlier one counted,
 // also for an entry that reports to it late, and against a boot that started
 // under the new leader and is not counted from its beginning.
--- a/process/control/sync.go
+++ b/process/control/sync.go
@@ -44,6 +44,9 @@
 func (s *Server) report(t *term, id lease.SessionID, req *wirepb.SyncRequest) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !t.counts.accepts(id, req.GetSequence()) {
+		return &InvalidRequestError{Message: "the report was overtaken by a later one of " + id.Entry + ": send the next one"}
+	}
 	inFlight := make(map[string]uint32, len(req.GetDraining()))
 	for _, h := range req.GetDraining() {
 		inFlight[h.GetHost()] = h.GetInFlight()
--- a/process/entry/control.go
+++ b/process/entry/control.go
@@ -127,7 +127,9 @@
 		last = err
 		var ce *ControlError
 		if !errors.As(err, &ce) {
-			c.forget(g, peer)
+			if ctx.Err() == nil { // a call that was given up tells nothing about the peer
+				c.forget(g, peer)
+			}
 		} else if ce.Kind == wirepb.Error_KIND_INVALID || ce.Kind == wirepb.Error_KIND_OUTCOME_UNKNOWN {
 			return nil, err
 		} else if hint := resp.GetError().GetLeader(); hint != "" && hint != peer {
--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -108,6 +108,7 @@
 	inFlightHost map[string]int  // by the host that the server was on at the start
 	refusing     map[string]bool // servers that refused a connection since the last report
 	liveNumber   uint64
+	sync         syncState
 	rates        map[string]*arrivals
 	grant        uint64
 	term         uint64
--- a/process/entry/fake_test.go
+++ b/process/entry/fake_test.go
@@ -22,6 +22,7 @@
 	mu       sync.Mutex
 	cut      bool // nothing is reachable
 	noLedger bool
+	hold     bool // syncs get no answer until they are given up
 	version  uint64
 	servers  map[string]*fleetpb.BackendServer
 	hosts    map[string]fleetpb.HostState
@@ -62,6 +63,12 @@
 
 func (f *fakeControl) Sync(ctx context.Context, r *wirepb.SyncRequest) (*wirepb.SyncResponse, error) {
 	f.mu.Lock()
+	if f.hold && !f.cut {
+		f.requests = append(f.requests, r)
+		f.mu.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	defer f.mu.Unlock()
 	if f.cut {
 		return nil, errors.New("cut off")
--- a/process/entry/slot.go
+++ b/process/entry/slot.go
@@ -43,6 +43,7 @@
 	w := &waiter{service: r.Service, granted: make(chan slot, 1), refused: make(chan *outcome.Error, 1)}
 	e.waiters[id] = w
 	e.pump()
+	e.press(now, r.Service)
 	e.mu.Unlock()
 	return e.await(ctx, id, w)
 }
--- a/process/entry/sync.go
+++ b/process/entry/sync.go
@@ -43,6 +43,53 @@
 	return a.rate
 }
 
+// syncState is the state of the latest sync.
+type syncState struct {
+	sequence uint64
+	sent     time.Duration
+	answered time.Duration      // when the last sync that was answered ended
+	reported map[string]float64 // demand by service
+	giveUp   context.CancelFunc // nil: no sync is under way
+	pressed  bool               // it was given up for a new report
+}
+
+// pressLimit is how long after the last answer a sync may still be given up.
+// Without it reports that follow each other fast would keep the leases from
+// being renewed.
+const pressLimit = 2 * time.Second
+
+// press gives up the sync under way if the demand of a service has outgrown
+// what it reported: its answer may take syncWait, and slots are shared by
+// demand. The caller holds the mutex.
+func (e *Entry) press(now time.Duration, service string) {
+	s := &e.sync
+	if s.giveUp == nil || now-s.sent < syncPause || now-s.answered > pressLimit {
+		return
+	}
+	if e.core.Outgrown(service, s.reported[service]) {
+		s.pressed = true
+		s.giveUp()
+		s.giveUp = nil
+	}
+}
+
+// begin starts a sync.
+func (s *syncState) begin(now time.Duration, giveUp context.CancelFunc) {
+	s.sequence++
+	s.sent = now
+	s.reported = make(map[string]float64)
+	s.giveUp = giveUp
+	s.pressed = false
+}
+
+// endSync reports whether the sync was given up for a new report.
+func (e *Entry) endSync() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sync.giveUp = nil
+	return e.sync.pressed
+}
+
 // syncLoop reports to the control leader until ctx ends.
 func (e *Entry) syncLoop(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -57,20 +104,27 @@
 }
 
 func (e *Entry) syncOnce(ctx context.Context) error {
-	sent := e.now()
-	req := e.syncRequest(sent)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sent, req := e.syncRequest(cancel)
 	resp, err := e.o.Control.Sync(ctx, req)
+	pressed := e.endSync()
 	if err != nil {
 		e.restoreFailed(req.GetFailedServers())
+		if pressed {
+			return nil
+		}
 		return err
 	}
 	e.applySync(sent, resp)
 	return nil
 }
 
-func (e *Entry) syncRequest(now time.Duration) *wirepb.SyncRequest {
+func (e *Entry) syncRequest(giveUp context.CancelFunc) (time.Duration, *wirepb.SyncRequest) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := e.now()
+	e.sync.begin(now, giveUp)
 	r := &wirepb.SyncRequest{
 		Entry:        e.o.Name,
 		BootId:       e.o.BootID,
@@ -78,6 +132,7 @@
 		AckedGrant:   e.grant,
 		AckedLive:    e.liveNumber,
 		UptimeMs:     uint64(now.Milliseconds()),
+		Sequence:     e.sync.sequence,
 		WaitMs:       uint32(syncWait / time.Millisecond),
 	}
 	r.FailedServers = sortedKeys(e.refusing)
@@ -96,10 +151,11 @@
 			ArrivalsPerSecond: a.update(s.Arrived, now),
 		}
 		e.m.fill(d, now)
+		e.sync.reported[s.Service] = float64(s.Queued + s.Running)
 		r.Demand = append(r.Demand, d)
 	}
 	r.Draining = e.draining()
-	return r
+	return now, r
 }
 
 // use reports slots held. A share lowered below the work in flight is still
@@ -156,6 +212,7 @@
 	if r.GetLeaderTerm() < e.term {
 		return // a late answer of an earlier leader
 	}
+	e.sync.answered = e.now()
 	newTerm := r.GetLeaderTerm() > e.term
 	e.term = r.GetLeaderTerm()
 	e.leader = r.GetLeader()
--- a/process/entry/totals_test.go
+++ b/process/entry/totals_test.go
@@ -69,3 +69,74 @@
 	is.Equal(at(61*time.Second), uint32(20))
 	is.Equal(at(200*time.Second), uint32(0))
 }
+
+// Guards against a burst that the leader learns of only with the next regular sync.
+func TestOutgrownDemandIsReportedAtOnce(t *testing.T) {
+	is := is.New(t)
+	leave := make(chan struct{})
+	f := start(t, nil)
+	f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) { <-leave }))
+	f.serving(4)
+	f.control.set(func() { f.control.hold = true })
+	f.until("a sync waits for its answer", func() bool { return !f.entry.idleSync() })
+	f.until("time passes", func() bool { return f.entry.syncAge() > syncPause })
+	done := make(chan answer, 12)
+	for range 12 {
+		go func() { done <- f.send("GET", "/s/ledger/x", "", "") }()
+	}
+	f.until("the leader knows of the burst", func() bool {
+		d := f.lastDemand()
+		return d.GetQueued()+d.GetRunning() > outgrown
+	})
+	is.Equal(f.entry.Counters().SyncFailures, int64(0))
+	f.control.set(func() { f.control.hold = false })
+	close(leave)
+	for range 12 {
+		is.Equal((<-done).status, 200)
+	}
+}
+
+// Guards against syncs that are given up one after the other until the leases
+// end, and against reports that follow each other without a pause.
+func TestPressedSyncsLetLeasesRenew(t *testing.T) {
+	is := is.New(t)
+	e, err := New(Options{Name: "e", BootID: "b", Control: newFakeControl(),
+		KeyGroup: func(string) uint32 { return 0 }, CheckKey: func(k string) (string, error) { return k, nil }})
+	is.NoErr(err)
+	e.core.SetService("s", queue.ServiceConfig{})
+	e.core.SetServer("b1", "s", 1)
+	for range 10 {
+		_, rej := e.core.Submit(0, queue.Request{Service: "s", Caller: "c"})
+		is.True(rej == nil)
+	}
+	for _, c := range []struct {
+		sent, answered time.Duration
+		reported       float64
+		givenUp        bool
+	}{
+		{9 * time.Second, 10*time.Second - pressLimit - 1, 0, false},
+		{10*time.Second - syncPause + 1, 9 * time.Second, 0, false},
+		{9 * time.Second, 9 * time.Second, 10, false},
+		{9 * time.Second, 9 * time.Second, 0, true},
+	} {
+		givenUp := false
+		e.sync = syncState{sent: c.sent, answered: c.answered, reported: map[string]float64{"s": c.reported}, giveUp: func() { givenUp = true }}
+		e.press(10*time.Second, "s")
+		is.Equal(givenUp, c.givenUp)
+	}
+}
+
+// outgrown is more than the greatest demand that is put off.
+const outgrown = 4
+
+func (e *Entry) idleSync() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sync.giveUp == nil
+}
+
+func (e *Entry) syncAge() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.now() - e.sync.sent
+}
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -147,6 +147,33 @@
 	is.True(rej.RetryAfter >= time.Second)
 }
 
+// Guards against the time of stragglers that counts twice in the estimate of
+// the wait: in the mean run time, and by the slots that stragglers hold.
+func TestStragglersCountOnce(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetService("s", ServiceConfig{LongThreshold: 100 * time.Millisecond})
+	c.SetServer("b", "s", 4)
+	now := time.Duration(0)
+	for k := range 10 {
+		_, rej := c.Submit(now, Request{Service: "s", Caller: "c", Route: "r"})
+		is.True(rej == nil)
+		a, ok := c.Next(now)
+		is.True(ok)
+		run := 10 * time.Millisecond
+		if k == 5 {
+			run = 10 * time.Second
+		}
+		now += run
+		c.Done(now, a.ID, true)
+	}
+	for range 12 { // four run, eight wait for about 40 ms
+		_, rej := c.Submit(now, Request{Service: "s", Caller: "c", Route: "r", Deadline: now + 500*time.Millisecond})
+		is.True(rej == nil)
+		c.Next(now)
+	}
+}
+
 // Guards against a queue that grows without bound.
 func TestQueuesAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/request/queue/service.go
+++ b/request/queue/service.go
@@ -12,6 +12,9 @@
 	seen     int
 	runs     int
 	seconds  float64 // moving average of run times
+	// settled is the moving average of run times up to the threshold. From there
+	// on the slot is counted as held by long work.
+	settled float64
 }
 
 const (
@@ -59,7 +62,17 @@
 	if !r.known() {
 		return 0
 	}
-	return seconds(r.seconds)
+	return seconds(r.cost())
+}
+
+// cost is the time, in seconds, that work of the route is expected to hold a
+// slot of its class. The estimates of waits take the slots that stragglers hold
+// away, so the time of stragglers must not count here a second time.
+func (r *route) cost() float64 {
+	if r.class == Short {
+		return r.settled
+	}
+	return r.seconds
 }
 
 func (r *route) observe(long bool) {
@@ -249,7 +262,7 @@
 
 func (s *service) expected(it *item) float64 {
 	if it.route.known() {
-		return it.route.seconds
+		return it.route.cost()
 	}
 	return s.mean[it.route.lasting()]
 }
@@ -326,6 +339,7 @@
 	}
 	r.runs++
 	average(&r.seconds, run, r.runs)
+	average(&r.settled, min(run, s.cfg.LongThreshold), r.runs)
 	class := Short
 	if run >= s.cfg.LongThreshold {
 		class = Long
