--- a/cmd/marjoramtiller/main.go
+++ b/cmd/marjoramtiller/main.go
@@ -33,9 +33,7 @@
 const usage = `usage: marjoramtiller COMMAND [flags] [arguments]
 
   sheet check FILE               check a sheet
-  sheet apply [-yes [-partial]] FILE
-                                 show the difference; with -yes apply it, with
-                                 -partial without host moves not possible now
+  sheet apply [-yes] FILE        show the difference; with -yes apply it
   report -month YYYY-MM [-csv]   print the monthly figures
   status                         print versions, pools and waves
   config show                    print the configuration as JSON
@@ -44,6 +42,8 @@
   host move -to POOL [-epoch N] NAME
   voters list
   voters add-learner|promote|remove ID
+  bench                          print the metrics of both users' workloads
+                                 beside baselines and targets
   dump                           print a control process's state as JSON
   settings check [-program control|entry|client] FILE
 
@@ -90,6 +90,7 @@
 	"voters add-learner": voterCommand(operator.AddLearner),
 	"voters promote":     voterCommand(operator.Promote),
 	"voters remove":      voterCommand(operator.RemoveVoter),
+	"bench":              bench,
 	"demo":               demo,
 	"dump":               dump,
 	"settings check":     settingsCheck,
--- a/process/control/sync.go
+++ b/process/control/sync.go
@@ -60,6 +60,7 @@
 		s.wakeLocked()
 	}
 	t.counts.report(id, time.Duration(req.GetUptimeMs())*time.Millisecond, req.GetDemand(), s.clock.Now())
+	t.uses[id] = req.GetServers()
 	return nil
 }
 
--- a/version/plan/replace.go
+++ b/version/plan/replace.go
@@ -22,12 +22,29 @@
 
 // Lend moves spare hosts into a pool until its margin allows n more hosts to go out,
 // or no spare host helps. It serves a pool whose wave would otherwise not advance.
-func (p *Planner) Lend(pool string, n int) []Move {
+func (p *Planner) Lend(pool string, n int) []Move { return p.Fill(pool, n, false) }
+
+// Fill moves spare hosts, and surplus hosts of other pools where donors is set, into
+// a pool until its margin is at least the target, or no host is left. It leaves out
+// every move without which the margin is as great, or still at the target: several
+// hosts of one failure domain can be worth no more than one.
+func (p *Planner) Fill(pool string, margin int, donors bool) []Move {
 	s := p.byPool[pool]
 	if s == nil || s == p.spare {
 		return nil
 	}
-	return p.fill(s, n, false)
+	var needed []Move
+	moves := p.fill(s, margin, donors)
+	for _, m := range moves {
+		h := p.hosts[m.Host]
+		least := min(margin, s.budget.Margin())
+		p.assign(h, p.byPool[m.From])
+		if s.budget.Margin() < least {
+			p.assign(h, s)
+			needed = append(needed, m)
+		}
+	}
+	return needed
 }
 
 func (p *Planner) takeDirty() []*poolState {
@@ -107,9 +124,12 @@
 }
 
 // bestSpare is the spare host that raises the pool's margin most: it is in the zone,
-// then in the rack, with the fewest hosts of the pool.
+// then in the rack, with the fewest hosts of the pool. Of equal zones it is the one with
+// most spare hosts, since other pools need spare hosts in every zone too.
 func (p *Planner) bestSpare(pool *poolState) *hostState {
-	for _, z := range p.zonesByCount(pool, 1) {
+	zones := p.zonesByCount(p.spare, -1)
+	slices.SortStableFunc(zones, func(a, b *zoneState) int { return cmp.Compare(pool.zones[a.id], pool.zones[b.id]) })
+	for _, z := range zones {
 		var best *rackState
 		for _, r := range z.racks {
 			if r.free > 0 && (best == nil || pool.racks[r.id] < pool.racks[best.id]) {
