Let deferrable work use the kept slots while short work is quiet

With bursts of short work beyond the kept slots, deferrable work was held to an eighth of the slots all the time, its backlog came due near its deadline and then took half of the slots during the bursts.

Tried and taken back: no slots kept for long work, due work paced, margins of 1.5 on the peak, half-lives of 4 and 15 s, wider paces at all times.

--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -146,6 +146,9 @@
 	// peak is the greatest demand for slots by short work, seen at peakTime.
 	peak     float64
 	peakTime time.Duration
+	// recentPeak is the same over a much shorter time.
+	recentPeak float64
+	recentTime time.Duration
 	// unsettled is set when items were left in the lane of an earlier class.
 	unsettled bool
 }
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -209,6 +209,64 @@
 	is.True(started < time.Second)
 }
 
+// Guards against deferrable work that waits between bursts of short work for
+// slots that nobody uses, and against kept slots that are given away while
+// short work is steady or before it was seen.
+func TestDeferrableWorkUsesQuietTimes(t *testing.T) {
+	for _, c := range []struct {
+		short int           // requests of short work at once
+		quiet time.Duration // since the last of them
+		steps int           // single requests of short work in that time
+		want  int           // long requests running, of 16 slots of which 8 are kept
+	}{
+		{0, time.Minute, 0, 8},
+		{16, 30 * time.Second, 0, 15},
+		{16, 100 * time.Millisecond, 0, 3}, // what the deadline needs
+		{4, 30 * time.Second, 300, 8},
+	} {
+		is := is.New(t)
+		core := New()
+		core.SetService("s", ServiceConfig{ShortSlotsPercent: 50, LongThreshold: time.Second})
+		core.SetServer("b", "s", 16)
+		now := time.Duration(0)
+		run := func(route string, n int, deferrable bool, took time.Duration) {
+			var ids []ID
+			for range n {
+				_, rej := core.Submit(now, Request{Service: "s", Caller: "c", Route: route, Deferrable: deferrable, Deadline: now + time.Hour})
+				is.True(rej == nil)
+			}
+			for a, ok := core.Next(now); ok; a, ok = core.Next(now) {
+				ids = append(ids, a.ID)
+			}
+			now += took
+			core.Next(now)
+			for _, id := range ids {
+				core.Done(now, id, true)
+			}
+		}
+		for range 4 {
+			run("long", 1, true, 2*time.Second)
+			if c.short > 0 {
+				run("short", 1, false, time.Millisecond)
+			}
+		}
+		run("short", c.short, false, time.Millisecond)
+		for k := range c.steps {
+			run("short", 1+k%3, false, c.quiet/time.Duration(c.steps))
+		}
+		if c.steps == 0 {
+			now += c.quiet
+		}
+		for range 16 {
+			_, rej := core.Submit(now, Request{Service: "s", Caller: "c", Route: "long", Deferrable: true, Deadline: now + 30*time.Second})
+			is.True(rej == nil)
+		}
+		for _, ok := core.Next(now); ok; _, ok = core.Next(now) {
+		}
+		is.Equal(core.Services()[0].Running, c.want)
+	}
+}
+
 // Guards against work sent to the busier of two backend servers, to one that
 // is full of long work or to one that has just failed.
 func TestChoice(t *testing.T) {
--- a/request/queue/service.go
+++ b/request/queue/service.go
@@ -39,6 +39,14 @@
 	peakMargin = 1.1
 	// paceMargin makes up for deferrable work that arrives later or runs longer.
 	paceMargin = 3
+	// Short work is quiet while its recent demand is below this share of its peak.
+	// With more than a third, the variation of a steady load counts as quiet.
+	quietShare = 0.2
+	// recentHalfLife is short against the time between two bursts.
+	recentHalfLife = 500 * time.Millisecond
+	// quietKept is the part of the kept slots that stays free in quiet times, so
+	// that single short requests do not wait for long work.
+	quietKept = 16
 	// leastLong: long work may always hold a quarter of its configured limit.
 	leastLong = 4
 	// maxMoves bounds the queued items that one call moves to another lane after
@@ -183,8 +191,29 @@
 	return s.peak * math.Exp2(-float64(now-s.peakTime)/float64(peakHalfLife))
 }
 
+// quiet reports whether short work demands far less than at its peak, as between
+// two bursts.
+func (s *service) quiet(now time.Duration) bool {
+	return s.recentAt(now) < quietShare*s.peakAt(now)
+}
+
+func (s *service) recentAt(now time.Duration) float64 {
+	return s.recentPeak * math.Exp2(-float64(now-s.recentTime)/float64(recentHalfLife))
+}
+
+// quietLimit is the number of slots that deferrable work may hold in quiet
+// times. What it leaves undone then comes due in the next burst of short work.
+func (s *service) quietLimit() int {
+	kept := s.slots - s.longLimit()
+	return s.slots - max(1, kept/quietKept)
+}
+
 func (s *service) observeDemand(now time.Duration) {
 	demand := float64(min(s.slots, s.running-s.long+s.lanes[laneShort].count))
+	if demand >= s.recentAt(now) {
+		s.recentPeak = demand
+		s.recentTime = now
+	}
 	if demand >= s.peakAt(now) {
 		s.peak = demand
 		s.peakTime = now
@@ -201,6 +230,9 @@
 	if it.route.known() && phase != phaseDue {
 		limit = max(s.usualLongLimit(now), min(limit, s.pace(now, phase)))
 	}
+	if it.route.known() && it.deferrable && s.quiet(now) {
+		limit = max(limit, s.quietLimit())
+	}
 	return s.long+s.guessed < limit
 }
 
