--- a/request/queue/queue.go
+++ b/request/queue/queue.go
@@ -133,7 +133,9 @@
 	deadlines itemHeap
 	routes    map[string]*route
 	// recent holds running items that have not crossed the threshold, oldest first.
-	recent  *list.List
+	recent *list.List
+	// ended holds the observations that are put off, earliest first.
+	ended   []ended
 	running int
 	long    int // running as long
 	guessed int // running before their route was known, and not crossed
@@ -146,6 +148,9 @@
 	// peak is the greatest demand for slots by short work, seen at peakTime.
 	peak     float64
 	peakTime time.Duration
+	// recentPeak is the same over a much shorter time.
+	recentPeak float64
+	recentTime time.Duration
 	// unsettled is set when items were left in the lane of an earlier class.
 	unsettled bool
 }
--- a/request/queue/queue_test.go
+++ b/request/queue/queue_test.go
@@ -131,6 +131,46 @@
 	is.Equal(c.Services()[0].Long, 2)
 }
 
+// Guards against a long route that is taken for short at each burst, as of work
+// that starts together the short part ends first. Its work would then fill the
+// slots kept for short work.
+func TestFirstEndsOfABurstDoNotMakeARouteShort(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetService("s", ServiceConfig{LongThreshold: time.Second})
+	c.SetServer("b", "s", 64)
+	start := func(now time.Duration, n int) (ids []ID) {
+		for range n {
+			_, rej := c.Submit(now, Request{Service: "s", Caller: "c", Route: "r"})
+			is.True(rej == nil)
+		}
+		for a, ok := c.Next(now); ok; a, ok = c.Next(now) {
+			ids = append(ids, a.ID)
+		}
+		return ids
+	}
+	for _, id := range start(0, 10) {
+		c.Done(2*time.Second, id, true)
+	}
+	ids := start(3*time.Second, 60)
+	for _, id := range ids[:20] {
+		c.Done(3500*time.Millisecond, id, true)
+		class, known := c.RouteClass("s", "r")
+		is.True(known && class == Long)
+	}
+	c.Next(4 * time.Second) // of all 60, two thirds are long
+	class, _ := c.RouteClass("s", "r")
+	is.Equal(class, Long)
+	for k := range 20 { // the route has become short
+		now := time.Duration(5+2*k) * time.Second
+		for _, id := range start(now, 1) {
+			c.Done(now+time.Millisecond, id, true)
+		}
+	}
+	class, _ = c.RouteClass("s", "r")
+	is.Equal(class, Short)
+}
+
 // Guards against a request that waits although it must miss its deadline.
 func TestEarlyRejection(t *testing.T) {
 	is := is.New(t)
@@ -147,6 +187,33 @@
 	is.True(rej.RetryAfter >= time.Second)
 }
 
+// Guards against the time of stragglers that counts twice in the estimate of
+// the wait: in the mean run time, and by the slots that stragglers hold.
+func TestStragglersCountOnce(t *testing.T) {
+	is := is.New(t)
+	c := New()
+	c.SetService("s", ServiceConfig{LongThreshold: 100 * time.Millisecond})
+	c.SetServer("b", "s", 4)
+	now := time.Duration(0)
+	for k := range 10 {
+		_, rej := c.Submit(now, Request{Service: "s", Caller: "c", Route: "r"})
+		is.True(rej == nil)
+		a, ok := c.Next(now)
+		is.True(ok)
+		run := 10 * time.Millisecond
+		if k == 5 {
+			run = 10 * time.Second
+		}
+		now += run
+		c.Done(now, a.ID, true)
+	}
+	for range 12 { // four run, eight wait for about 40 ms
+		_, rej := c.Submit(now, Request{Service: "s", Caller: "c", Route: "r", Deadline: now + 500*time.Millisecond})
+		is.True(rej == nil)
+		c.Next(now)
+	}
+}
+
 // Guards against a queue that grows without bound.
 func TestQueuesAreBounded(t *testing.T) {
 	is := is.New(t)
@@ -182,6 +249,64 @@
 	is.True(started < time.Second)
 }
 
+// Guards against deferrable work that waits between bursts of short work for
+// slots that nobody uses, and against kept slots that are given away while
+// short work is steady or before it was seen.
+func TestDeferrableWorkUsesQuietTimes(t *testing.T) {
+	for _, c := range []struct {
+		short int           // requests of short work at once
+		quiet time.Duration // since the last of them
+		steps int           // single requests of short work in that time
+		want  int           // long requests running, of 16 slots of which 8 are kept
+	}{
+		{0, time.Minute, 0, 8},
+		{16, 30 * time.Second, 0, 15},
+		{16, 100 * time.Millisecond, 0, 3}, // what the deadline needs
+		{4, 30 * time.Second, 300, 8},
+	} {
+		is := is.New(t)
+		core := New()
+		core.SetService("s", ServiceConfig{ShortSlotsPercent: 50, LongThreshold: time.Second})
+		core.SetServer("b", "s", 16)
+		now := time.Duration(0)
+		run := func(route string, n int, deferrable bool, took time.Duration) {
+			var ids []ID
+			for range n {
+				_, rej := core.Submit(now, Request{Service: "s", Caller: "c", Route: route, Deferrable: deferrable, Deadline: now + time.Hour})
+				is.True(rej == nil)
+			}
+			for a, ok := core.Next(now); ok; a, ok = core.Next(now) {
+				ids = append(ids, a.ID)
+			}
+			now += took
+			core.Next(now)
+			for _, id := range ids {
+				core.Done(now, id, true)
+			}
+		}
+		for range 4 {
+			run("long", 1, true, 2*time.Second)
+			if c.short > 0 {
+				run("short", 1, false, time.Millisecond)
+			}
+		}
+		run("short", c.short, false, time.Millisecond)
+		for k := range c.steps {
+			run("short", 1+k%3, false, c.quiet/time.Duration(c.steps))
+		}
+		if c.steps == 0 {
+			now += c.quiet
+		}
+		for range 16 {
+			_, rej := core.Submit(now, Request{Service: "s", Caller: "c", Route: "long", Deferrable: true, Deadline: now + 30*time.Second})
+			is.True(rej == nil)
+		}
+		for _, ok := core.Next(now); ok; _, ok = core.Next(now) {
+		}
+		is.Equal(core.Services()[0].Running, c.want)
+	}
+}
+
 // Guards against work sent to the busier of two backend servers, to one that
 // is full of long work or to one that has just failed.
 func TestChoice(t *testing.T) {
--- a/request/queue/service.go
+++ b/request/queue/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"slices"
+	"sort"
 	"time"
 )
 
@@ -12,6 +14,9 @@
 	seen     int
 	runs     int
 	seconds  float64 // moving average of run times
+	// settled is the moving average of run times up to the threshold. From there
+	// on the slot is counted as held by long work.
+	settled float64
 }
 
 const (
@@ -29,13 +34,21 @@
 	// A route is long from longFrom on and short again below shortBelow. The gap
 	// keeps a route with a few stragglers from changing class back and forth.
 	longFrom   = 0.5
-	shortBelow = 0.25
+	shortBelow = 0.1
 	// peakHalfLife is long against the time between two bursts of a service.
 	peakHalfLife = 60 * time.Second
 	// peakMargin makes up for the decay between bursts.
 	peakMargin = 1.1
 	// paceMargin makes up for deferrable work that arrives later or runs longer.
 	paceMargin = 3
+	// Short work is quiet while its recent demand is below this share of its peak.
+	// With more than a third, the variation of a steady load counts as quiet.
+	quietShare = 0.2
+	// recentHalfLife is short against the time between two bursts.
+	recentHalfLife = 500 * time.Millisecond
+	// quietKept is the part of the kept slots that stays free in quiet times, so
+	// that single short requests do not wait for long work.
+	quietKept = 16
 	// leastLong: long work may always hold a quarter of its configured limit.
 	leastLong = 4
 	// maxMoves bounds the queued items that one call moves to another lane after
@@ -59,7 +72,17 @@
 	if !r.known() {
 		return 0
 	}
-	return seconds(r.seconds)
+	return seconds(r.cost())
+}
+
+// cost is the time, in seconds, that work of the route is expected to hold a
+// slot of its class. The estimates of waits take the slots that stragglers hold
+// away, so the time of stragglers must not count here a second time.
+func (r *route) cost() float64 {
+	if r.class == Short {
+		return r.settled
+	}
+	return r.seconds
 }
 
 func (r *route) observe(long bool) {
@@ -170,8 +193,29 @@
 	return s.peak * math.Exp2(-float64(now-s.peakTime)/float64(peakHalfLife))
 }
 
+// quiet reports whether short work demands far less than at its peak, as between
+// two bursts.
+func (s *service) quiet(now time.Duration) bool {
+	return s.recentAt(now) < quietShare*s.peakAt(now)
+}
+
+func (s *service) recentAt(now time.Duration) float64 {
+	return s.recentPeak * math.Exp2(-float64(now-s.recentTime)/float64(recentHalfLife))
+}
+
+// quietLimit is the number of slots that deferrable work may hold in quiet
+// times. What it leaves undone then comes due in the next burst of short work.
+func (s *service) quietLimit() int {
+	kept := s.slots - s.longLimit()
+	return s.slots - max(1, kept/quietKept)
+}
+
 func (s *service) observeDemand(now time.Duration) {
 	demand := float64(min(s.slots, s.running-s.long+s.lanes[laneShort].count))
+	if demand >= s.recentAt(now) {
+		s.recentPeak = demand
+		s.recentTime = now
+	}
 	if demand >= s.peakAt(now) {
 		s.peak = demand
 		s.peakTime = now
@@ -188,6 +232,9 @@
 	if it.route.known() && phase != phaseDue {
 		limit = max(s.usualLongLimit(now), min(limit, s.pace(now, phase)))
 	}
+	if it.route.known() && it.deferrable && s.quiet(now) {
+		limit = max(limit, s.quietLimit())
+	}
 	return s.long+s.guessed < limit
 }
 
@@ -249,7 +296,7 @@
 
 func (s *service) expected(it *item) float64 {
 	if it.route.known() {
-		return it.route.seconds
+		return it.route.cost()
 	}
 	return s.mean[it.route.lasting()]
 }
@@ -296,13 +343,41 @@
 	return l.seconds * float64(items) / float64(l.count)
 }
 
+// ended is work of a long route that ended before the threshold.
+type ended struct {
+	route *route
+	due   time.Duration // when it would have crossed the threshold
+}
+
+// postpone puts off the observation that work was short until it would have
+// crossed the threshold. Of work that starts together, the short ends first:
+// observed at once, a long route would be taken for short at each burst, until
+// the rest crosses the threshold.
+func (s *service) postpone(it *item) {
+	e := ended{it.route, it.started + s.cfg.LongThreshold}
+	at := sort.Search(len(s.ended), func(k int) bool { return s.ended[k].due > e.due })
+	s.ended = slices.Insert(s.ended, at, e)
+}
+
+// observeEnded takes the postponed observations up to a time.
+func (s *service) observeEnded(until time.Duration) {
+	n := 0
+	for n < len(s.ended) && s.ended[n].due <= until {
+		s.ended[n].route.observe(false)
+		n++
+	}
+	s.ended = slices.Delete(s.ended, 0, n)
+}
+
 // reclass counts running work that has crossed the threshold as long.
 func (s *service) reclass(now time.Duration) {
+	defer s.observeEnded(now)
 	for e := s.recent.Front(); e != nil; e = s.recent.Front() {
 		it := e.Value.(*item)
 		if now-it.started < s.cfg.LongThreshold {
 			return
 		}
+		s.observeEnded(it.started + s.cfg.LongThreshold)
 		s.recent.Remove(e)
 		it.runElem = nil
 		it.crossed = true
@@ -321,11 +396,16 @@
 
 func (s *service) learn(it *item, run time.Duration) {
 	r := it.route
-	if !it.crossed {
+	switch {
+	case it.crossed:
+	case run < s.cfg.LongThreshold && r.known() && r.class == Long:
+		s.postpone(it)
+	default:
 		r.observe(run >= s.cfg.LongThreshold)
 	}
 	r.runs++
 	average(&r.seconds, run, r.runs)
+	average(&r.settled, min(run, s.cfg.LongThreshold), r.runs)
 	class := Short
 	if run >= s.cfg.LongThreshold {
 		class = Long
