--- a/version/fleet/random_test.go
+++ b/version/fleet/random_test.go
@@ -67,6 +67,7 @@
 			s.Wave = drawName(t, "w", 2)
 		} else {
 			s.MoveTo = drawName(t, "p", 3)
+			s.SetHome = rapid.Bool().Draw(t, "home")
 		}
 		c.Body = &fleetpb.Command_HostStep{HostStep: s}
 	case 6:
@@ -134,6 +135,8 @@
 		other := New()
 		other.maxTombstones = r.f.maxTombstones
 		entry := NewCopy()
+		var view func() ([]byte, error)
+		var viewed []byte
 		for range rapid.IntRange(20, 80).Draw(t, "commands") {
 			r.now += int64(rapid.IntRange(0, 1000).Draw(t, "ms"))
 			command := marshal(drawCommand(t, r))
@@ -150,6 +153,11 @@
 				t.Fatal("version does not follow")
 			}
 			checkDrains(t, r.f, before)
+			for h := range r.f.Hosts() {
+				if r.f.Pool(h.HomePool) == nil || h.Lent && h.HomePool == h.Pool && h.MoveTo == "" {
+					t.Fatalf("host %v has no home pool, or is lent to it", h)
+				}
+			}
 			if rapid.IntRange(0, 3).Draw(t, "sync") == 0 {
 				if _, err := entry.Take(r.f.Delta(entry.Version(), false)); err != nil {
 					t.Fatal(err)
@@ -159,7 +167,14 @@
 				}
 			}
 			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
+				if view != nil {
+					if late, _ := view(); !bytes.Equal(late, viewed) {
+						t.Fatal("a view shows commands that were applied after it")
+					}
+				}
 				snapshot, _ := r.f.Snapshot()
+				view, _ = r.f.SnapshotView()
+				viewed = snapshot
 				if err := other.Restore(snapshot); err != nil {
 					t.Fatal(err)
 				}
