Refresh an entry's backend servers only after a change or a lease's end

Change: a refresh follows a change of configuration, live servers or shares, a revoked lease, and the earliest end of a lease; a refused connection refreshes its server only; the report is not sorted.

--- a/process/control/bench_test.go
+++ b/process/control/bench_test.go
@@ -43,7 +43,7 @@
 
 // startSized starts the only voter of a cluster with n hosts and backend servers
 // and returns it with its term, once all slots are granted to six entries.
-func startSized(b *testing.B, n int) (*Server, *term) {
+func startSized(b testing.TB, n int) (*Server, *term) {
 	b.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -110,7 +110,7 @@
 	return s, t
 }
 
-func propose(b *testing.B, s *Server, c *fleetpb.Command) {
+func propose(b testing.TB, s *Server, c *fleetpb.Command) {
 	result, err := s.proposeFleet(context.Background(), c)
 	if err != nil || refusal(result) != "" {
 		b.Errorf("the command was not applied: %v %s", err, refusal(result))
@@ -144,7 +144,7 @@
 }
 
 // benchSync takes a report and answers it.
-func benchSync(b *testing.B, s *Server, t *term, req *wirepb.SyncRequest) *wirepb.SyncResponse {
+func benchSync(b testing.TB, s *Server, t *term, req *wirepb.SyncRequest) *wirepb.SyncResponse {
 	id := lease.SessionID{Entry: req.GetEntry(), BootID: req.GetBootId()}
 	if err := s.report(t, id, req); err != nil {
 		b.Fatal(err)
--- a/process/entry/sync.go
+++ b/process/entry/sync.go
@@ -105,17 +105,15 @@
 // use reports slots held. A share lowered below the work in flight is still
 // held until that work ends, so the leader cannot grant it elsewhere.
 func (e *Entry) use() []*wirepb.ServerUse {
-	names := make(map[string]bool)
-	for name := range e.shares {
-		names[name] = true
-	}
-	for name := range e.inFlight {
-		names[name] = true
-	}
-	out := make([]*wirepb.ServerUse, 0, len(names))
-	for _, name := range sortedKeys(names) {
+	out := make([]*wirepb.ServerUse, 0, len(e.shares))
+	for name, sh := range e.shares {
 		n := e.inFlight[name]
-		out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(max(n, e.shares[name].slots)), InFlight: uint32(n)})
+		out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(max(n, sh.slots)), InFlight: uint32(n)})
+	}
+	for name, n := range e.inFlight {
+		if _, shared := e.shares[name]; !shared {
+			out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(n), InFlight: uint32(n)})
+		}
 	}
 	return out
 }
@@ -159,12 +157,21 @@
 	newTerm := r.GetLeaderTerm() > e.term
 	e.term = r.GetLeaderTerm()
 	e.leader = r.GetLeader()
-	e.applyDelta(r.GetDelta())
+	changed := e.applyDelta(r.GetDelta())
 	e.applyLeases(sent, r)
 	if newTerm || r.GetGrant() > e.grant {
 		e.applyGrant(r)
+		changed = true
+	}
+	if r.GetLiveFull() || len(r.GetLive())+len(r.GetGone()) > 0 || e.revoked {
+		changed = true
+		e.revoked = e.revoked && sent <= e.revokedAt
+	}
+	if changed {
+		e.refresh(e.now())
+	} else {
+		e.refreshEnded(e.now())
 	}
-	e.refresh(e.now())
 	e.pump()
 }
 
@@ -202,8 +209,8 @@
 		e.mu.Lock()
 		if name := r.GetServer().GetName(); e.cfg.Server(name) != nil {
 			e.serving.Revoke(name, e.now())
+			e.refreshRevoked(name, e.now())
 		}
-		e.refresh(e.now())
 		e.mu.Unlock()
 	}
 	return e.o.Control.Announce(ctx, r)
