--- a/process/control/waves.go
+++ b/process/control/waves.go
@@ -45,7 +45,9 @@
 	defer s.mu.Unlock()
 	for _, uses := range t.uses {
 		for _, u := range uses {
-			out[f.Server(u.GetServer()).GetHost()] += u.GetInFlight()
+			if n := u.GetInFlight(); n > 0 {
+				out[f.Server(u.GetServer()).GetHost()] += n
+			}
 		}
 	}
 	return out
--- a/version/reconcile/trial.go
+++ b/version/reconcile/trial.go
@@ -51,11 +51,22 @@
 	return t.fleet.Host(name)
 }
 
+// now returns a host of the fleet with the steps of the round.
+func (t *trial) now(h *fleetpb.Host) *fleetpb.Host {
+	if len(t.changed) == 0 {
+		return h
+	}
+	if changed := t.changed[h.GetName()]; changed != nil {
+		return changed
+	}
+	return h
+}
+
 // PoolHosts implements fleet.View. No step of a round changes a host's pool.
 func (t *trial) PoolHosts(pool string) iter.Seq[*fleetpb.Host] {
 	return func(yield func(*fleetpb.Host) bool) {
 		for h := range t.fleet.PoolHosts(pool) {
-			if !yield(t.Host(h.GetName())) {
+			if !yield(t.now(h)) {
 				return
 			}
 		}
@@ -66,7 +77,7 @@
 func (t *trial) hosts() iter.Seq[*fleetpb.Host] {
 	return func(yield func(*fleetpb.Host) bool) {
 		for h := range t.fleet.Hosts() {
-			if !yield(t.Host(h.GetName())) {
+			if !yield(t.now(h)) {
 				return
 			}
 		}
