Load the job scheduler's hosts only after a change

Cause: every round built a worker from each host of the fleet. Change: hosts are loaded after a change of the fleet or of a worker's state.

--- a/process/control/bench_test.go
+++ b/process/control/bench_test.go
@@ -211,6 +211,10 @@
 			{"expireServers", func() { s.expireServers(context.Background(), t) }},
 			{"stepHosts", func() { s.stepHosts(context.Background(), t) }},
 			{"loadHosts", func() { s.viewFleet(func(f *fleet.Fleet) { t.jobs.loadHosts(f) }) }},
+			{"loadHostsChanged", func() {
+				t.jobs.hostsLoaded = false
+				s.viewFleet(func(f *fleet.Fleet) { t.jobs.loadHosts(f) })
+			}},
 			{"reconcileWaves", func() { s.reconcileWaves(context.Background(), t) }},
 		}
 		for _, p := range parts {
--- a/process/control/jobs.go
+++ b/process/control/jobs.go
@@ -27,12 +27,15 @@
 	jobs      map[string]uint64 // job to the modified version that the scheduler has
 	teams     map[string]uint64
 	hosts     map[string]plan.Worker
-	workers   map[string]*workerReport
-	polled    time.Duration // when the last complete poll of workers was sent
-	rebooted  map[string]time.Duration
-	renewed   map[string]time.Duration
-	calls     []taskCall
-	placed    map[string]*fleetpb.Task // task to its unfinished attempt in the fleet
+	// hostsLoaded: hosts are those of version hostsAt and of the latest reports.
+	hostsLoaded bool
+	hostsAt     uint64
+	workers     map[string]*workerReport
+	polled      time.Duration // when the last complete poll of workers was sent
+	rebooted    map[string]time.Duration
+	renewed     map[string]time.Duration
+	calls       []taskCall
+	placed      map[string]*fleetpb.Task // task to its unfinished attempt in the fleet
 }
 
 type workerReport struct {
@@ -174,7 +177,13 @@
 	}
 }
 
+// loadHosts passes on the hosts, unless neither the fleet nor a worker's state has
+// changed since the last call.
 func (r *jobRunner) loadHosts(f *fleet.Fleet) {
+	if r.hostsLoaded && r.hostsAt == f.Version() {
+		return
+	}
+	r.hostsLoaded, r.hostsAt = true, f.Version()
 	seen := make(map[string]bool)
 	for h := range f.Hosts() {
 		seen[h.GetName()] = true
--- a/process/control/live_test.go
+++ b/process/control/live_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramtiller.example/marjoramtiller/process/platform"
 	"marjoramtiller.example/marjoramtiller/process/replica"
 	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
@@ -50,15 +51,52 @@
 	is.NoErr(s.heartbeat(term, benchServer(0, servers)))
 	is.Equal(liveServers(s, term), servers)
 
-	propose(t, s, &fleetpb.Command{Actor: "test", Body: &fleetpb.Command_HostStep{HostStep: &fleetpb.HostStep{
-		Host: "host-00001", Kind: fleetpb.HostStep_KIND_FAIL, ExpectedState: fleetpb.HostState_HOST_STATE_ACTIVE, ExpectedEpoch: hostEpoch(s, "host-00001"),
-	}}})
+	failHost(t, s, "host-00001")
 	s.refreshServers(term)
 	is.Equal(liveServers(s, term), servers-1) // its host has failed
 }
 
-func hostEpoch(s *Server, name string) uint64 {
+// Guards against jobs placed on a worker that went down, or on a host that failed,
+// because the scheduler's hosts were not loaded again.
+func TestSchedulerHostsFollowFleetAndReports(t *testing.T) {
+	is := is.New(t)
+	const servers = 4
+	s, term := startSized(t, servers)
+	r := term.jobs
+	up := func() int {
+		n := 0
+		s.viewFleet(func(f *fleet.Fleet) { r.loadHosts(f) })
+		for _, w := range r.hosts {
+			if w.Up {
+				n++
+			}
+		}
+		return n
+	}
+	report := func(down string) {
+		var workers []platform.Worker
+		for i := range servers {
+			name := benchServer(i, servers).GetHost()
+			workers = append(workers, platform.Worker{Name: name, Up: name != down})
+		}
+		r.observeWorkers(workers, time.Second)
+	}
+	is.Equal(up(), 0) // no report yet
+	report("")
+	is.Equal(up(), servers)
+	report("host-00002")
+	is.Equal(up(), servers-1)
+	report("")
+	is.Equal(up(), servers)
+	failHost(t, s, "host-00001")
+	is.Equal(up(), servers-1)
+}
+
+func failHost(t *testing.T, s *Server, name string) {
+	t.Helper()
 	var epoch uint64
 	s.viewFleet(func(f *fleet.Fleet) { epoch = f.Host(name).GetEpoch() })
-	return epoch
+	propose(t, s, &fleetpb.Command{Actor: "test", Body: &fleetpb.Command_HostStep{HostStep: &fleetpb.HostStep{
+		Host: name, Kind: fleetpb.HostStep_KIND_FAIL, ExpectedState: fleetpb.HostState_HOST_STATE_ACTIVE, ExpectedEpoch: epoch,
+	}}})
 }
--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -94,6 +94,10 @@
 		if report == nil {
 			report = new(workerReport)
 			r.workers[w.Name] = report
+			r.hostsLoaded = false
+		}
+		if report.up != w.Up {
+			r.hostsLoaded = false
 		}
 		report.up = w.Up
 		if w.Up {
