--- a/process/entry/sync.go
+++ b/process/entry/sync.go
@@ -161,17 +161,15 @@
 // use reports slots held. A share lowered below the work in flight is still
 // held until that work ends, so the leader cannot grant it elsewhere.
 func (e *Entry) use() []*wirepb.ServerUse {
-	names := make(map[string]bool)
-	for name := range e.shares {
-		names[name] = true
-	}
-	for name := range e.inFlight {
-		names[name] = true
-	}
-	out := make([]*wirepb.ServerUse, 0, len(names))
-	for _, name := range sortedKeys(names) {
+	out := make([]*wirepb.ServerUse, 0, len(e.shares))
+	for name, sh := range e.shares {
 		n := e.inFlight[name]
-		out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(max(n, e.shares[name].slots)), InFlight: uint32(n)})
+		out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(max(n, sh.slots)), InFlight: uint32(n)})
+	}
+	for name, n := range e.inFlight {
+		if _, shared := e.shares[name]; !shared {
+			out = append(out, &wirepb.ServerUse{Server: name, SlotsHeld: uint32(n), InFlight: uint32(n)})
+		}
 	}
 	return out
 }
