Bind a voter's name to the folder that it was made with

A promoted voter that lost its folder and started again under its old name, without founding voters in its settings, took part with a forgotten state. Each folder now has an incarnation id, stored before anything is sent. Messages carry it, and the membership holds the id of each voter: the first leader binds the founders from the pre-votes that it needs from all of them, a promotion binds the learner whose acknowledgements made it caught up. Votes and acknowledgements of another folder are not counted, and a replica stops that learns that its name is bound to another folder.

A learner now votes for a candidate that names its incarnation, and a leader that has synced its own removal may campaign until the removal is committed. Without these a group that grew from one voter to two, or shrank to one, lost its leader for ever when the leader crashed before it had sent the change.

--- a/process/consensus/core.go
+++ b/process/consensus/core.go
@@ -29,6 +29,7 @@
 	// of within the minimum election timeout.
 	denyVotesUntil time.Duration
 	votes          map[string]bool
+	founders       map[string]uint64 // incarnations of those that granted the pre-vote
 
 	progress      map[string]*progress
 	heartbeatDue  time.Duration
@@ -86,7 +87,8 @@
 		c.denyVotesUntil = now + cfg.ElectionTimeoutMin
 	}
 	c.resetElectionDeadline()
-	return c, nil
+	c.checkIncarnation()
+	return c, c.err
 }
 
 func (c *Core) restoreHardState(hs *wirepb.RaftHardState) error {
@@ -154,6 +156,8 @@
 func (c *Core) send(m *wirepb.RaftMessage) {
 	m.Group = c.cfg.Group
 	m.From = c.cfg.ID
+	m.Incarnation = c.cfg.Incarnation
+	m.ToIncarnation = c.voters().GetIncarnations()[m.To]
 	if m.Term == 0 {
 		m.Term = c.term
 	}
--- a/process/consensus/election.go
+++ b/process/consensus/election.go
@@ -23,7 +23,11 @@
 	if m.Type > wirepb.RaftMessage_TYPE_TIMEOUT_NOW {
 		return nil // chunks of snapshots are the caller's
 	}
-	if c.fresh && !c.stepFresh(m) {
+	if m.ToIncarnation != 0 && m.ToIncarnation != c.cfg.Incarnation {
+		c.fail(&EmptyDiskError{ID: c.cfg.ID})
+		return c.err
+	}
+	if c.foreign(m) || (c.fresh && !c.stepFresh(m)) {
 		return c.err
 	}
 	if c.stepTerm(m) {
@@ -138,12 +142,9 @@
 	c.votes = nil
 }
 
-// campaign starts a pre-vote or a vote. Only a voter campaigns.
+// campaign starts a pre-vote or a vote.
 func (c *Core) campaign(role Role, transfer bool) {
-	if !c.isVoter() {
-		return
-	}
-	if c.role == Leader {
+	if !c.mayCampaign() || c.role == Leader {
 		return
 	}
 	c.role = role
@@ -157,6 +158,9 @@
 		c.fresh = false
 	}
 	c.votes = map[string]bool{c.cfg.ID: true}
+	if role == PreCandidate {
+		c.founders = map[string]uint64{c.cfg.ID: c.cfg.Incarnation}
+	}
 	c.resetElectionDeadline()
 	var context uint64
 	if transfer {
@@ -176,6 +180,9 @@
 	}
 	if _, seen := c.votes[m.From]; !seen {
 		c.votes[m.From] = !m.Reject
+		if role == PreCandidate && !m.Reject {
+			c.founders[m.From] = m.Incarnation
+		}
 	}
 	c.tally()
 }
@@ -208,10 +215,11 @@
 	}
 }
 
-// mayVote applies the rules that do not depend on the term: a learner never
-// votes, and nobody votes while the leader's lease may run.
+// mayVote applies the rules that do not depend on the term: nobody votes while
+// the leader's lease may run, and a learner only for a candidate that has a
+// later membership.
 func (c *Core) mayVote(m *wirepb.RaftMessage) bool {
-	if !c.isVoter() {
+	if !c.hasVote(m) {
 		return false
 	}
 	if m.Type == wirepb.RaftMessage_TYPE_VOTE && m.ReadContext == transferVote {
@@ -226,7 +234,7 @@
 }
 
 func (c *Core) handlePreVote(m *wirepb.RaftMessage) {
-	if !c.isVoter() {
+	if !c.hasVote(m) {
 		return
 	}
 	grant := m.Term > c.term && c.mayVote(m) && c.upToDate(m)
--- a/process/consensus/follower.go
+++ b/process/consensus/follower.go
@@ -41,6 +41,9 @@
 		return
 	}
 	last, err := c.log.merge(m.Index, m.Entries)
+	if c.checkIncarnation(); c.err != nil {
+		return
+	}
 	if err == nil && min(m.Commit, last) > c.log.commit {
 		err = c.log.commitTo(min(m.Commit, last))
 	}
@@ -97,6 +100,9 @@
 		return
 	}
 	c.log.reset(s)
+	if c.checkIncarnation(); c.err != nil {
+		return
+	}
 	c.pendingSnapshot = s
 	c.hsDirty = true
 	c.acknowledge(m.From, s.Index)
--- /dev/null
+++ b/process/consensus/incarnation_test.go
@@ -0,0 +1,176 @@
+package consensus
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+)
+
+// run advances the simulation until ok holds and reports whether it did.
+func (s *sim) run(ok func() bool) bool {
+	for range 4000 {
+		if ok() || s.failure != "" {
+			return s.failure == ""
+		}
+		s.step(5 * time.Millisecond)
+	}
+	return false
+}
+
+// change repeats a change until the leader accepts it, and waits for its commit.
+func (s *sim) change(c VoterChange) bool {
+	accepted := func() bool {
+		l := s.leader()
+		if l == nil {
+			return false
+		}
+		_, _, err := l.core.ChangeVoter(c)
+		s.process(l)
+		return err == nil
+	}
+	return s.run(accepted) && s.run(func() bool { l := s.leader(); return l != nil && !l.core.changePending() })
+}
+
+// Guards against a promoted voter that lost its folder, starts under its old name
+// without founding voters, is given the log again up to its promotion and then
+// elects a leader that lacks an entry which it had acknowledged.
+func TestPromotedVoterThatLostItsFolder(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "a", "b")
+	s.add("d", nil)
+	is.True(s.change(VoterChange{AddLearner, "d"}))
+	is.True(s.change(VoterChange{Promote, "d"}))
+	l, d := s.leader(), s.nodes["d"]
+	other := map[string]string{"a": "b", "b": "a"}[l.name]
+	promotion := l.core.log.last()
+	is.True(s.run(func() bool { return d.core.log.last() == promotion && s.nodes[other].core.log.commit == promotion }))
+	for _, name := range []string{l.name, "d"} {
+		s.cut[other+">"+name], s.cut[name+">"+other] = true, true
+	}
+	acked := s.acked
+	s.propose(l)
+	is.True(s.run(func() bool { return s.acked > acked }))
+	s.wipe(d, nil)
+	s.start(d)
+	is.True(s.run(func() bool { return d.lost || (d.core != nil && d.core.isVoter()) }))
+	s.cut = map[string]bool{l.name + ">d": true, "d>" + l.name: true, l.name + ">" + other: true, other + ">" + l.name: true}
+	s.run(func() bool { next := s.leader(); return next != nil && next != l && next.core.committedInTerm() })
+	s.heal()
+	is.Equal(s.failure, "")
+	is.True(d.lost)
+}
+
+// Guards against a vote or an acknowledgement that is counted although it comes
+// from another folder than the one that the membership names.
+func TestPromisesOfAnotherFolderAreNotCounted(t *testing.T) {
+	is := is.New(t)
+	c := lead(t)
+	finish(c)
+	c.voters().Incarnations = map[string]uint64{"b": 7}
+	ack := func(incarnation uint64) {
+		m := fromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+		m.Index, m.Incarnation = c.log.last(), incarnation
+		is.NoErr(c.Step(c.now, m))
+	}
+	ack(8)
+	ack(0)
+	is.Equal(c.Status().Commit, uint64(0))
+	ack(7)
+	is.Equal(c.Status().Commit, c.log.last())
+
+	c = testCore(t, founded(1), "a", "b", "c")
+	c.voters().Incarnations = map[string]uint64{"b": 7}
+	is.NoErr(c.Tick(2 * time.Second))
+	finish(c)
+	vote := fromB(wirepb.RaftMessage_TYPE_PRE_VOTE_RESPONSE, 2)
+	vote.Incarnation = 8
+	is.NoErr(c.Step(c.now, vote))
+	is.Equal(c.Status().Role, PreCandidate)
+}
+
+// Guards against a learner whose acknowledgements come from two folders: its
+// promotion would count entries that only the lost one held.
+func TestLearnerIsPromotedWithOneFolder(t *testing.T) {
+	is := is.New(t)
+	s := newSim(1, "a")
+	s.add("b", nil)
+	is.True(s.change(VoterChange{AddLearner, "b"}))
+	l, b := s.leader(), s.nodes["b"]
+	is.True(s.run(func() bool { return l.core.progress["b"].match == l.core.log.last() }))
+	known := b.disk.incarnation
+	m := &wirepb.RaftMessage{Group: "g", From: "b", To: "a", Type: wirepb.RaftMessage_TYPE_HEARTBEAT_RESPONSE, Term: l.core.term, Incarnation: known + 2}
+	l.core.progress["b"].lastAck = -time.Hour
+	is.NoErr(l.core.Step(s.now, m))
+	_, _, err := l.core.ChangeVoter(VoterChange{Promote, "b"})
+	var behind *NotCaughtUpError
+	is.True(errors.As(err, &behind))
+	is.True(s.change(VoterChange{Promote, "b"}))
+	is.Equal(l.core.voters().Incarnations["b"], known)
+	is.Equal(l.core.voters().Incarnations["a"], s.nodes["a"].disk.incarnation) // bound by the first leader
+}
+
+// Guards against a replica that goes on with a folder other than the one that the
+// membership names, whichever way it learns of that.
+func TestReplicaWithAnotherFolderStops(t *testing.T) {
+	voters := &wirepb.RaftVoters{Voters: []string{"a", "b"}, Incarnations: map[string]uint64{"a": 7}}
+	snapshot := &wirepb.RaftSnapshot{Index: 5, Term: 1, Voters: voters}
+	learner := func() *Core {
+		c, err := New(Config{ID: "a", Group: "g", Incarnation: 8, Rand: func(int64) int64 { return 0 }}, 0, Initial{})
+		is.New(t).NoErr(err)
+		return c
+	}
+	step := func(m *wirepb.RaftMessage) error { return learner().Step(0, m) }
+	append1 := fromB(wirepb.RaftMessage_TYPE_APPEND, 1)
+	append1.Entries = []*wirepb.RaftEntry{votersEntry(t, voters)}
+	named := fromB(wirepb.RaftMessage_TYPE_HEARTBEAT, 1)
+	named.ToIncarnation = 7
+	chunk := fromB(wirepb.RaftMessage_TYPE_SNAPSHOT, 1)
+	chunk.Snapshot = snapshot
+	_, onStart := New(Config{ID: "a", Group: "g", Incarnation: 8, Rand: func(int64) int64 { return 0 }}, 0, Initial{Snapshot: snapshot})
+	for name, err := range map[string]error{"append": step(append1), "named": step(named), "snapshot": step(chunk), "start": onStart} {
+		var empty *EmptyDiskError
+		if !errors.As(err, &empty) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against a group that loses its leader for ever when it grows from one
+// voter to two, or shrinks to one, and the leader crashes once it has synced the
+// change and before it has sent it.
+func TestLeaderCrashesWhileTheGroupGrowsOrShrinks(t *testing.T) {
+	for _, shrink := range []bool{false, true} {
+		is := is.New(t)
+		s := newSim(1, "a")
+		s.add("b", nil)
+		is.True(s.change(VoterChange{AddLearner, "b"}))
+		next := VoterChange{Promote, "b"}
+		if shrink {
+			is.True(s.change(next))
+			next = VoterChange{Remove, s.leader().name}
+		}
+		l := s.leader()
+		is.True(s.run(func() bool { return l.core.progress["b"] == nil || l.core.progress["b"].match == l.core.log.last() }))
+		_, _, err := l.core.ChangeVoter(next)
+		is.NoErr(err)
+		s.persist(l, l.core.Ready())
+		s.crash(l)
+		s.start(l)
+		is.True(s.run(func() bool {
+			leader := s.leader()
+			return leader != nil && leader.core.committedInTerm() && !leader.core.changePending()
+		}))
+		is.Equal(s.failure, "")
+	}
+}
+
+func votersEntry(t *testing.T, v *wirepb.RaftVoters) *wirepb.RaftEntry {
+	data, err := proto.Marshal(v)
+	is.New(t).NoErr(err)
+	return &wirepb.RaftEntry{Term: 1, Index: 1, Type: wirepb.RaftEntry_TYPE_VOTERS, Data: data}
+}
--- a/process/consensus/leader.go
+++ b/process/consensus/leader.go
@@ -26,6 +26,17 @@
 	lastAck     time.Duration
 	ackSeq      uint64
 	needAppend  bool
+	incarnation uint64 // of the replica that all of the above is about
+}
+
+// sameReplica reports whether m comes from the replica that p is about, which is
+// the first that answers in a term. One that has lost its folder starts with
+// nothing of what it acknowledged before.
+func (p *progress) sameReplica(m *wirepb.RaftMessage) bool {
+	if p.incarnation == 0 {
+		p.incarnation = m.Incarnation
+	}
+	return p.incarnation == m.Incarnation
 }
 
 func (p *progress) probe(next uint64) {
@@ -47,6 +58,11 @@
 	c.heartbeatDue = c.now + c.cfg.HeartbeatInterval
 	c.heartbeatNow = true
 	// Entries of earlier terms commit only together with one of this term.
+	if c.log.last() == 0 && len(c.foundingIncarnations()) > 0 {
+		v := c.voters()
+		_ = c.appendVoters(&wirepb.RaftVoters{Voters: v.Voters, Learners: v.Learners, Incarnations: c.foundingIncarnations()})
+		return
+	}
 	c.appendLocal(wirepb.RaftEntry_TYPE_COMMAND, nil)
 }
 
@@ -210,7 +226,7 @@
 
 func (c *Core) handleAppendResponse(m *wirepb.RaftMessage) {
 	p := c.progress[m.From]
-	if c.role != Leader || p == nil {
+	if c.role != Leader || p == nil || !p.sameReplica(m) {
 		return
 	}
 	p.lastAck = c.now
@@ -254,7 +270,7 @@
 
 func (c *Core) handleHeartbeatResponse(m *wirepb.RaftMessage) {
 	p := c.progress[m.From]
-	if c.role != Leader || p == nil {
+	if c.role != Leader || p == nil || !p.sameReplica(m) {
 		return
 	}
 	p.lastAck = c.now
--- a/process/consensus/membership.go
+++ b/process/consensus/membership.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -90,13 +91,19 @@
 	if !c.knownToQuorum(next) {
 		return 0, 0, &BusyError{Reason: "too few of the next voters have the current membership"}
 	}
+	index = c.appendVoters(next)
+	return index, c.term, c.err
+}
+
+func (c *Core) appendVoters(next *wirepb.RaftVoters) (index uint64) {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(next)
 	if err != nil {
-		return 0, 0, &InvalidChangeError{Reason: err.Error()}
+		c.fail(err)
+		return 0
 	}
 	index = c.appendLocal(wirepb.RaftEntry_TYPE_VOTERS, data)
 	c.syncProgress()
-	return index, c.term, c.err
+	return index
 }
 
 // knownToQuorum reports whether a quorum of the next voters has synced the
@@ -115,7 +122,7 @@
 
 func (c *Core) changed(change VoterChange) (*wirepb.RaftVoters, error) {
 	v := c.voters()
-	next := &wirepb.RaftVoters{Voters: slices.Clone(v.Voters), Learners: slices.Clone(v.Learners)}
+	next := &wirepb.RaftVoters{Voters: slices.Clone(v.Voters), Learners: slices.Clone(v.Learners), Incarnations: maps.Clone(v.Incarnations)}
 	without := func(names []string) []string {
 		return slices.DeleteFunc(names, func(n string) bool { return n == change.Name })
 	}
@@ -134,12 +141,19 @@
 		}
 		next.Learners = without(next.Learners)
 		next.Voters = append(next.Voters, change.Name)
+		if id := c.progress[change.Name].incarnation; id != 0 {
+			if next.Incarnations == nil {
+				next.Incarnations = map[string]uint64{}
+			}
+			next.Incarnations[change.Name] = id
+		}
 	case Remove:
 		if !isMember(v, change.Name) {
 			return nil, &InvalidChangeError{Reason: "the replica is not a member"}
 		}
 		next.Learners = without(next.Learners)
 		next.Voters = without(next.Voters)
+		delete(next.Incarnations, change.Name)
 		if len(next.Voters) == 0 {
 			return nil, &InvalidChangeError{Reason: "the last voter can't be removed"}
 		}
--- a/process/consensus/types.go
+++ b/process/consensus/types.go
@@ -36,6 +36,9 @@
 type Config struct {
 	ID    string
 	Group string
+	// Incarnation identifies the replica's folder: it is chosen when the folder
+	// is created and stored in it. 0 turns the check off for this replica.
+	Incarnation uint64
 	// Voters is the group's first set of voters. A replica that joins an
 	// existing group leaves it empty and becomes a learner. A snapshot's voters
 	// take precedence.
@@ -191,13 +194,13 @@
 // Invariants lists the names of all asserted invariants.
 var Invariants = []string{InvariantSingleLeader, InvariantLogMatching, InvariantCommitMonotone, InvariantAckedKept, InvariantTermMonotone}
 
-// EmptyDiskError reports that a voter of a founded group started with an empty
-// disk. It may have voted or acknowledged entries that it has no record of.
+// EmptyDiskError reports that a voter of a founded group started without its
+// folder. It may have voted or acknowledged entries that it has no record of.
 type EmptyDiskError struct{ ID string }
 
 // Error implements error.
 func (e *EmptyDiskError) Error() string {
-	return fmt.Sprintf("consensus: voter %q has an empty disk but its group already has a leader; start it with a new replica name as a learner, promote that and remove %q", e.ID, e.ID)
+	return fmt.Sprintf("consensus: voter %q has lost its folder, or its name belonged to another replica; start it with a new replica name as a learner, promote that and remove %q", e.ID, e.ID)
 }
 
 // NotLeaderError reports that the replica does not lead. Nothing was done.
--- a/process/replica/cluster_test.go
+++ b/process/replica/cluster_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -247,6 +248,13 @@
 	is.NoErr(c.leader().TransferLeader(ctx, "d"))
 	c.eventually("the replacement leads", func() bool { return d.Status().LeaseValid })
 	is.Equal(len(commands(d)), 30)
+
+	// The promoted replica loses its folder too; its settings name no voters.
+	c.close("d")
+	is.NoErr(os.RemoveAll(filepath.Join(c.root, "d")))
+	d = c.open("d", nil)
+	<-d.Done()
+	is.True(errors.As(d.Status().Err, &empty))
 }
 
 // Guards against a changed list of founding voters that changes the membership
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -114,9 +114,13 @@
 		r.applied = s.Index
 		r.snapshot = s
 	}
+	incarnation, err := r.store.Incarnation()
+	if err != nil {
+		return err
+	}
 	rng := rand.New(rand.NewPCG(r.o.Seed, r.o.Seed))
 	core, err := consensus.New(consensus.Config{
-		ID: r.o.ID, Group: r.o.Group,
+		ID: r.o.ID, Group: r.o.Group, Incarnation: incarnation,
 		HeartbeatInterval:  r.o.HeartbeatInterval,
 		ElectionTimeoutMin: r.o.ElectionTimeoutMin,
 		ElectionTimeoutMax: r.o.ElectionTimeoutMax,
--- a/process/storage/snapshot_test.go
+++ b/process/storage/snapshot_test.go
@@ -1,6 +1,7 @@
 package storage
 
 import (
+	"errors"
 	"testing"
 
 	"github.com/matryer/is"
@@ -58,3 +59,27 @@
 	_, st := open(t, m)
 	is.Equal(st.Snapshot.Index, uint64(30))
 }
+
+// Guards against a folder whose id changes in a restart, which would lock its
+// replica out, and a lost folder that comes back with the same id.
+func TestIncarnationBelongsToTheFolder(t *testing.T) {
+	is := is.New(t)
+	m := newMemFS()
+	s, _ := open(t, m)
+	first, err := s.Incarnation()
+	is.NoErr(err)
+	is.True(first != 0)
+	m.crash(0)
+	s, _ = open(t, m)
+	again, err := s.Incarnation()
+	is.NoErr(err)
+	is.Equal(again, first)
+	other, _ := open(t, newMemFS())
+	second, err := other.Incarnation()
+	is.NoErr(err)
+	is.True(second != first)
+	m.files[testDir+"/"+incarnationName].data[9] ^= 1
+	_, err = s.Incarnation()
+	var corrupt *CorruptError
+	is.True(errors.As(err, &corrupt))
+}
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -1,8 +1,12 @@
 package storage
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
+	"io/fs"
+	"math"
+	"math/rand/v2"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -57,9 +61,11 @@
 func segmentName(number uint64) string { return fmt.Sprintf("log-%016x", number) }
 
 const (
-	snapshotName = "snapshot"
-	manifestName = "manifest"
-	tmpSuffix    = ".tmp"
+	snapshotName     = "snapshot"
+	manifestName     = "manifest"
+	incarnationName  = "incarnation"
+	incarnationBytes = 8
+	tmpSuffix        = ".tmp"
 )
 
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
@@ -88,6 +94,24 @@
 	return s, st, nil
 }
 
+// Incarnation returns the id of this folder. It is chosen and stored by the first
+// call, before the replica sends anything; a folder that was lost and made again
+// has another one.
+func (s *Store) Incarnation() (uint64, error) {
+	data, err := s.readChecked(incarnationName)
+	if errors.Is(err, fs.ErrNotExist) {
+		data = binary.LittleEndian.AppendUint64(nil, 1+rand.Uint64N(math.MaxUint64))
+		err = s.replace(incarnationName, data)
+	}
+	if err != nil {
+		return 0, err
+	}
+	if len(data) != incarnationBytes {
+		return 0, &CorruptError{File: s.path(incarnationName), Detail: errBody.Error()}
+	}
+	return binary.LittleEndian.Uint64(data), nil
+}
+
 // Append stores entries and a hard state, if any, and syncs them. An entry
 // replaces all stored ones with the same or a higher index.
 func (s *Store) Append(entries []*wirepb.RaftEntry, hs *wirepb.RaftHardState) error {
