--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -14,8 +14,12 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/connection/lease"
+	"marjoramtiller.example/marjoramtiller/request/memory"
 	"marjoramtiller.example/marjoramtiller/request/queue"
 	"marjoramtiller.example/marjoramtiller/request/retry"
+	"marjoramtiller.example/marjoramtiller/version/fleet"
+	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
 // Defaults of unset options.
@@ -25,6 +29,11 @@
 	defaultMaxBodyBytes   = 1 << 20
 	defaultMaxHeaderBytes = 32 << 10
 	defaultFinishWait     = 2 * time.Second
+	defaultRetryPercent   = 10
+	defaultMaxConnections = 8192
+	defaultMemoryBytes    = 256 << 20
+	defaultCallerGrace    = 10 * time.Second
+	defaultCallerRate     = 8 << 10
 	defaultBeginWait      = 3 * time.Second
 	readHeaderTimeout     = 10 * time.Second
 	callerIdleTimeout     = 60 * time.Second
@@ -50,8 +59,15 @@
 
 	MaxQueuedPerCaller  int
 	MaxQueuedPerService int
-	MaxBodyBytes        int64 // of a non-idempotent request, which is held in memory
+	ShortSlotsPercent   int           // kept for short work where the pool declares no share
+	DefaultDeadline     time.Duration // where neither request nor pool has one; 0: none
+	RetryPercent        int           // retries as a share of requests; 0: 10, negative: none
+	MaxBodyBytes        int64         // of a non-idempotent request, which is held in memory
 	MaxHeaderBytes      int
+	MaxConnections      int           // of callers, at once
+	MemoryBytes         int64         // held for all callers together
+	CallerGrace         time.Duration // a caller may keep the entry waiting this long, and longer with each byte
+	CallerRate          int64         // bytes per second that a caller must sustain
 	AnswerTimeout       time.Duration // bounds one attempt at a backend server
 	BeginWait           time.Duration // bounds the wait for a Begin
 	FinishWait          time.Duration // bounds how long an answer waits for its record
@@ -72,15 +88,19 @@
 	broken  atomic.Bool // an invariant was violated; nothing is accepted
 
 	background sync.WaitGroup // records that are still being written
-	serving    sync.WaitGroup // requests being handled
+	handling   sync.WaitGroup // requests being handled
 	hard       context.Context
 	abort      context.CancelFunc
 
 	mu           sync.Mutex
 	core         *queue.Core
 	budget       retry.Budget
-	cfg          *config
-	leases       *leases
+	memory       *memory.Pool // bytes
+	open         *memory.Pool // requests being handled, of MaxConnections
+	cfg          *fleet.Copy
+	configured   bool                     // a delta was applied
+	pools        map[string]*fleetpb.Pool // by service
+	serving      *lease.Serving
 	shares       map[string]share
 	targets      map[string]*target
 	waiters      map[queue.ID]*waiter
@@ -108,8 +128,12 @@
 		o:            o,
 		started:      time.Now(),
 		core:         queue.New(),
-		cfg:          newConfig(),
-		leases:       newLeases(),
+		budget:       retry.NewBudget(o.RetryPercent),
+		memory:       memory.New(o.MemoryBytes),
+		open:         memory.New(int64(o.MaxConnections)),
+		cfg:          fleet.NewCopy(),
+		pools:        make(map[string]*fleetpb.Pool),
+		serving:      lease.NewServing(),
 		shares:       make(map[string]share),
 		targets:      make(map[string]*target),
 		waiters:      make(map[queue.ID]*waiter),
@@ -132,6 +156,18 @@
 	if o.MaxHeaderBytes <= 0 {
 		o.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
+	if o.MaxConnections <= 0 {
+		o.MaxConnections = defaultMaxConnections
+	}
+	if o.MemoryBytes <= 0 {
+		o.MemoryBytes = defaultMemoryBytes
+	}
+	if o.CallerGrace <= 0 {
+		o.CallerGrace = defaultCallerGrace
+	}
+	if o.CallerRate <= 0 {
+		o.CallerRate = defaultCallerRate
+	}
 	if o.AnswerTimeout <= 0 {
 		o.AnswerTimeout = defaultAnswerTimeout
 	}
@@ -141,6 +177,9 @@
 	if o.FinishWait <= 0 {
 		o.FinishWait = defaultFinishWait
 	}
+	if o.RetryPercent == 0 {
+		o.RetryPercent = defaultRetryPercent
+	}
 	if o.HealthGrace < 0 {
 		o.HealthGrace = 0
 	} else if o.HealthGrace == 0 {
@@ -177,7 +216,7 @@
 	running.Go(func() { e.sweepLoop(loops) })
 	running.Go(func() { e.bootLoop(loops) })
 	served := make(chan error, 1)
-	go func() { served <- srv.Serve(l) }()
+	go func() { served <- srv.Serve(limitConnections(l, e.o.MaxConnections)) }()
 	e.o.Log.Info().Str("address", l.Addr().String()).Msg("serving callers")
 
 	var err error
@@ -226,7 +265,7 @@
 }
 
 func (e *Entry) close() {
-	e.serving.Wait()
+	e.handling.Wait()
 	e.background.Wait()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -250,7 +289,7 @@
 	defer e.mu.Unlock()
 	now := e.now()
 	e.refresh(now)
-	if !e.leases.configValid(now) {
+	if !e.mayServe(now) {
 		e.rejectAll()
 	}
 	e.pump()
@@ -275,6 +314,14 @@
 	if err := e.core.Check(); err != nil {
 		e.violated("queue", err)
 	}
+	for _, p := range []*memory.Pool{e.memory, e.open} {
+		if err := p.Check(); err != nil {
+			e.violated("memory", err)
+		}
+	}
+	if err := e.serving.Broken(); err != nil {
+		e.violated("lease", err)
+	}
 	if at, ok := e.core.Wake(now); ok {
 		e.wake.Reset(max(at-now, time.Millisecond))
 	}
@@ -291,5 +338,5 @@
 func (e *Entry) healthy() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.closing.Load() && !e.broken.Load() && e.leases.configValid(e.now())
+	return !e.closing.Load() && !e.broken.Load() && e.mayServe(e.now())
 }
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -75,6 +75,11 @@
 		ShortWorkPercent:      get[int](v, "queue", "short_work_percent"),
 		RetryBudgetPercent:    get[int](v, "retry", "budget_percent"),
 		DefaultDeadline:       get[time.Duration](v, "queue", "default_deadline"),
+		AnswerTimeout:         get[time.Duration](v, "timeouts", "answer"),
+		HealthGrace:           get[time.Duration](v, "timeouts", "health_grace"),
+		MemoryBytes:           get[int](v, "queue", "memory_bytes"),
+		Connections:           get[int](v, "queue", "connections"),
+		BodyBytes:             get[int](v, "queue", "body_bytes"),
 	}
 	v.checkListeners("peers", "callers", "announcements", "observe")
 	if len(e.Peers) == 0 {
