End a call with its caller and bound the calls of a peer

A call ran for up to 30 s at the server after its caller had given up. A request now carries the time that its caller still waits, and the call's context ends with it or when the caller closes the stream. A peer may have 128 calls in progress over all its sessions; a further one is answered as unavailable, which says that nothing was done, and its request is not kept in memory.

--- a/connection/wire/pool.go
+++ b/connection/wire/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -160,10 +161,6 @@
 // Call sends a request and waits for its response until ctx ends. A failure is
 // a NotSentError or an OutcomeUnknownError.
 func (p *Pool) Call(ctx context.Context, name string, req *wirepb.Request) (*wirepb.Response, error) {
-	data, err := frame(streamCall, req)
-	if err != nil {
-		return nil, &NotSentError{Peer: name, Err: err}
-	}
 	c, err := p.peer(name)
 	if err != nil {
 		return nil, &NotSentError{Peer: name, Err: err}
@@ -186,6 +183,10 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &NotSentError{Peer: name, Err: err}
 	}
+	data, err := callFrame(ctx, req)
+	if err != nil {
+		return nil, &NotSentError{Peer: name, Err: err}
+	}
 	resp, err := exchange(ctx, stream, data)
 	if err != nil {
 		return nil, &OutcomeUnknownError{Peer: name, Err: err}
@@ -193,6 +194,18 @@
 	return resp, nil
 }
 
+// callFrame encodes a request with the time that its caller still waits.
+func callFrame(ctx context.Context, req *wirepb.Request) ([]byte, error) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return frame(streamCall, req)
+	}
+	left := max(1, time.Until(deadline).Milliseconds())
+	timed := &wirepb.Request{Body: req.GetBody(), DeadlineMs: uint32(min(left, math.MaxUint32))}
+	timed.ProtoReflect().SetUnknown(req.ProtoReflect().GetUnknown())
+	return frame(streamCall, timed)
+}
+
 func exchange(ctx context.Context, stream *yamux.Stream, data []byte) (*wirepb.Response, error) {
 	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
--- a/connection/wire/server.go
+++ b/connection/wire/server.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -16,7 +15,8 @@
 
 // Handler processes what peers send. Its methods are called concurrently.
 type Handler interface {
-	// HandleCall answers a call. ctx ends with the session or the server.
+	// HandleCall answers a call. ctx ends with the session or the server, or when
+	// the caller no longer waits.
 	HandleCall(ctx context.Context, peer string, req *wirepb.Request) *wirepb.Response
 	// HandleRaft takes a consensus message; it must not block.
 	HandleRaft(peer string, m *wirepb.RaftMessage)
@@ -37,10 +37,14 @@
 	closing  bool
 	conns    map[net.Conn]struct{} // all open connections
 	sessions map[string][]*yamux.Session
+	busy     map[string]int // calls in progress by peer
 }
 
 // Listen starts a server.
 func Listen(o Options, h Handler) (*Server, error) {
+	if o.MaxCallsPerPeer == 0 {
+		o.MaxCallsPerPeer = maxCallsPerPeer
+	}
 	l, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return nil, err
@@ -51,6 +55,7 @@
 		hellos:   make(chan struct{}, maxPendingHellos),
 		conns:    map[net.Conn]struct{}{},
 		sessions: map[string][]*yamux.Session{},
+		busy:     map[string]int{},
 	}
 	s.loops.Add(1)
 	go s.accept()
@@ -223,58 +228,6 @@
 	}
 }
 
-func (s *Server) serveCall(ctx context.Context, peer string, stream *yamux.Stream, r *bufio.Reader) {
-	req := &wirepb.Request{}
-	if err := readMessage(r, MaxFrameBytes, req); err != nil {
-		s.o.Logger.Warn().Err(err).Str("peer", peer).Msg("request can't be read")
-		return
-	}
-	var resp *wirepb.Response
-	if s.beginCall() {
-		defer s.calls.Done()
-		callCtx, cancel := context.WithTimeout(ctx, callHandlingTimeout)
-		resp = s.h.HandleCall(callCtx, peer, req)
-		cancel()
-	} else {
-		resp = unavailable("the process is stopping")
-	}
-	data, err := frame(0, resp)
-	if err != nil {
-		s.o.Logger.Error().Err(err).Str("peer", peer).Msg("response can't be sent")
-		return
-	}
-	if stream.SetWriteDeadline(time.Now().Add(responseWriteLimit)) != nil {
-		return
-	}
-	if _, err := stream.Write(data); err != nil {
-		return
-	}
-	awaitClose(stream, r)
-}
-
-// awaitClose waits until the caller has closed its side, which it does once it
-// has read the response. A session that is closed earlier can lose a response
-// that was written.
-func awaitClose(stream *yamux.Stream, r *bufio.Reader) {
-	if stream.Close() == nil && stream.SetReadDeadline(time.Now().Add(responseReadLimit)) == nil {
-		_, _ = io.Copy(io.Discard, r)
-	}
-}
-
-func unavailable(message string) *wirepb.Response {
-	return &wirepb.Response{Error: &wirepb.Error{Kind: wirepb.Error_KIND_UNAVAILABLE, Message: message}}
-}
-
-func (s *Server) beginCall() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closing {
-		return false
-	}
-	s.calls.Add(1)
-	return true
-}
-
 // Shutdown stops accepting, waits for the calls in progress until ctx ends and
 // closes all sessions. Calls that arrive meanwhile are answered as unavailable.
 func (s *Server) Shutdown(ctx context.Context) error {
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -32,6 +32,7 @@
 	maxHelloBytes       = 4 << 10
 	maxStreams          = 200 // of one session; below yamux's accept backlog of 256
 	maxSessionsPerPeer  = 4
+	maxCallsPerPeer     = 128 // in progress, over all sessions
 	maxPendingHellos    = 32
 	raftQueueMessages   = 4096
 	raftQueueBytes      = 32 << 20
@@ -69,7 +70,10 @@
 	// LocalIP is the source address of dialled connections, the system's choice
 	// if empty.
 	LocalIP string
-	Logger  zerolog.Logger
+	// MaxCallsPerPeer bounds the calls of one peer that are in progress, 128 if
+	// 0. Calls beyond it are answered as unavailable. Server only.
+	MaxCallsPerPeer int
+	Logger          zerolog.Logger
 }
 
 // NotSentError reports a call that failed before anything of it was written.
--- a/connection/wire/wire_test.go
+++ b/connection/wire/wire_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -240,6 +241,79 @@
 	}
 }
 
+// waitHandler ends its calls with their contexts and counts those that end.
+type waitHandler struct {
+	testHandler
+	ended chan error
+}
+
+func (h *waitHandler) HandleCall(ctx context.Context, _ string, _ *wirepb.Request) *wirepb.Response {
+	h.began <- struct{}{}
+	<-ctx.Done()
+	h.ended <- ctx.Err()
+	return unavailable("the caller is gone")
+}
+
+// Guards against a server that works on for a caller that no longer waits: its
+// deadline has passed, or it has given up before.
+func TestCallEndsWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	h := &waitHandler{testHandler: testHandler{began: make(chan struct{}, 1)}, ended: make(chan error, 1)}
+	s, p := start(t, h)
+	ctx, cancel := context.WithCancel(testContext(t))
+	go func() {
+		<-h.began
+		cancel()
+	}()
+	_, err := p.Call(ctx, "s", dumpRequest())
+	var unknown *OutcomeUnknownError
+	is.True(errors.As(err, &unknown))
+	is.Equal(<-h.ended, context.Canceled)
+
+	req := dumpRequest()
+	req.DeadlineMs = 10 // of a caller that keeps the stream open
+	_, err = p.Call(context.Background(), "s", req)
+	is.NoErr(err)
+	is.Equal(<-h.ended, context.DeadlineExceeded)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.True(len(s.busy) <= 1) // the response was read, the call may still end
+}
+
+// Guards against a peer whose calls use up the process, and against a refusal
+// that does not say that nothing was done.
+func TestCallsOfAPeerAreBounded(t *testing.T) {
+	is := is.New(t)
+	h := &testHandler{block: make(chan struct{}), began: make(chan struct{}, 2)}
+	o := testOptions("s", map[string]string{"c": "127.0.0.1:1", "other": "127.0.0.1:1"})
+	o.MaxCallsPerPeer = 2
+	s, err := Listen(o, h)
+	is.NoErr(err)
+	defer func() { _ = s.Close() }()
+	peers := map[string]string{"s": s.Addr().String()}
+	p, other := NewPool(testOptions("c", peers)), NewPool(testOptions("other", peers))
+	defer func() { _, _ = p.Close(), other.Close() }()
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() { _, _ = p.Call(testContext(t), "s", dumpRequest()) })
+		<-h.began
+	}
+	large := &wirepb.Request{Body: &wirepb.Request_Sync{Sync: &wirepb.SyncRequest{Entry: strings.Repeat("x", 2<<20)}}}
+	for _, req := range []*wirepb.Request{dumpRequest(), large} {
+		resp, err := p.Call(testContext(t), "s", req)
+		is.NoErr(err)
+		is.Equal(resp.GetError().GetKind(), wirepb.Error_KIND_UNAVAILABLE)
+	}
+	wg.Go(func() { _, _ = other.Call(testContext(t), "s", dumpRequest()) })
+	<-h.began // another peer is served
+	close(h.block)
+	wg.Wait()
+	resp, err := p.Call(testContext(t), "s", dumpRequest())
+	<-h.began
+	is.NoErr(err)
+	is.True(resp.GetError() == nil)
+}
+
 // Guards against a call that hangs while the network silently drops everything.
 // The call's own deadline is far away, so only the keepalive can end it.
 func TestSilentPartitionEndsTheSession(t *testing.T) {
--- a/process/replica/transfer_test.go
+++ b/process/replica/transfer_test.go
@@ -93,16 +93,16 @@
 	is := is.New(t)
 	c, behind := lag(t, 900)
 	term := c.leader().Status().Term
-	offered := make(chan struct{}, 1<<10)
+	offered := make(chan uint64, 1<<10)
 	c.setLose(func(m *wirepb.RaftMessage) bool {
-		if isChunk(m) {
-			offered <- struct{}{}
+		if m.Type == wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK {
+			offered <- m.Chunk.Offset
 		}
 		return false
 	})
 	c.isolate("c", false)
 	for range 3 {
-		<-offered
+		is.Equal(<-offered, uint64(0)) // the first chunk is never taken
 	}
 	c.propose("more")
 	is.Equal(len(commands(behind)), 1)
