Export each replica's metrics

The gauge marjoramtiller_group_broken_invariant, which appeared only with a violation, becomes the counter marjoramtiller_group_broken_invariants_total.

--- a/process/control/metrics.go
+++ b/process/control/metrics.go
@@ -8,27 +8,21 @@
 
 // metrics collects the replicas' and the leader's gauges when they are read.
 type metrics struct {
-	s         *Server
-	version   *prometheus.Desc
-	leader    *prometheus.Desc
-	applied   *prometheus.Desc
-	syncs     *prometheus.Desc
-	invariant *prometheus.Desc
-	sessions  *prometheus.Desc
-	live      *prometheus.Desc
+	s        *Server
+	version  *prometheus.Desc
+	leader   *prometheus.Desc
+	sessions *prometheus.Desc
+	live     *prometheus.Desc
 }
 
 func newMetrics(s *Server, r prometheus.Registerer) *metrics {
 	group := []string{"group"}
 	m := &metrics{
-		s:         s,
-		version:   prometheus.NewDesc("marjoramtiller_configuration_version", "Configuration version applied by this process.", nil, nil),
-		leader:    prometheus.NewDesc("marjoramtiller_group_leader", "1 while this process leads the group.", group, nil),
-		applied:   prometheus.NewDesc("marjoramtiller_group_applied_index", "Last log index applied.", group, nil),
-		syncs:     prometheus.NewDesc("marjoramtiller_group_log_syncs_total", "Batches synced to the log.", group, nil),
-		invariant: prometheus.NewDesc("marjoramtiller_group_broken_invariant", "1 if an invariant stopped the replica.", []string{"group", "invariant"}, nil),
-		sessions:  prometheus.NewDesc("marjoramtiller_entry_sessions", "Entry sessions known to this leader.", nil, nil),
-		live:      prometheus.NewDesc("marjoramtiller_live_backend_servers", "Backend servers with a valid lease at this leader.", nil, nil),
+		s:        s,
+		version:  prometheus.NewDesc("marjoramtiller_configuration_version", "Configuration version applied by this process.", nil, nil),
+		leader:   prometheus.NewDesc("marjoramtiller_group_leader", "1 while this process leads the group.", group, nil),
+		sessions: prometheus.NewDesc("marjoramtiller_entry_sessions", "Entry sessions known to this leader.", nil, nil),
+		live:     prometheus.NewDesc("marjoramtiller_live_backend_servers", "Backend servers with a valid lease at this leader.", nil, nil),
 	}
 	if r != nil {
 		r.MustRegister(m)
@@ -43,17 +37,12 @@
 func (m *metrics) Collect(ch chan<- prometheus.Metric) {
 	ch <- prometheus.MustNewConstMetric(m.version, prometheus.GaugeValue, float64(m.s.version.Load()))
 	for _, name := range m.s.groupNames() {
-		st := m.s.groups[name].Status()
 		lead := 0.0
 		if leads(m.s.groups[name]) {
 			lead = 1
 		}
 		ch <- prometheus.MustNewConstMetric(m.leader, prometheus.GaugeValue, lead, name)
-		ch <- prometheus.MustNewConstMetric(m.applied, prometheus.GaugeValue, float64(st.Applied), name)
-		ch <- prometheus.MustNewConstMetric(m.syncs, prometheus.CounterValue, float64(st.Syncs), name)
-		if st.BrokenInvariant != "" {
-			ch <- prometheus.MustNewConstMetric(m.invariant, prometheus.GaugeValue, 1, name, st.BrokenInvariant)
-		}
+		m.s.groups[name].Collect(ch)
 	}
 	m.s.mu.Lock()
 	defer m.s.mu.Unlock()
--- a/process/replica/metrics.go
+++ b/process/replica/metrics.go
@@ -1,9 +1,14 @@
 package replica
 
-import "sync/atomic"
+import (
+	"sync/atomic"
 
-// Counters count events since Open. A metrics collector reads them, and the
-// gauges, from Status.
+	"github.com/prometheus/client_golang/prometheus"
+
+	"marjoramtiller.example/marjoramtiller/process/consensus"
+)
+
+// Counters count events since Open.
 type Counters struct {
 	Syncs           uint64 // batches synced to the log
 	DroppedMessages uint64 // received messages that found the queue full
@@ -15,8 +20,60 @@
 
 type counters struct {
 	syncs, dropped, snapshots atomic.Uint64
+	syncSeconds, batch        prometheus.Histogram
+}
+
+func (c *counters) init(group string) {
+	labels := prometheus.Labels{"group": group}
+	c.syncSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "marjoramtiller_group_sync_seconds", Help: "Time to write and sync a batch.", ConstLabels: labels,
+		Buckets: prometheus.ExponentialBuckets(0.0001, 2, 16),
+	})
+	c.batch = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "marjoramtiller_group_batch_entries", Help: "Log entries in a synced batch.", ConstLabels: labels,
+		Buckets: prometheus.ExponentialBuckets(1, 2, 11),
+	})
 }
 
 func (c *counters) read() Counters {
 	return Counters{Syncs: c.syncs.Load(), DroppedMessages: c.dropped.Load(), Snapshots: c.snapshots.Load()}
 }
+
+var groupLabel = []string{"group"}
+
+var (
+	descTerm      = prometheus.NewDesc("marjoramtiller_group_term", "Term of the replica.", groupLabel, nil)
+	descCommit    = prometheus.NewDesc("marjoramtiller_group_commit_index", "Last log index known as committed.", groupLabel, nil)
+	descApplied   = prometheus.NewDesc("marjoramtiller_group_applied_index", "Last log index applied.", groupLabel, nil)
+	descSyncs     = prometheus.NewDesc("marjoramtiller_group_log_syncs_total", "Batches synced to the log.", groupLabel, nil)
+	descDropped   = prometheus.NewDesc("marjoramtiller_group_dropped_messages_total", "Received consensus messages that found the queue full.", groupLabel, nil)
+	descSnapshots = prometheus.NewDesc("marjoramtiller_group_snapshots_total", "Snapshots stored.", groupLabel, nil)
+	descInvariant = prometheus.NewDesc("marjoramtiller_group_broken_invariants_total", "Violations of a named invariant; one stops the replica.", []string{"group", "invariant"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (r *Replica) Describe(ch chan<- *prometheus.Desc) { prometheus.DescribeByCollect(r, ch) }
+
+// Collect implements prometheus.Collector. Every invariant has a counter from
+// the start, so that an alert on its increase sees the first violation.
+func (r *Replica) Collect(ch chan<- prometheus.Metric) {
+	s := r.Status()
+	emit := func(d *prometheus.Desc, kind prometheus.ValueType, value uint64) {
+		ch <- prometheus.MustNewConstMetric(d, kind, float64(value), r.o.Group)
+	}
+	emit(descTerm, prometheus.GaugeValue, s.Term)
+	emit(descCommit, prometheus.GaugeValue, s.Commit)
+	emit(descApplied, prometheus.GaugeValue, s.Applied)
+	emit(descSyncs, prometheus.CounterValue, s.Syncs)
+	emit(descDropped, prometheus.CounterValue, s.DroppedMessages)
+	emit(descSnapshots, prometheus.CounterValue, s.Snapshots)
+	r.count.syncSeconds.Collect(ch)
+	r.count.batch.Collect(ch)
+	for _, name := range consensus.Invariants {
+		broken := 0.0
+		if name == s.BrokenInvariant {
+			broken = 1
+		}
+		ch <- prometheus.MustNewConstMetric(descInvariant, prometheus.CounterValue, broken, r.o.Group, name)
+	}
+}
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -92,6 +92,7 @@
 		reads:     map[uint64]*barrier{},
 		outgoing:  map[string]*transfer{},
 	}
+	r.count.init(o.Group)
 	if err := r.start(state); err != nil {
 		_ = store.Close()
 		return nil, err
--- a/process/replica/run.go
+++ b/process/replica/run.go
@@ -164,6 +164,9 @@
 		return nil
 	}
 	r.count.syncs.Add(1)
+	r.count.batch.Observe(float64(len(rd.Entries)))
+	start := time.Now()
+	defer func() { r.count.syncSeconds.Observe(time.Since(start).Seconds()) }()
 	if rd.Snapshot != nil {
 		if err := r.store.InstallSnapshot(rd.Snapshot); err != nil {
 			return err
