--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -92,6 +92,7 @@
 		reads:     map[uint64]*barrier{},
 		outgoing:  map[string]*transfer{},
 	}
+	r.count.init(o.Group)
 	if err := r.start(state); err != nil {
 		_ = store.Close()
 		return nil, err
@@ -114,9 +115,13 @@
 		r.applied = s.Index
 		r.snapshot = s
 	}
+	incarnation, err := r.store.Incarnation()
+	if err != nil {
+		return err
+	}
 	rng := rand.New(rand.NewPCG(r.o.Seed, r.o.Seed))
 	core, err := consensus.New(consensus.Config{
-		ID: r.o.ID, Group: r.o.Group,
+		ID: r.o.ID, Group: r.o.Group, Incarnation: incarnation,
 		HeartbeatInterval:  r.o.HeartbeatInterval,
 		ElectionTimeoutMin: r.o.ElectionTimeoutMin,
 		ElectionTimeoutMax: r.o.ElectionTimeoutMax,
