--- a/process/control/term.go
+++ b/process/control/term.go
@@ -31,6 +31,7 @@
 	hasSampled bool
 	jobs       *jobRunner
 	uses       map[lease.SessionID]serverUses
+	planned    plannedAt
 }
 
 // liveSet numbers the changes of the set of live backend servers, so that an
--- a/process/control/waves.go
+++ b/process/control/waves.go
@@ -18,6 +18,16 @@
 	return plan.Weights{Buffer: o.Weights.Buffer, Move: o.Weights.Moves, Spread: o.Weights.Spread}
 }
 
+// replanInterval bounds the time between two plans on the same version of the
+// fleet. Time alone changes only which waves are due and which hosts are late.
+const replanInterval = 5 * time.Second
+
+// plannedAt is the version and time of the last plan. Only the reconcile loop uses it.
+type plannedAt struct {
+	version uint64
+	at      time.Duration
+}
+
 // reconcileWaves submits what waves and pools need now. The fleet checks every
 // drain against the budget again when it is applied.
 func (s *Server) reconcileWaves(ctx context.Context, t *term) {
@@ -28,13 +38,20 @@
 		Weights:       planWeights(s.o),
 	}
 	var commands []*fleetpb.Command
+	now := s.clock.Now()
 	s.viewFleet(func(f *fleet.Fleet) {
+		if t.planned.version == f.Version() && now-t.planned.at < replanInterval {
+			return
+		}
+		t.planned = plannedAt{version: f.Version(), at: now}
 		in.Fleet = f
 		in.InFlight = s.hostsInFlight(t, f)
 		commands = reconcile.Next(in)
 	})
 	for _, c := range commands {
-		s.submit(ctx, c)
+		if !s.submit(ctx, c) {
+			t.planned = plannedAt{} // refused or not confirmed: plan again
+		}
 	}
 }
 
--- a/version/reconcile/faults_test.go
+++ b/version/reconcile/faults_test.go
@@ -131,3 +131,17 @@
 		s.configure(s.rehome(host, pool))
 	}
 }
+
+// Guards against two pools at their limits that wait for each other's host for ever.
+func TestExchangeAtLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, poolChange(&fleetpb.Pool{Name: "spare", Spare: true}), hostChange("s", "spare", "z", "r"),
+			poolChange(&fleetpb.Pool{Name: "a", PromisedHosts: 2}), hostChange("a0", "a", "z", "r"), hostChange("a1", "a", "z", "r"),
+			poolChange(&fleetpb.Pool{Name: "b", PromisedHosts: 1}), hostChange("b0", "b", "z", "r"))
+		s.configure(s.rehome("a0", "b"), s.rehome("b0", "a"))
+		s.rest(0)
+		if s.f.Host("a0").Pool != "b" || s.f.Host("b0").Pool != "a" || s.moves != 4 {
+			t.Fatalf("%d moves: %s", s.moves, s)
+		}
+	})
+}
--- a/version/reconcile/moves_test.go
+++ b/version/reconcile/moves_test.go
@@ -129,6 +129,11 @@
 				least.observe(s)
 				s.round(5 * roundMs)
 			}
+			for p := range s.f.Pools() {
+				if r := newRound(s.input()); !p.Spare && !fleet.Budget(s.f, p.Name).Met() && r.helpful(p) > 0 {
+					t.Fatalf("pool %s stays short: %s", p.Name, s)
+				}
+			}
 		}
 		for host := range s.down {
 			s.down[host] = false
@@ -168,13 +173,14 @@
 	switch rapid.IntRange(0, 3).Draw(t, "event") {
 	case 0:
 		pool := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "pool")
+		zone := rapid.SampledFrom([]string{"", "z0", "z1"}).Draw(t, "zone")
 		free := s.names(func(h *fleetpb.Host) bool {
 			for w := range s.f.Waves() {
 				if w.State != fleetpb.WaveState_WAVE_STATE_DONE && slices.Contains(w.Hosts, h.Name) {
 					return false
 				}
 			}
-			return h.HomePool == pool
+			return h.HomePool == pool && (zone == "" || h.Zone == zone)
 		})
 		if len(free) > 0 {
 			s.configure(waveChange(fmt.Sprintf("w%d", event), free))
--- a/version/reconcile/pools.go
+++ b/version/reconcile/pools.go
@@ -16,16 +16,21 @@
 // the pool that they leave allows: lent ones, or those that an operator gave
 // another home. Those to pools that are short go first.
 func (r *round) sendHome(lent bool) {
+	var away []*fleetpb.Host
+	for h := range r.trial.hosts() {
+		if active(h) && h.GetPool() != h.GetHomePool() && h.GetLent() == lent {
+			away = append(away, h)
+		}
+	}
 	for _, toShort := range []bool{true, false} {
-		for h := range r.trial.hosts() {
+		for _, h := range away {
 			home := r.in.Fleet.Pool(h.GetHomePool())
-			if !active(h) || h.GetPool() == h.GetHomePool() || h.GetLent() != lent || home == nil {
+			if !active(r.trial.Host(h.GetName())) || toShort && r.trial.arrived(home).Met() {
 				continue
 			}
-			if toShort && r.trial.arrived(home).Met() || r.held(h) || fleet.CheckDrain(r.trial, h, false) != nil {
-				continue
+			if !r.held(h) && fleet.CheckDrain(r.trial, h, false) == nil {
+				r.hostStep(h, fleetpb.HostStep_KIND_DRAIN, home.GetName(), "")
 			}
-			r.hostStep(h, fleetpb.HostStep_KIND_DRAIN, home.GetName(), "")
 		}
 	}
 }
@@ -176,8 +181,7 @@
 		}
 	}
 	for p := range r.in.Fleet.Pools() {
-		b := r.trial.arrived(p)
-		if leaving[p.GetName()] && coming[p.GetName()] && b.Met() && b.Spare() == 0 {
+		if leaving[p.GetName()] && coming[p.GetName()] && r.trial.arrived(p).Spare() == 0 {
 			r.lend(r.planner(p).Fill(p.GetName(), 1, false))
 			return
 		}
--- a/version/reconcile/reconcile.go
+++ b/version/reconcile/reconcile.go
@@ -66,10 +66,14 @@
 		maintained: make(map[string]int),
 		stuck:      make(map[string]bool),
 	}
+	underWay := false
 	for w := range in.Fleet.Waves() {
 		r.countWave(w)
+		underWay = underWay || inProgress(w)
+	}
+	if underWay {
+		r.plan = plan.PlanWaves(r.planInput())
 	}
-	r.plan = plan.PlanWaves(r.planInput())
 	return r
 }
 
--- a/version/reconcile/sim_test.go
+++ b/version/reconcile/sim_test.go
@@ -24,6 +24,7 @@
 	down  map[string]bool  // workers that are down
 	back  map[string]int64 // when a worker in maintenance is up again
 	acked uint64           // by the only entry
+	sent  uint64           // to it in the last round
 	moves int
 }
 
@@ -116,7 +117,8 @@
 // is refused. It reports whether there were any.
 func (s *sim) round(maintenance int64) bool {
 	s.now += roundMs
-	busy := false
+	busy := s.acked < s.f.Version()
+	s.acked, s.sent = max(s.acked, s.sent), s.f.Version()
 	for range 3 {
 		for _, step := range s.drains() {
 			busy = true
@@ -125,13 +127,11 @@
 				s.back[step.Host] = s.now + maintenance
 			}
 		}
-		s.acked = s.f.Version()
 	}
 	for _, c := range Next(s.input()) {
 		busy = true
 		s.must(c)
 	}
-	s.acked = s.f.Version()
 	return busy
 }
 
@@ -141,12 +141,20 @@
 	}
 }
 
-// rest runs rounds until nothing is left to do.
+// rest runs rounds until nothing is left to do. Then every host is at home that
+// the budget lets go, unless a wave still waits.
 func (s *sim) rest(maintenance int64) {
 	for range 2000 {
-		if !s.round(maintenance) && !s.inMaintenance() {
-			return
+		if s.round(maintenance) || s.inMaintenance() {
+			continue
+		}
+		for h := range s.f.Hosts() {
+			waits := len(newRound(s.input()).waiting[h.Pool]) > 0
+			if active(h) && h.Pool != h.HomePool && !waits && fleet.CheckDrain(s.f, h, false) == nil {
+				s.t.Fatalf("host %s does not go home: %s", h.Name, s)
+			}
 		}
+		return
 	}
 	s.t.Fatalf("no rest: %s", s)
 }
