Lend one host where one lets a wave's hosts go

The planner fills a pool without regard to the hosts that wait, and sent two spare hosts for a wave of one zone that needs one (TestFewestLoans).

--- a/version/reconcile/faults_test.go
+++ b/version/reconcile/faults_test.go
@@ -29,6 +29,7 @@
 			}
 			stop := rapid.IntRange(0, 2*len(commands)).Draw(t, "leader stops after")
 			for j, c := range commands {
+				s.checkPaused(c)
 				if j >= stop {
 					late = append(late, c)
 					continue
@@ -132,8 +133,19 @@
 	}
 }
 
-// Guards against two pools at their limits that wait for each other's host for ever.
-func TestExchangeAtLimit(t *testing.T) {
+// checkPaused fails if a command starts or drains for a wave that an operator paused.
+func (s *sim) checkPaused(c *fleetpb.Command) {
+	for _, name := range []string{c.GetWaveStep().GetWave(), c.GetHostStep().GetWave()} {
+		drains := c.GetWaveStep() != nil || c.GetHostStep().GetKind() == fleetpb.HostStep_KIND_DRAIN
+		if w := s.f.Wave(name); w != nil && drains && pausedByOperator(w) {
+			s.t.Fatalf("%v for a wave that an operator paused", c)
+		}
+	}
+}
+
+// Guards against two pools at their limits that wait for each other's host for
+// ever, and against more loans than a wave of one zone needs.
+func TestFewestLoans(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t, poolChange(&fleetpb.Pool{Name: "spare", Spare: true}), hostChange("s", "spare", "z", "r"),
 			poolChange(&fleetpb.Pool{Name: "a", PromisedHosts: 2}), hostChange("a0", "a", "z", "r"), hostChange("a1", "a", "z", "r"),
@@ -143,5 +155,14 @@
 		if s.f.Host("a0").Pool != "b" || s.f.Host("b0").Pool != "a" || s.moves != 4 {
 			t.Fatalf("%d moves: %s", s.moves, s)
 		}
+		changes := []*fleetpb.Change{poolChange(&fleetpb.Pool{Name: "spare", Spare: true}), poolChange(&fleetpb.Pool{Name: "a", PromisedHosts: 4, SurviveZone: true})}
+		for _, zone := range []string{"x", "y", "z"} {
+			changes = append(changes, hostChange(zone+"0", "a", zone, "0"), hostChange(zone+"1", "a", zone, "1"), hostChange(zone+"s", "spare", zone, "s"))
+		}
+		s = newSim(t, append(changes, waveChange("w", []string{"z0", "z1"}))...)
+		s.rest(roundMs)
+		if s.moves != 2 || s.f.Wave("w").State != fleetpb.WaveState_WAVE_STATE_DONE {
+			t.Fatalf("%d moves: %s", s.moves, s)
+		}
 	})
 }
--- a/version/reconcile/pools.go
+++ b/version/reconcile/pools.go
@@ -126,7 +126,10 @@
 		if !r.blocked(p) || r.letsGo(p, nil, false) {
 			continue // or a host that lets it advance is on its way
 		}
-		moves := r.planner(p).Fill(p.GetName(), 1, false)
+		moves := r.singleLoan(p)
+		if moves == nil {
+			moves = r.planner(p).Fill(p.GetName(), 1, false)
+		}
 		all := r.letsGo(p, moves, true)
 		if !all && !r.letsGo(p, moves, false) {
 			r.stuck[p.GetName()] = true
@@ -141,6 +144,23 @@
 	}
 }
 
+// singleLoan is the one spare host that lets every waiting host of a pool go, if
+// there is one. The planner does not know which hosts wait, and may need more.
+func (r *round) singleLoan(p *fleetpb.Pool) []plan.Move {
+	tried := make(map[plan.Domain]bool)
+	for h := range r.trial.hosts() {
+		domain := planHost(h).Domain
+		if !active(h) || !r.in.Fleet.Pool(h.GetPool()).GetSpare() || tried[domain] {
+			continue
+		}
+		tried[domain] = true
+		if move := []plan.Move{{Host: h.GetName(), From: h.GetPool(), To: p.GetName()}}; r.letsGo(p, move, true) {
+			return move
+		}
+	}
+	return nil
+}
+
 // letsGo reports whether a pool's rule would allow any, or all, of the hosts that
 // wait for a running wave to go out one at a time after the moves.
 func (r *round) letsGo(p *fleetpb.Pool, moves []plan.Move, all bool) bool {
@@ -151,12 +171,15 @@
 	if !r.trial.arrived(p, coming...).Met() {
 		return false
 	}
+	tried := make(map[plan.Domain]bool)
 	t := &trial{fleet: r.trial.fleet, changed: maps.Clone(r.trial.changed), moving: r.trial.moving}
 	for _, h := range r.ready[p.GetName()] {
 		before := t.Host(h.GetName())
-		if !active(before) {
+		domain := planHost(before).Domain
+		if !active(before) || tried[domain] {
 			continue
 		}
+		tried[domain] = true
 		out := proto.CloneOf(before)
 		out.State, out.Wave = fleetpb.HostState_HOST_STATE_DRAINING, "wave"
 		t.changed[out.Name] = out
