Ask tasks that would outlive a drain to checkpoint at once

A task without a declared end kept its host draining until the drain deadline and only then began to checkpoint, so that every wave with such a task took the deadline longer than needed.

--- a/version/drainer/drainer.go
+++ b/version/drainer/drainer.go
@@ -19,6 +19,8 @@
 	// UnfinishedTasks iterates the placed, running and checkpointing tasks of a
 	// host in name order.
 	UnfinishedTasks(host string) iter.Seq[*fleetpb.Task]
+	// Job returns a job, or nil.
+	Job(name string) *fleetpb.Job
 }
 
 // Entry is what the control leader knows of one boot of an entry.
@@ -41,7 +43,8 @@
 	WorkerUp func(host string) bool
 	NowMs    int64
 	// DrainDeadline is how long a host may drain before its unfinished tasks
-	// are asked to checkpoint or move.
+	// are asked to checkpoint or move. Tasks that are not declared to end by
+	// then are asked at once.
 	DrainDeadline time.Duration
 	// ReturnDeadline is how long a host may be out before it counts as failed.
 	// 0: without limit.
@@ -113,9 +116,9 @@
 	}
 }
 
-// draining releases a host that carries nothing any more. Past the deadline
-// its tasks are asked to checkpoint or move; neither they nor requests in
-// flight are ever interrupted.
+// draining releases a host that carries nothing any more. Tasks that would
+// outlive the deadline are asked to checkpoint or move at once, and past the
+// deadline all are; neither they nor requests in flight are ever interrupted.
 func (in *Input) draining(h *fleetpb.Host, out *Output) {
 	overdue := in.DrainDeadline > 0 && in.inState(h) >= in.DrainDeadline
 	waiting := false
@@ -128,7 +131,7 @@
 			out.wait(h, ReasonTasks, t.Name, overdue)
 			waiting = true
 		}
-		if overdue && t.State != fleetpb.TaskState_TASK_STATE_CHECKPOINTING {
+		if (overdue || in.outlives(h, t)) && t.State != fleetpb.TaskState_TASK_STATE_CHECKPOINTING {
 			out.Tasks = append(out.Tasks, TaskRequest{Task: t.Name, Host: h.Name, Attempt: t.Attempt})
 		}
 	}
@@ -137,6 +140,17 @@
 	}
 }
 
+// outlives reports whether a task has no declared end before the host's drain
+// deadline. Without a deadline every task may end by itself.
+func (in *Input) outlives(h *fleetpb.Host, t *fleetpb.Task) bool {
+	if in.DrainDeadline <= 0 {
+		return false
+	}
+	run := in.Fleet.Job(t.Job).GetRunSeconds()
+	end := t.StateSinceUnixMs + int64(run)*time.Second.Milliseconds()
+	return run == 0 || end > h.StateSinceUnixMs+in.DrainDeadline.Milliseconds()
+}
+
 // entriesWaitedFor returns why a draining host cannot be released: every entry
 // must have acknowledged the drain and report nothing in flight, or its lease
 // must be over. In-flight counts from before the acknowledgement do not cover
--- a/version/drainer/drainer_test.go
+++ b/version/drainer/drainer_test.go
@@ -17,6 +17,11 @@
 type view struct {
 	hosts []*fleetpb.Host
 	tasks []*fleetpb.Task
+	run   map[string]uint32 // declared run seconds by job
+}
+
+func (v *view) Job(name string) *fleetpb.Job {
+	return &fleetpb.Job{Name: name, RunSeconds: v.run[name]}
 }
 
 func (v *view) Inactive() iter.Seq[*fleetpb.Host] {
@@ -68,13 +73,22 @@
 	is.True(proto.Equal(out.Steps[0], want))
 }
 
-// Guards against a straggler that is interrupted, or never asked to move.
+// Guards against a straggler that is interrupted, never asked to move, or asked
+// only at the deadline that it cannot meet.
 func TestStragglerAskedToMove(t *testing.T) {
 	is := is.New(t)
 	in := entries(Entry{Name: "a", AckedVersion: 10})
 	running := &fleetpb.Task{Name: "j/0", Host: "h", Attempt: 2, State: fleetpb.TaskState_TASK_STATE_RUNNING}
 	saving := &fleetpb.Task{Name: "j/1", Host: "h", Attempt: 1, State: fleetpb.TaskState_TASK_STATE_CHECKPOINTING}
 	in.Fleet.(*view).tasks = []*fleetpb.Task{running, saving}
+	in.Fleet.(*view).run = map[string]uint32{"ends": 60, "late": 61}
+	running.Job, saving.Job = "ends", "late"
+	at := func(job string, sinceMs int64) int {
+		running.Job, running.StateSinceUnixMs = job, sinceMs
+		return len(Next(in).Tasks)
+	}
+	is.Equal([]int{at("without end", 0), at("late", 0), at("late", -1000), at("ends", 1)}, []int{1, 1, 0, 1})
+	running.Job, running.StateSinceUnixMs = "ends", 0
 	in.NowMs = 59_999
 	early := Next(in)
 	is.Equal(len(early.Steps)+len(early.Tasks), 0)
