Move the job decisions out of the control process

version/reconcile.Jobs translates between the scheduler and the fleet; the control process calls the platform and reports what was confirmed. A change of a task's state that the fleet did not confirm was lost, so that the task stayed unfinished and its host could not be released; it is now sent again.

--- a/process/control/operators.go
+++ b/process/control/operators.go
@@ -200,8 +200,8 @@
 			})
 		}
 		d.LiveServers = len(t.live.added)
-		d.CannotRun = t.jobs.scheduler.CannotRun()
-		d.Quarantined = t.jobs.scheduler.Quarantined()
+		d.CannotRun = t.jobs.CannotRun()
+		d.Quarantined = t.jobs.Quarantined()
 	}
 	return json.Marshal(d)
 }
--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -9,12 +9,16 @@
 	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 	"marjoramtiller.example/marjoramtiller/version/plan"
+	"marjoramtiller.example/marjoramtiller/version/reconcile"
 )
 
 const (
-	callInterval        = 250 * time.Millisecond
-	platformTimeout     = 5 * time.Second
-	maxConcurrentCalls  = 16
+	callInterval       = 250 * time.Millisecond
+	platformTimeout    = 5 * time.Second
+	maxConcurrentCalls = 16
+	// taskLease is how long the platform lets a worker's tasks run without a
+	// renewal. It outlasts an election and a restart of all control processes.
+	taskLease           = 2 * time.Minute
 	leaseRenewalDivisor = 4
 )
 
@@ -77,61 +81,36 @@
 		s.log.Warn().Err(err).Msg("the platform's tasks could not be read; job starts wait")
 		return
 	}
+	up := make(map[string]bool, len(workers))
+	for _, w := range workers {
+		up[w.Name] = w.Up
+	}
 	s.mu.Lock()
-	t.jobs.observeWorkers(workers, sent)
-	ended := t.jobs.observeTasks(tasks, sent)
+	t.jobs.ObserveWorkers(up, sent)
+	changed := t.jobs.ObserveTasks(taskReports(tasks, sent))
 	s.mu.Unlock()
-	for _, x := range ended {
-		s.submit(ctx, &fleetpb.Command{Body: &fleetpb.Command_TaskSteps{TaskSteps: &fleetpb.TaskSteps{Tasks: []*fleetpb.Task{x}}}})
+	for _, x := range changed {
+		if s.submitTask(ctx, x.Step) {
+			s.mu.Lock()
+			t.jobs.Confirm(x)
+			s.mu.Unlock()
+		}
 	}
 	s.failHosts(ctx, t)
 	s.renewLeases(ctx, t)
 }
 
-func (r *jobRunner) observeWorkers(workers []platform.Worker, sent time.Duration) {
-	for _, w := range workers {
-		report := r.workers[w.Name]
-		if report == nil {
-			report = new(workerReport)
-			r.workers[w.Name] = report
-		}
-		report.up = w.Up
-		if w.Up {
-			report.down = 0
-		} else {
-			report.down++
-		}
-	}
-	r.polled = sent
-}
-
-// observeTasks passes events and usage to the scheduler and returns the fleet's
-// steps of the tasks whose state changed.
-func (r *jobRunner) observeTasks(tasks []platform.Task, sent time.Duration) []*fleetpb.Task {
-	var steps []*fleetpb.Task
+func taskReports(tasks []platform.Task, sent time.Duration) []reconcile.TaskReport {
+	var out []reconcile.TaskReport
 	for _, x := range tasks {
-		known := r.placed[x.Name]
-		if known == nil || known.GetAttempt() != x.Attempt {
-			continue
-		}
+		r := reconcile.TaskReport{Task: x.Name, Attempt: x.Attempt}
+		r.Event, r.State = taskOutcome(x.State)
 		if x.Usage.Age > 0 {
-			r.scheduler.Report(plan.Usage{Task: x.Name, At: sent - x.Usage.Age, Used: plan.Resources{MilliCores: x.Usage.MilliCores, MemoryMB: x.Usage.MemoryMB}})
-		}
-		event, state := taskOutcome(x.State)
-		if event != 0 {
-			r.scheduler.Event(x.Name, event)
-		}
-		if state == known.GetState() {
-			continue
-		}
-		step := &fleetpb.Task{Name: known.GetName(), Job: known.GetJob(), Host: known.GetHost(), Attempt: known.GetAttempt(), State: state}
-		steps = append(steps, step)
-		r.placed[x.Name] = step
-		if x.State.Ended() {
-			delete(r.placed, x.Name)
+			r.Usage = plan.Usage{Task: x.Name, At: sent - x.Usage.Age, Used: plan.Resources{MilliCores: x.Usage.MilliCores, MemoryMB: x.Usage.MemoryMB}}
 		}
+		out = append(out, r)
 	}
-	return steps
+	return out
 }
 
 // taskOutcome maps a platform's state to the scheduler's event, 0 for none, and
@@ -161,20 +140,7 @@
 	s.viewFleet(func(f *fleet.Fleet) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		for name, w := range t.jobs.workers {
-			h := f.Host(name)
-			if h == nil || w.down < downPolls {
-				continue
-			}
-			switch h.GetState() {
-			case fleetpb.HostState_HOST_STATE_FAILED, fleetpb.HostState_HOST_STATE_OUT:
-				continue
-			}
-			failed = append(failed, &fleetpb.HostStep{
-				Host: name, Kind: fleetpb.HostStep_KIND_FAIL,
-				ExpectedEpoch: h.GetEpoch(), ExpectedState: h.GetState(),
-			})
-		}
+		failed = t.jobs.FailedHosts(f)
 	})
 	for _, step := range failed {
 		s.log.Warn().Str("host", step.GetHost()).Msg("the worker of a host is down")
@@ -185,30 +151,21 @@
 // rebootHosts reboots each host that is out, once in its maintenance. The token
 // keeps a new leader from rebooting it again.
 func (s *Server) rebootHosts(ctx context.Context, t *term) {
-	var out []*fleetpb.Host
+	var due []reconcile.Reboot
 	s.viewFleet(func(f *fleet.Fleet) {
-		for h := range f.Inactive() {
-			if h.GetState() == fleetpb.HostState_HOST_STATE_OUT {
-				out = append(out, h)
-			}
-		}
-	})
-	s.each(len(out), func(i int) {
-		token := rebootToken(out[i])
 		s.mu.Lock()
-		_, done := t.jobs.rebooted[token]
-		s.mu.Unlock()
-		if done {
-			return
-		}
+		defer s.mu.Unlock()
+		due = t.jobs.RebootsDue(f)
+	})
+	s.each(len(due), func(i int) {
 		ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 		defer cancel()
-		if err := s.o.Platform.Reboot(ctx, out[i].GetName(), token); err != nil {
-			s.log.Warn().Err(err).Str("host", out[i].GetName()).Msg("the reboot was not confirmed; it is asked for again")
+		if err := s.o.Platform.Reboot(ctx, due[i].Host, rebootToken(due[i])); err != nil {
+			s.log.Warn().Err(err).Str("host", due[i].Host).Msg("the reboot was not confirmed; it is asked for again")
 			return
 		}
 		s.mu.Lock()
-		t.jobs.rebooted[token] = s.clock.Now()
+		t.jobs.Rebooted(due[i], s.clock.Now())
 		s.mu.Unlock()
 	})
 }
@@ -216,32 +173,29 @@
 // sendTaskCalls carries out the queued steps; those not confirmed are queued again.
 func (s *Server) sendTaskCalls(ctx context.Context, t *term) {
 	s.mu.Lock()
-	calls := t.jobs.calls
-	t.jobs.calls = nil
+	calls := t.jobs.TakeCalls()
 	s.mu.Unlock()
 	s.each(len(calls), func(i int) {
 		if err := s.sendTaskCall(ctx, calls[i]); err != nil {
-			s.log.Warn().Err(err).Str("task", calls[i].task.GetName()).Msg("a step of a task was not confirmed; it is sent again")
+			s.log.Warn().Err(err).Str("task", calls[i].Task.GetName()).Msg("a step of a task was not confirmed; it is sent again")
 			s.mu.Lock()
-			if x := t.jobs.placed[calls[i].task.GetName()]; x.GetAttempt() == calls[i].task.GetAttempt() {
-				t.jobs.calls = append(t.jobs.calls, calls[i])
-			}
+			t.jobs.Repeat(calls[i])
 			s.mu.Unlock()
 		}
 	})
 }
 
-func (s *Server) sendTaskCall(ctx context.Context, c taskCall) error {
+func (s *Server) sendTaskCall(ctx context.Context, c reconcile.Call) error {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	name, attempt := c.task.GetName(), c.task.GetAttempt()
-	switch c.kind {
+	name, attempt := c.Task.GetName(), c.Task.GetAttempt()
+	switch c.Kind {
 	case plan.ActionStart:
-		size := resources(c.job.GetCores(), c.job.GetMemoryGb(), c.job.GetAccelerators())
+		size := reconcile.Resources(c.Job.GetCores(), c.Job.GetMemoryGb(), c.Job.GetAccelerators())
 		return s.o.Platform.Start(ctx, platform.Task{
-			Name: name, Worker: c.task.GetHost(), Attempt: attempt,
+			Name: name, Worker: c.Task.GetHost(), Attempt: attempt,
 			MilliCores: size.MilliCores, MemoryMB: size.MemoryMB, Accelerators: size.Accelerators,
-			RunSeconds: c.job.GetRunSeconds(),
+			RunSeconds: c.Job.GetRunSeconds(),
 		}, taskLease, platform.Token(name, attempt, "start"))
 	case plan.ActionCheckpoint:
 		return s.o.Platform.Checkpoint(ctx, name, platform.Token(name, attempt, "checkpoint"))
@@ -256,25 +210,15 @@
 func (s *Server) renewLeases(ctx context.Context, t *term) {
 	s.mu.Lock()
 	now := s.clock.Now()
-	due := make(map[string]bool)
-	for _, x := range t.jobs.placed {
-		at, ok := t.jobs.renewed[x.GetHost()]
-		if !ok || now-at >= taskLease/leaseRenewalDivisor {
-			due[x.GetHost()] = true
-		}
-	}
+	hosts := t.jobs.LeasesDue(now, taskLease/leaseRenewalDivisor)
 	s.mu.Unlock()
-	var hosts []string
-	for name := range due {
-		hosts = append(hosts, name)
-	}
 	s.each(len(hosts), func(i int) {
 		if err := s.o.Platform.Renew(ctx, hosts[i], taskLease); err != nil {
 			s.log.Warn().Err(err).Str("host", hosts[i]).Msg("the lease of a worker's tasks was not renewed")
 			return
 		}
 		s.mu.Lock()
-		t.jobs.renewed[hosts[i]] = now
+		t.jobs.Renewed(hosts[i], now)
 		s.mu.Unlock()
 	})
 }
--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -195,7 +195,7 @@
 		}
 	}
 	s.mu.Lock()
-	t.jobs.evict(out.Tasks)
+	t.jobs.Evict(out.Tasks)
 	s.mu.Unlock()
 	return len(out.Steps)
 }
--- a/process/control/term.go
+++ b/process/control/term.go
@@ -12,6 +12,8 @@
 	"marjoramtiller.example/marjoramtiller/process/replica"
 	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+	"marjoramtiller.example/marjoramtiller/version/plan"
+	"marjoramtiller.example/marjoramtiller/version/reconcile"
 )
 
 // term is the soft state of one term of the fleet group's leader. It is lost
@@ -29,7 +31,7 @@
 	// sampled holds the totals that the last sample of the figures contained.
 	sampled    totals
 	hasSampled bool
-	jobs       *jobRunner
+	jobs       *reconcile.Jobs
 	uses       map[lease.SessionID]serverUses
 	planned    plannedAt
 }
@@ -171,7 +173,7 @@
 		live:    newLiveSet(number),
 		demand:  make(map[lease.SessionID][]*wirepb.ServiceDemand),
 		sampled: make(totals),
-		jobs:    newJobRunner(s.o),
+		jobs:    reconcile.NewJobs(plan.DefaultJobSettings()),
 		uses:    make(map[lease.SessionID]serverUses),
 	}
 	s.log.Info().Uint64("term", number).Msg("leads the fleet group")
