--- a/version/reconcile/faults_test.go
+++ b/version/reconcile/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -166,3 +168,32 @@
 		}
 	})
 }
+
+// Guards against a wave that keeps its longest drains for the end, and against a
+// pause by a constant return time where earlier hosts took longer.
+func TestStragglersFirstAndMeasuredReturn(t *testing.T) {
+	is := is.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, poolChange(&fleetpb.Pool{Name: "a", PromisedHosts: 2}),
+			hostChange("h0", "a", "z", "r"), hostChange("h1", "a", "z", "r"), hostChange("h2", "a", "z", "r"), hostChange("h3", "a", "z", "r"),
+			waveChange("w", []string{"h0", "h1", "h2", "h3"}))
+		s.round(0)
+		in := s.input()
+		in.InFlight = map[string]uint32{"h3": 500, "h1": 100}
+		var first []string
+		for _, c := range Next(in) {
+			first = append(first, c.GetHostStep().GetHost())
+		}
+		is.Equal(first, []string{"h3", "h1"})
+		r := newRound(in)
+		out := &fleetpb.Host{State: fleetpb.HostState_HOST_STATE_OUT, StateSinceUnixMs: s.now}
+		due := func(returned uint32, ms int64) time.Duration {
+			w := &fleetpb.Wave{ReturnedHosts: returned, MaintenanceMs: ms}
+			return r.due(out, r.maintenance(w)) - r.at(s.now)
+		}
+		is.Equal(due(0, 0), returnFactor*defaultMaintenance)
+		is.Equal(due(2, 3*time.Hour.Milliseconds()), returnFactor*90*time.Minute)
+		out.State, s.now = fleetpb.HostState_HOST_STATE_DRAINING, s.now+1
+		is.Equal(newRound(s.input()).due(out, 0), r.at(s.now)) // not late before it is out
+	})
+}
