Change voters from any control process

ChangeVoter worked only at a process that led every group, and a call that failed part way could not be made again.

--- a/process/control/calls.go
+++ b/process/control/calls.go
@@ -38,6 +38,9 @@
 	case *wirepb.Request_Dump:
 		out, err := s.Dump(ctx)
 		return &wirepb.Response{Body: &wirepb.Response_Dump{Dump: &wirepb.DumpResponse{Json: out}}}, err
+	case *wirepb.Request_Voter:
+		err := s.changeMember(ctx, b.Voter)
+		return &wirepb.Response{Body: &wirepb.Response_Voter{Voter: &wirepb.VoterResponse{}}}, err
 	default:
 		return nil, &InvalidRequestError{Message: "the request has no known body: run the same release on all hosts"}
 	}
--- a/process/control/operators.go
+++ b/process/control/operators.go
@@ -8,7 +8,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
-	"marjoramtiller.example/marjoramtiller/process/consensus"
 	"marjoramtiller.example/marjoramtiller/process/operator"
 	"marjoramtiller.example/marjoramtiller/process/replica"
 	"marjoramtiller.example/marjoramtiller/version/fleet"
@@ -90,30 +89,6 @@
 	return out, nil
 }
 
-// ChangeVoter implements operator.Control. It changes the groups one after the
-// other; a call that failed part way is simply made again. Each group's leader
-// must be this process, so the leadership is taken over where it is not.
-func (o *Operators) ChangeVoter(ctx context.Context, c operator.VoterChange) error {
-	for name, r := range o.s.groups {
-		if !leads(r) {
-			return &operator.NotLeaderError{Leader: r.Status().Leader}
-		}
-		change := replica.VoterChange{Name: c.ID}
-		switch c.Kind {
-		case operator.AddLearner:
-			change.Kind = consensus.AddLearner
-		case operator.Promote:
-			change.Kind = consensus.Promote
-		default:
-			change.Kind = consensus.Remove
-		}
-		if err := r.ChangeVoter(ctx, change); err != nil {
-			return operatorError(errors.WithMessage(err, "group "+name))
-		}
-	}
-	return nil
-}
-
 // Dump implements operator.Control.
 func (o *Operators) Dump(ctx context.Context) ([]byte, error) { return o.s.Dump(ctx) }
 
--- a/version/reconcile/jobs_test.go
+++ b/version/reconcile/jobs_test.go
@@ -1,6 +1,8 @@
 package reconcile
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,8 +32,8 @@
 	}
 	s.leader.ObserveWorkers(up, now)
 	var reports []TaskReport
-	for _, x := range s.attempt {
-		reports = append(reports, x)
+	for _, name := range slices.Sorted(maps.Keys(s.attempt)) {
+		reports = append(reports, s.attempt[name])
 	}
 	for _, o := range s.leader.ObserveTasks(reports) {
 		if !lost() && s.record(o.Step) {
