--- a/version/plan/replace.go
+++ b/version/plan/replace.go
@@ -124,9 +124,12 @@
 }
 
 // bestSpare is the spare host that raises the pool's margin most: it is in the zone,
-// then in the rack, with the fewest hosts of the pool.
+// then in the rack, with the fewest hosts of the pool. Of equal zones it is the one with
+// most spare hosts, since other pools need spare hosts in every zone too.
 func (p *Planner) bestSpare(pool *poolState) *hostState {
-	for _, z := range p.zonesByCount(pool, 1) {
+	zones := p.zonesByCount(p.spare, -1)
+	slices.SortStableFunc(zones, func(a, b *zoneState) int { return cmp.Compare(pool.zones[a.id], pool.zones[b.id]) })
+	for _, z := range zones {
 		var best *rackState
 		for _, r := range z.racks {
 			if r.free > 0 && (best == nil || pool.racks[r.id] < pool.racks[best.id]) {
