Test syncs, leases and old leaders in the control process

Sync answers, grants, the end of an earlier leader's shares, the report of a lost entry to the ledger groups and leader changes in the middle of a sync had no unit tests.

--- a/process/control/voters_test.go
+++ b/process/control/voters_test.go
@@ -29,11 +29,13 @@
 	peers   map[string]string
 	servers map[string]*Server
 	stop    map[string]func() error
+	voters  []string
+	entries []string
 	keys    []string // begun in ledger group 0, 1, 0, 1 and so on
 }
 
 func newCluster(t *testing.T, names ...string) *cluster {
-	c := &cluster{t: t, root: t.TempDir(), peers: map[string]string{}, servers: map[string]*Server{}, stop: map[string]func() error{}}
+	c := &cluster{t: t, root: t.TempDir(), voters: []string{"a", "b", "c"}, entries: []string{"e"}, peers: map[string]string{}, servers: map[string]*Server{}, stop: map[string]func() error{}}
 	for _, name := range names {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -50,7 +52,8 @@
 	return c
 }
 
-func (c *cluster) start(name string, seed uint64) {
+// open returns a process whose loops do not run yet.
+func (c *cluster) open(name string, seed uint64) *Server {
 	c.t.Helper()
 	peers := map[string]string{}
 	for other, address := range c.peers {
@@ -60,12 +63,17 @@
 	}
 	s, err := New(Options{
 		Cluster: "t", Process: name, PeersListen: c.peers[name], LocalIP: "127.0.0.1", Peers: peers,
-		Voters: []string{"a", "b", "c"}, DataFolder: filepath.Join(c.root, name), LedgerGroups: 2,
+		Voters: c.voters, Entries: c.entries, DataFolder: filepath.Join(c.root, name), LedgerGroups: 2,
 		SnapshotEntries: 64, Logger: zerolog.Nop(), Registry: prometheus.NewRegistry(), Seed: seed,
 	})
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	return s
+}
+
+func (c *cluster) start(name string, seed uint64) {
+	s := c.open(name, seed)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- s.Run(ctx) }()
