--- a/process/replica/transfer_test.go
+++ b/process/replica/transfer_test.go
@@ -14,17 +14,19 @@
 }
 
 // lag returns a cluster in which "c" needs a snapshot once it is connected.
-func lag(t *testing.T, commands int) (c *cluster, behind *Replica) {
+func lag(t *testing.T, count int) (c *cluster, behind *Replica) {
 	c = newCluster(t, "a", "b", "c")
 	c.propose("first")
 	if l := c.leader(); l.Status().ID == "c" {
 		is.New(t).NoErr(l.TransferLeader(t.Context(), "a"))
 	}
+	behind = c.replicas["c"]
+	c.eventually("c has the first command", func() bool { return len(commands(behind)) == 1 })
 	c.isolate("c", true)
-	for i := range commands {
+	for i := range count {
 		c.propose(fmt.Sprint(i))
 	}
-	return c, c.replicas["c"]
+	return c, behind
 }
 
 // Guards against a transfer that a lost, repeated or reordered chunk ends or
