--- a/process/control/term.go
+++ b/process/control/term.go
@@ -11,6 +11,8 @@
 	"marjoramtiller.example/marjoramtiller/process/replica"
 	"marjoramtiller.example/marjoramtiller/version/fleet"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
+	"marjoramtiller.example/marjoramtiller/version/plan"
+	"marjoramtiller.example/marjoramtiller/version/reconcile"
 )
 
 // term is the soft state of one term of the fleet group's leader. It is lost
@@ -25,7 +27,7 @@
 	slots   *slots.Allocator
 	live    liveSet
 	counts  *requestTotals
-	jobs    *jobRunner
+	jobs    *reconcile.Jobs
 	uses    map[lease.SessionID]serverUses
 	// usable are the backend servers that may take work in version usableAt of the
 	// fleet. The live set is of version liveAt and stands until liveUntil.
@@ -33,6 +35,7 @@
 	usableAt  uint64
 	liveAt    uint64
 	liveUntil time.Duration
+	planned   plannedAt
 }
 
 // liveSet numbers the changes of the set of live backend servers, so that an
@@ -171,7 +174,7 @@
 		slots:   slots.New(number, holders),
 		live:    newLiveSet(number),
 		counts:  newRequestTotals(now, number > firstTerm),
-		jobs:    newJobRunner(s.o),
+		jobs:    reconcile.NewJobs(plan.DefaultJobSettings()),
 		uses:    make(map[lease.SessionID]serverUses),
 	}
 	s.log.Info().Uint64("term", number).Msg("leads the fleet group")
--- a/process/control/voters.go
+++ b/process/control/voters.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -13,75 +12,105 @@
 	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
-// ChangeVoter implements operator.Control. It changes the groups that this
-// process leads and leaves out those that have the change already. While another
-// group lacks it, the error names that group's leader: the groups may have
-// different leaders, and an operator who asks each of them changes all groups.
+var voterKinds = map[operator.VoterChangeKind]wirepb.VoterRequest_Kind{
+	operator.AddLearner:  wirepb.VoterRequest_KIND_ADD_LEARNER,
+	operator.Promote:     wirepb.VoterRequest_KIND_PROMOTE,
+	operator.RemoveVoter: wirepb.VoterRequest_KIND_REMOVE,
+}
+
+// ChangeVoter implements operator.Control on any process. It changes the groups
+// one after the other at their leaders. A call that failed part way is simply made
+// again, since a change that is in effect already succeeds. A learner is promoted
+// in no group before it has caught up in all.
 func (o *Operators) ChangeVoter(ctx context.Context, c operator.VoterChange) error {
-	var elsewhere error
-	for _, name := range o.s.groupNames() {
-		r := o.s.groups[name]
-		st := r.Status()
-		if st.Role != consensus.Leader {
-			if !o.s.leaderHasChange(ctx, name, st.Leader, c) {
-				elsewhere = &operator.NotLeaderError{Leader: st.Leader}
+	kinds := []wirepb.VoterRequest_Kind{voterKinds[c.Kind]}
+	if c.Kind == operator.Promote {
+		kinds = []wirepb.VoterRequest_Kind{wirepb.VoterRequest_KIND_CHECK_CAUGHT_UP, wirepb.VoterRequest_KIND_PROMOTE}
+	}
+	for _, kind := range kinds {
+		for _, name := range o.s.groupNames() {
+			req := &wirepb.VoterRequest{Group: name, Kind: kind, Id: c.ID}
+			if err := o.s.changeMemberAtLeader(ctx, req); err != nil {
+				return operatorError(errors.WithMessage(err, "group "+name))
 			}
-			continue
-		}
-		if hasChange(st.Voters, st.Learners, c) {
-			continue
-		}
-		if err := r.ChangeVoter(ctx, replicaChange(c)); err != nil {
-			return operatorError(errors.WithMessage(err, "group "+name))
 		}
 	}
-	return elsewhere
+	return nil
 }
 
-func replicaChange(c operator.VoterChange) replica.VoterChange {
-	change := replica.VoterChange{Name: c.ID, Kind: consensus.Remove}
-	switch c.Kind {
-	case operator.AddLearner:
+func (s *Server) changeMemberAtLeader(ctx context.Context, req *wirepb.VoterRequest) error {
+	leader := s.groups[req.GetGroup()].Status().Leader
+	switch leader {
+	case "":
+		return &UnavailableError{Group: req.GetGroup(), Cause: "no leader is known"}
+	case s.o.Process:
+		return s.changeMember(ctx, req)
+	}
+	resp, err := s.pool.Call(ctx, leader, &wirepb.Request{Body: &wirepb.Request_Voter{Voter: req}})
+	return callError(req.GetGroup(), resp, err)
+}
+
+// changeMember changes a group that this process leads.
+func (s *Server) changeMember(ctx context.Context, req *wirepb.VoterRequest) error {
+	r := s.groups[req.GetGroup()]
+	if r == nil {
+		return &InvalidRequestError{Message: "there is no group " + req.GetGroup() + ": set the same number of ledger groups on all hosts"}
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	change := replica.VoterChange{Name: req.GetId()}
+	switch req.GetKind() {
+	case wirepb.VoterRequest_KIND_CHECK_CAUGHT_UP:
+		return checkCaughtUp(ctx, r, req)
+	case wirepb.VoterRequest_KIND_ADD_LEARNER:
 		change.Kind = consensus.AddLearner
-	case operator.Promote:
+	case wirepb.VoterRequest_KIND_PROMOTE:
 		change.Kind = consensus.Promote
+	case wirepb.VoterRequest_KIND_REMOVE:
+		change.Kind = consensus.Remove
+	default:
+		return &InvalidRequestError{Message: "the change of a voter is unknown: run the same release on all hosts"}
+	}
+	err := r.ChangeVoter(ctx, change)
+	// The replica judges a change only once the one before it is committed, so an
+	// invalid one that is in effect already is committed too.
+	var invalid *consensus.InvalidChangeError
+	if !errors.As(err, &invalid) {
+		return err
+	}
+	if inEffect(r.Status(), req) {
+		return nil
 	}
-	return change
+	return &InvalidRequestError{Message: err.Error()}
 }
 
-// hasChange reports whether a membership has the change.
-func hasChange(voters, learners []string, c operator.VoterChange) bool {
-	votes, learns := slices.Contains(voters, c.ID), slices.Contains(learners, c.ID)
-	switch c.Kind {
-	case operator.AddLearner:
-		return votes || learns
-	case operator.Promote:
-		return votes
+func inEffect(st replica.Status, req *wirepb.VoterRequest) bool {
+	voter := slices.Contains(st.Voters, req.GetId())
+	learner := slices.Contains(st.Learners, req.GetId())
+	switch req.GetKind() {
+	case wirepb.VoterRequest_KIND_ADD_LEARNER:
+		return voter || learner
+	case wirepb.VoterRequest_KIND_PROMOTE:
+		return voter
 	default:
-		return !votes && !learns
+		return !voter && !learner
 	}
 }
 
-// leaderHasChange asks the leader of a group for its membership, since this
-// process's own copy may be old.
-func (s *Server) leaderHasChange(ctx context.Context, group, leader string, c operator.VoterChange) bool {
-	if leader == "" {
-		return false
+// checkCaughtUp fails unless the replica has every committed entry of a group
+// that this process leads, or votes in it already.
+func checkCaughtUp(ctx context.Context, r *replica.Replica, req *wirepb.VoterRequest) error {
+	if err := r.ReadBarrier(ctx); err != nil {
+		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, barrierTimeout)
-	defer cancel()
-	resp, err := s.pool.Call(ctx, leader, &wirepb.Request{Body: &wirepb.Request_Dump{Dump: &wirepb.DumpRequest{}}})
-	if callError(group, resp, err) != nil {
-		return false
-	}
-	var d processDump
-	if json.Unmarshal(resp.GetDump().GetJson(), &d) != nil {
-		return false
-	}
-	for _, g := range d.Groups {
-		if g.Group == group && g.Leader == d.Process {
-			return hasChange(g.Voters, g.Learners, c)
-		}
+	st := r.Status()
+	switch {
+	case slices.Contains(st.Voters, req.GetId()):
+		return nil
+	case !slices.Contains(st.Learners, req.GetId()):
+		return &InvalidRequestError{Message: req.GetId() + " is no member: add it as a learner first"}
+	case st.Match[req.GetId()] < st.Commit:
+		return &UnavailableError{Group: req.GetGroup(), Cause: req.GetId() + " has not caught up"}
 	}
-	return false
+	return nil
 }
--- a/version/reconcile/faults_test.go
+++ b/version/reconcile/faults_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -29,6 +31,7 @@
 			}
 			stop := rapid.IntRange(0, 2*len(commands)).Draw(t, "leader stops after")
 			for j, c := range commands {
+				s.checkPaused(c)
 				if j >= stop {
 					late = append(late, c)
 					continue
@@ -131,3 +134,66 @@
 		s.configure(s.rehome(host, pool))
 	}
 }
+
+// checkPaused fails if a command starts or drains for a wave that an operator paused.
+func (s *sim) checkPaused(c *fleetpb.Command) {
+	for _, name := range []string{c.GetWaveStep().GetWave(), c.GetHostStep().GetWave()} {
+		drains := c.GetWaveStep() != nil || c.GetHostStep().GetKind() == fleetpb.HostStep_KIND_DRAIN
+		if w := s.f.Wave(name); w != nil && drains && pausedByOperator(w) {
+			s.t.Fatalf("%v for a wave that an operator paused", c)
+		}
+	}
+}
+
+// Guards against two pools at their limits that wait for each other's host for
+// ever, and against more loans than a wave of one zone needs.
+func TestFewestLoans(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, poolChange(&fleetpb.Pool{Name: "spare", Spare: true}), hostChange("s", "spare", "z", "r"),
+			poolChange(&fleetpb.Pool{Name: "a", PromisedHosts: 2}), hostChange("a0", "a", "z", "r"), hostChange("a1", "a", "z", "r"),
+			poolChange(&fleetpb.Pool{Name: "b", PromisedHosts: 1}), hostChange("b0", "b", "z", "r"))
+		s.configure(s.rehome("a0", "b"), s.rehome("b0", "a"))
+		s.rest(0)
+		if s.f.Host("a0").Pool != "b" || s.f.Host("b0").Pool != "a" || s.moves != 4 {
+			t.Fatalf("%d moves: %s", s.moves, s)
+		}
+		changes := []*fleetpb.Change{poolChange(&fleetpb.Pool{Name: "spare", Spare: true}), poolChange(&fleetpb.Pool{Name: "a", PromisedHosts: 4, SurviveZone: true})}
+		for _, zone := range []string{"x", "y", "z"} {
+			changes = append(changes, hostChange(zone+"0", "a", zone, "0"), hostChange(zone+"1", "a", zone, "1"), hostChange(zone+"s", "spare", zone, "s"))
+		}
+		s = newSim(t, append(changes, waveChange("w", []string{"z0", "z1"}))...)
+		s.rest(roundMs)
+		if s.moves != 2 || s.f.Wave("w").State != fleetpb.WaveState_WAVE_STATE_DONE {
+			t.Fatalf("%d moves: %s", s.moves, s)
+		}
+	})
+}
+
+// Guards against a wave that keeps its longest drains for the end, and against a
+// pause by a constant return time where earlier hosts took longer.
+func TestStragglersFirstAndMeasuredReturn(t *testing.T) {
+	is := is.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, poolChange(&fleetpb.Pool{Name: "a", PromisedHosts: 2}),
+			hostChange("h0", "a", "z", "r"), hostChange("h1", "a", "z", "r"), hostChange("h2", "a", "z", "r"), hostChange("h3", "a", "z", "r"),
+			waveChange("w", []string{"h0", "h1", "h2", "h3"}))
+		s.round(0)
+		in := s.input()
+		in.InFlight = map[string]uint32{"h3": 500, "h1": 100}
+		var first []string
+		for _, c := range Next(in) {
+			first = append(first, c.GetHostStep().GetHost())
+		}
+		is.Equal(first, []string{"h3", "h1"})
+		r := newRound(in)
+		out := &fleetpb.Host{State: fleetpb.HostState_HOST_STATE_OUT, StateSinceUnixMs: s.now}
+		due := func(returned uint32, ms int64) time.Duration {
+			w := &fleetpb.Wave{ReturnedHosts: returned, MaintenanceMs: ms}
+			return r.due(out, r.maintenance(w)) - r.at(s.now)
+		}
+		is.Equal(due(0, 0), returnFactor*defaultMaintenance)
+		is.Equal(due(2, 3*time.Hour.Milliseconds()), returnFactor*90*time.Minute)
+		out.State, s.now = fleetpb.HostState_HOST_STATE_DRAINING, s.now+1
+		is.Equal(newRound(s.input()).due(out, 0), r.at(s.now)) // not late before it is out
+	})
+}
--- a/version/reconcile/pools.go
+++ b/version/reconcile/pools.go
@@ -16,16 +16,21 @@
 // the pool that they leave allows: lent ones, or those that an operator gave
 // another home. Those to pools that are short go first.
 func (r *round) sendHome(lent bool) {
+	var away []*fleetpb.Host
+	for h := range r.trial.hosts() {
+		if active(h) && h.GetPool() != h.GetHomePool() && h.GetLent() == lent {
+			away = append(away, h)
+		}
+	}
 	for _, toShort := range []bool{true, false} {
-		for h := range r.trial.hosts() {
+		for _, h := range away {
 			home := r.in.Fleet.Pool(h.GetHomePool())
-			if !active(h) || h.GetPool() == h.GetHomePool() || h.GetLent() != lent || home == nil {
+			if !active(r.trial.Host(h.GetName())) || toShort && r.trial.arrived(home).Met() {
 				continue
 			}
-			if toShort && r.trial.arrived(home).Met() || r.held(h) || fleet.CheckDrain(r.trial, h, false) != nil {
-				continue
+			if !r.held(h) && fleet.CheckDrain(r.trial, h, false) == nil {
+				r.hostStep(h, fleetpb.HostStep_KIND_DRAIN, home.GetName(), "")
 			}
-			r.hostStep(h, fleetpb.HostStep_KIND_DRAIN, home.GetName(), "")
 		}
 	}
 }
@@ -121,7 +126,10 @@
 		if !r.blocked(p) || r.letsGo(p, nil, false) {
 			continue // or a host that lets it advance is on its way
 		}
-		moves := r.planner(p).Fill(p.GetName(), 1, false)
+		moves := r.singleLoan(p)
+		if moves == nil {
+			moves = r.planner(p).Fill(p.GetName(), 1, false)
+		}
 		all := r.letsGo(p, moves, true)
 		if !all && !r.letsGo(p, moves, false) {
 			r.stuck[p.GetName()] = true
@@ -136,6 +144,23 @@
 	}
 }
 
+// singleLoan is the one spare host that lets every waiting host of a pool go, if
+// there is one. The planner does not know which hosts wait, and may need more.
+func (r *round) singleLoan(p *fleetpb.Pool) []plan.Move {
+	tried := make(map[plan.Domain]bool)
+	for h := range r.trial.hosts() {
+		domain := planHost(h).Domain
+		if !active(h) || !r.in.Fleet.Pool(h.GetPool()).GetSpare() || tried[domain] {
+			continue
+		}
+		tried[domain] = true
+		if move := []plan.Move{{Host: h.GetName(), From: h.GetPool(), To: p.GetName()}}; r.letsGo(p, move, true) {
+			return move
+		}
+	}
+	return nil
+}
+
 // letsGo reports whether a pool's rule would allow any, or all, of the hosts that
 // wait for a running wave to go out one at a time after the moves.
 func (r *round) letsGo(p *fleetpb.Pool, moves []plan.Move, all bool) bool {
@@ -146,12 +171,15 @@
 	if !r.trial.arrived(p, coming...).Met() {
 		return false
 	}
+	tried := make(map[plan.Domain]bool)
 	t := &trial{fleet: r.trial.fleet, changed: maps.Clone(r.trial.changed), moving: r.trial.moving}
 	for _, h := range r.ready[p.GetName()] {
 		before := t.Host(h.GetName())
-		if !active(before) {
+		domain := planHost(before).Domain
+		if !active(before) || tried[domain] {
 			continue
 		}
+		tried[domain] = true
 		out := proto.CloneOf(before)
 		out.State, out.Wave = fleetpb.HostState_HOST_STATE_DRAINING, "wave"
 		t.changed[out.Name] = out
@@ -176,8 +204,7 @@
 		}
 	}
 	for p := range r.in.Fleet.Pools() {
-		b := r.trial.arrived(p)
-		if leaving[p.GetName()] && coming[p.GetName()] && b.Met() && b.Spare() == 0 {
+		if leaving[p.GetName()] && coming[p.GetName()] && r.trial.arrived(p).Spare() == 0 {
 			r.lend(r.planner(p).Fill(p.GetName(), 1, false))
 			return
 		}
