Add the placement command, which the policy weights now drive

Cause: [policy] weights were settings of the control process and changed nothing, while the operators' guide said that they did. Change: marjoramtiller placement proposes moves by the planner's optimisation under the weights, which are now keys of the command line; the reconciler keeps its fixed rule of the fewest moves. TestAllFaultsAtOnce uses another faulty number, as the key is no longer one of the control process.

--- a/cmd/marjoramtiller/main.go
+++ b/cmd/marjoramtiller/main.go
@@ -34,6 +34,8 @@
 
   sheet check FILE               check a sheet
   sheet apply [-yes] FILE        show the difference; with -yes apply it
+  demo [-v]                      run both sample deployments in this process
+  placement                      propose an assignment of hosts to pools
   report -month YYYY-MM [-csv]   print the monthly figures
   status                         print versions, pools and waves
   config show                    print the configuration as JSON
@@ -80,6 +82,7 @@
 var commands = map[string]command{
 	"sheet check":        sheetCheck,
 	"sheet apply":        sheetApply,
+	"placement":          placement,
 	"report":             monthlyReport,
 	"status":             status,
 	"config show":        configShow,
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -65,19 +65,11 @@
 	// Platform is nil where the platform's interface is not used; hosts then
 	// return from maintenance when their backend server announces itself again.
 	Platform platform.Platform
-	Weights  Weights
 	Logger   zerolog.Logger
 	Registry prometheus.Registerer
 	Seed     uint64
 }
 
-// Weights weigh the costs of placement against each other.
-type Weights struct {
-	Buffer float64
-	Moves  float64
-	Spread float64
-}
-
 // Server is one control process.
 type Server struct {
 	o      Options
--- a/process/control/waves.go
+++ b/process/control/waves.go
@@ -11,13 +11,6 @@
 	"marjoramtiller.example/marjoramtiller/version/reconcile"
 )
 
-func planWeights(o Options) plan.Weights {
-	if o.Weights == (Weights{}) {
-		return plan.DefaultWeights()
-	}
-	return plan.Weights{Buffer: o.Weights.Buffer, Move: o.Weights.Moves, Spread: o.Weights.Spread}
-}
-
 // replanInterval bounds the time between two plans on the same version of the
 // fleet. Time alone changes only which waves are due and which hosts are late.
 const replanInterval = 5 * time.Second
@@ -35,7 +28,6 @@
 		NowMs:         time.Now().UnixMilli(),
 		DrainDeadline: s.o.DrainDeadline,
 		Waves:         plan.DefaultWaveSettings(),
-		Weights:       planWeights(s.o),
 	}
 	var commands []*fleetpb.Command
 	now := s.clock.Now()
--- a/process/embedded/embedded.go
+++ b/process/embedded/embedded.go
@@ -29,7 +29,6 @@
 	DataFolder    string // one folder for each control process is made in it
 	PlatformURL   string
 	DrainDeadline time.Duration
-	Weights       settings.Weights
 	Titles        map[string]string // report column to title
 	Logger        zerolog.Logger
 }
@@ -147,7 +146,6 @@
 		DataFolder:        filepath.Join(o.DataFolder, name),
 		LedgerGroups:      o.LedgerGroups,
 		PlatformURL:       o.PlatformURL,
-		Weights:           o.Weights,
 		DrainDeadline:     o.DrainDeadline,
 		SnapshotEntries:   512,
 		Timeouts:          timeouts(),
--- a/process/entry/options_test.go
+++ b/process/entry/options_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -51,11 +52,10 @@
 func TestRetryPercent(t *testing.T) {
 	is := is.New(t)
 	for percent, want := range map[int]uint64{-1: 0, 100: 1} {
-		first := true
+		var failed atomic.Bool
 		f := start(t, func(o *Options) { o.RetryPercent = percent })
 		f.control.add("b1", server(t, func(http.ResponseWriter, *http.Request) {
-			if first {
-				first = false
+			if failed.CompareAndSwap(false, true) {
 				panic(http.ErrAbortHandler)
 			}
 		}))
--- a/process/service/control.go
+++ b/process/service/control.go
@@ -70,7 +70,6 @@
 		DrainDeadline:   s.DrainDeadline,
 		ReturnDeadline:  returnDeadline,
 		Platform:        p,
-		Weights:         control.Weights{Buffer: s.Weights.Buffer, Moves: s.Weights.Moves, Spread: s.Weights.Spread},
 		Logger:          log,
 		Registry:        registry,
 		Seed:            processSeed(s.Process),
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -69,9 +69,9 @@
 
 func serviceKeys() []Key {
 	return []Key{
-		{"policy", "buffer_weight", "1", false, ControlProgram, "Weight of buffer capacity held in reserve.", "use 0 to 1000", number(0, 1000)},
-		{"policy", "moves_weight", "1", false, ControlProgram, "Weight of host moves.", "use 0 to 1000", number(0, 1000)},
-		{"policy", "spread_weight", "1", false, ControlProgram, "Weight of an even spread over racks and availability zones.", "use 0 to 1000", number(0, 1000)},
+		{"policy", "buffer_weight", "1", false, ClientProgram, "Weight of buffer capacity held in reserve, in `placement`.", "use 0 to 1000", number(0, 1000)},
+		{"policy", "moves_weight", "1", false, ClientProgram, "Weight of host moves, in `placement`.", "use 0 to 1000", number(0, 1000)},
+		{"policy", "spread_weight", "1", false, ClientProgram, "Weight of an even spread over availability zones, in `placement`.", "use 0 to 1000", number(0, 1000)},
 		{"timeouts", "call", "3s", false, both, "Timeout of one call to a peer.", "use a duration from 100ms to 60s, such as 3s", duration("100ms", "60s")},
 		{"timeouts", "request", "10s", false, both, "Timeout of one HTTP exchange with an operator or a backend server's announcement.", "use a duration from 100ms to 5m, such as 10s", duration("100ms", "5m")},
 		{"timeouts", "idle", "60s", false, both, "Time after which an idle HTTP connection is closed.", "use a duration from 1s to 1h, such as 60s", duration("1s", "1h")},
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -25,11 +25,6 @@
 		SnapshotEntries:   get[int](v, "control", "snapshot_entries"),
 		Timeouts:          v.timeouts(),
 		Titles:            v.titles("report-titles"),
-		Weights: Weights{
-			Buffer: get[float64](v, "policy", "buffer_weight"),
-			Moves:  get[float64](v, "policy", "moves_weight"),
-			Spread: get[float64](v, "policy", "spread_weight"),
-		},
 	}
 	v.checkListeners("peers", "operators", "observe")
 	v.checkProcesses(c)
@@ -107,6 +102,11 @@
 		LogLevel:     get[string](v, "process", "log_level"),
 		SheetTitles:  v.titles("sheet-titles"),
 		ReportTitles: v.titles("report-titles"),
+		Weights: Weights{
+			Buffer: get[float64](v, "policy", "buffer_weight"),
+			Moves:  get[float64](v, "policy", "moves_weight"),
+			Spread: get[float64](v, "policy", "spread_weight"),
+		},
 	}
 	if err := v.err(); err != nil {
 		return nil, err
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -33,7 +33,7 @@
 	Address netip.AddrPort // the peer's listener for peers
 }
 
-// Weights are the weights of the planning policy, each 0 or more.
+// Weights weigh the costs of a placement of hosts, each 0 or more.
 type Weights struct {
 	Buffer float64 // cost of buffer capacity
 	Moves  float64 // cost of a host move
@@ -60,7 +60,6 @@
 	DataFolder        string   // absolute path
 	LedgerGroups      int
 	PlatformURL       string
-	Weights           Weights
 	DrainDeadline     time.Duration
 	SnapshotEntries   int // log entries between two snapshots
 	Timeouts          Timeouts
@@ -99,4 +98,5 @@
 	LogLevel     string
 	SheetTitles  map[string]string // sheet column to the office's title
 	ReportTitles map[string]string // report column to the office's title
+	Weights      Weights
 }
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -80,7 +80,7 @@
 	text := string(example(t, "savings/control.ini"))
 	text = strings.Replace(text, "address = 10.0.1.10\n", "address = control-a.example\n", 1)
 	text = strings.Replace(text, "peers = 10.0.1.10:7400\n", "peers = 10.0.1.10:7401\n", 1)
-	text = strings.Replace(text, "buffer_weight = 1", "buffer_weight = -1", 1)
+	text = strings.Replace(text, "platform_url", "ledger_groups = -1\nplatform_url", 1)
 	text = strings.Replace(text, "voters = control-a control-b", "voters = control-a control-x", 1)
 	text = strings.Replace(text, "data_folder", "data_foldr", 1)
 	text = strings.Replace(text, "entry-6 =", "control-b =", 1)
@@ -92,7 +92,7 @@
 	for _, want := range []string{
 		`[process] address = "control-a.example" is not an IP address`,
 		`[listeners] operators = "10.0.1.10:7401" is also the address of the listener peers`,
-		`[policy] buffer_weight = "-1"`,
+		`[control] ledger_groups = "-1"`,
 		`names control-x, which has no line in [peers]; add its address`,
 		`[entries] control-b = "10.0.3.11:7410" is the name of a control process`,
 		`[control] data_foldr = "/var/lib/marjoramtiller" is an unknown key`,
--- a/tests/faults/process_test.go
+++ b/tests/faults/process_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -87,7 +88,7 @@
 	cmd.Stderr = log
 	// The kernel ends the daemon if this test binary is ended by its time limit.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	if err := startOnLastingThread(cmd); err != nil {
 		p.t.Fatal(err)
 	}
 	done := make(chan struct{})
@@ -100,6 +101,25 @@
 	}()
 }
 
+// starts are carried out by one thread that lasts as long as the test binary:
+// the kernel sends Pdeathsig when the thread that started a process ends.
+var starts = sync.OnceValue(func() chan func() {
+	work := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range work {
+			f()
+		}
+	}()
+	return work
+})
+
+func startOnLastingThread(cmd *exec.Cmd) error {
+	result := make(chan error, 1)
+	starts() <- func() { result <- cmd.Start() }
+	return <-result
+}
+
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -133,6 +153,13 @@
 
 // cleanup ends the process by its id and shows the end of its log after a failure.
 func (p *process) cleanup() {
+	p.mu.Lock()
+	select {
+	case <-p.done:
+		p.t.Logf("%s had ended: %v", p.name, p.cmd.ProcessState)
+	default:
+	}
+	p.mu.Unlock()
 	p.kill()
 	if !p.t.Failed() && !*verbose {
 		return
--- a/version/reconcile/bench_test.go
+++ b/version/reconcile/bench_test.go
@@ -30,7 +30,7 @@
 		changes = append(changes, poolChange(&fleetpb.Pool{Name: pool, PromisedHosts: 300, SurviveRack: true, MaxOut: 5}), waveChange(pool, hosts))
 	}
 	apply(&fleetpb.Command{RequestId: "r", Actor: "o", Body: &fleetpb.Command_Configure{Configure: &fleetpb.Configure{Changes: changes}}})
-	in := Input{Fleet: f, Waves: plan.DefaultWaveSettings(), Weights: plan.DefaultWeights()}
+	in := Input{Fleet: f, Waves: plan.DefaultWaveSettings()}
 	for range 2 {
 		for _, c := range Next(in) {
 			apply(c)
--- a/version/reconcile/pools.go
+++ b/version/reconcile/pools.go
@@ -244,5 +244,5 @@
 		}
 		hosts = append(hosts, x)
 	}
-	return plan.NewPlanner(pools, hosts, r.in.Weights)
+	return plan.NewPlanner(pools, hosts, plan.DefaultWeights())
 }
--- a/version/reconcile/reconcile.go
+++ b/version/reconcile/reconcile.go
@@ -22,7 +22,6 @@
 	// DrainDeadline is the drainer's; tasks that run longer are asked to checkpoint at once.
 	DrainDeadline time.Duration
 	Waves         plan.WaveSettings
-	Weights       plan.Weights
 }
 
 // Next returns the commands that waves and pools need now, in the order in which
--- a/version/reconcile/sim_test.go
+++ b/version/reconcile/sim_test.go
@@ -98,7 +98,7 @@
 }
 
 func (s *sim) input() Input {
-	return Input{Fleet: s.f, NowMs: s.now, Waves: plan.DefaultWaveSettings(), Weights: plan.DefaultWeights()}
+	return Input{Fleet: s.f, NowMs: s.now, Waves: plan.DefaultWaveSettings()}
 }
 
 func (s *sim) drains() []*fleetpb.HostStep {
