Share the set-up of random tests, free addresses and the leader's loops

Cause: six packages had the same TestMain, the fault tests their own search for ports, and two loops of the control process the same wait for leadership.

--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -26,22 +26,8 @@
 // this process leads. It is apart from the reconcilers, so that a platform that
 // does not answer holds up neither drains nor leases.
 func (s *Server) platformLoop(ctx context.Context) {
-	tick, stop := s.clock.Ticks(callInterval)
-	defer stop()
 	var polled time.Duration
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick:
-		}
-		if !leads(s.fleet) {
-			continue
-		}
-		t, err := s.leading(ctx)
-		if err != nil {
-			continue
-		}
+	s.whileLeading(ctx, callInterval, func(t *term) {
 		interval := platformInterval
 		if s.maintains() {
 			interval = maintenanceInterval
@@ -52,7 +38,7 @@
 		}
 		s.rebootHosts(ctx, t)
 		s.sendTaskCalls(ctx, t)
-	}
+	})
 }
 
 // maintains reports whether a host waits for its worker to come back.
--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -17,22 +17,8 @@
 // Each acts on observed state only, so a new leader continues where the last
 // one stopped, and a step taken twice is refused by the fleet.
 func (s *Server) reconcileLoop(ctx context.Context) {
-	tick, stop := s.clock.Ticks(reconcileInterval)
-	defer stop()
 	var sampled time.Duration
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick:
-		}
-		if !leads(s.fleet) {
-			continue
-		}
-		t, err := s.leading(ctx)
-		if err != nil {
-			continue
-		}
+	s.whileLeading(ctx, reconcileInterval, func(t *term) {
 		s.refreshServers(t)
 		s.expireEntries(ctx, t)
 		s.expireServers(ctx, t)
@@ -44,6 +30,26 @@
 			s.sample(ctx, t, sampleInterval)
 			sampled = now
 		}
+	})
+}
+
+// whileLeading calls round at each interval in which this process is the
+// confirmed leader of the fleet group, until ctx is done.
+func (s *Server) whileLeading(ctx context.Context, interval time.Duration, round func(t *term)) {
+	tick, stop := s.clock.Ticks(interval)
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick:
+		}
+		if !leads(s.fleet) {
+			continue
+		}
+		if t, err := s.leading(ctx); err == nil {
+			round(t)
+		}
 	}
 }
 
--- a/tests/faults/process_test.go
+++ b/tests/faults/process_test.go
@@ -5,17 +5,17 @@
 import (
 	"flag"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"runtime"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"marjoramtiller.example/marjoramtiller/standin/address"
 )
 
 // waitLimit bounds every wait for an event; no test asserts on speed.
@@ -169,26 +169,11 @@
 	p.t.Logf("%s:\n%s", p.name, strings.Join(lines[max(0, len(lines)-15):], "\n"))
 }
 
-// Ports are taken from below the range that Linux gives to outgoing
-// connections, so that a restarted daemon finds its port free.
-const (
-	firstPort = 10000
-	portCount = 20000
-)
-
-var nextPort atomic.Uint32
-
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range portCount {
-		offset := (uint32(os.Getpid())*256 + nextPort.Add(1)) % portCount
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+offset)
-		l, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = l.Close()
-			return address
-		}
+	found, err := address.Reserve(1)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("there is no free port on the loopback address")
-	return ""
+	return found[0].String()
 }
--- a/version/fleet/helper_test.go
+++ b/version/fleet/helper_test.go
@@ -1,35 +1,17 @@
 package fleet
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
 
 	"google.golang.org/protobuf/proto"
 
+	"marjoramtiller.example/marjoramtiller/standin/randomtest"
 	"marjoramtiller.example/marjoramtiller/version/fleetpb"
 )
 
-// TestMain fixes the seed of the random tests. MARJORAMTILLER_CHECKS sets the
-// number of cases of each, for longer runs.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	setFlag("rapid.seed", "20261204")
-	setFlag("rapid.nofailfile", "true")
-	checks := os.Getenv("MARJORAMTILLER_CHECKS")
-	if checks == "" {
-		checks = "60"
-	}
-	setFlag("rapid.checks", checks)
-	os.Exit(m.Run())
-}
-
-func setFlag(name, value string) {
-	if err := flag.Set(name, value); err != nil {
-		panic(err)
-	}
-}
+func TestMain(m *testing.M) { os.Exit(randomtest.Main(m)) }
 
 const startMs = 1_796_000_000_000 // 2026-11-30 UTC
 
