Fail the health check of an entry until it has its first slots

Cause: a restarted entry passed its health check as soon as it had a configuration lease, and rejected callers until the leader had granted slots; the rolling restart of the fault tests saw 229 of 2,117 requests rejected as not run. Change: the health check passes after the first grant, at the latest when a configuration lease has passed, or when no backend server is registered. Result: TestNoCallersBeforeTheFirstGrant fails without the rule (200 != 503) and passes with it; the rolling restart was not measured again.

--- a/process/entry/entry.go
+++ b/process/entry/entry.go
@@ -341,5 +341,19 @@
 func (e *Entry) healthy() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return !e.closing.Load() && !e.broken.Load() && e.mayServe(e.now())
+	return !e.closing.Load() && !e.broken.Load() && e.mayServe(e.now()) && e.hasFirstGrant()
+}
+
+// hasFirstGrant reports whether the entry has been told its slots, so that a
+// restarted entry gets no callers before it can serve them. A leader that waits
+// for an earlier boot's slots grants within a configuration lease. The caller
+// holds the mutex.
+func (e *Entry) hasFirstGrant() bool {
+	if e.grant > 0 || e.now() > lease.ConfigLease {
+		return true
+	}
+	for range e.cfg.Servers() {
+		return false
+	}
+	return true
 }
--- a/process/entry/entry_test.go
+++ b/process/entry/entry_test.go
@@ -226,6 +226,21 @@
 	is.Equal(a.problem.Outcome, outcome.NotRun)
 }
 
+// Guards against callers sent to a restarted entry that has no slots yet and
+// rejects them.
+func TestNoCallersBeforeTheFirstGrant(t *testing.T) {
+	is := is.New(t)
+	f := start(t, func(o *Options) {
+		c := o.Control.(*fakeControl)
+		c.noGrant = true
+		c.add("b1", server(t, func(http.ResponseWriter, *http.Request) {}))
+	})
+	f.until("the configuration is there", func() bool { return f.entry.Dump().(State).Version > 0 })
+	is.Equal(f.send("GET", "/healthz", "", "").status, 503)
+	f.control.set(func() { f.control.noGrant = false })
+	f.until("the health check passes", func() bool { return f.send("GET", "/healthz", "", "").status == 200 })
+}
+
 // Guards against new work on a draining host, and against a host that is
 // released while its work is still in flight.
 func TestDrainingHost(t *testing.T) {
--- a/process/entry/fake_test.go
+++ b/process/entry/fake_test.go
@@ -22,6 +22,7 @@
 	mu       sync.Mutex
 	cut      bool // nothing is reachable
 	noLedger bool
+	noGrant  bool // syncs are answered without slots
 	hold     bool // syncs get no answer until they are given up
 	version  uint64
 	servers  map[string]*fleetpb.BackendServer
@@ -77,11 +78,16 @@
 	d := &fleetpb.Delta{ToVersion: f.version, Full: true}
 	d.Pools = append([]*fleetpb.Pool{f.pool}, f.more...)
 	out := &wirepb.SyncResponse{LeaderTerm: 1, Version: f.version, Delta: d, ConfigLeaseMs: f.leaseMs, LiveFull: true, Grant: f.version}
+	if f.noGrant {
+		out.Grant = 0
+	}
 	for name, s := range f.servers {
 		d.Hosts = append(d.Hosts, &fleetpb.Host{Name: s.Host, Pool: "p", State: f.hosts[s.Host]})
 		d.Servers = append(d.Servers, s)
 		out.Live = append(out.Live, &wirepb.LiveServer{Server: name, LeaseMs: 4000})
-		out.Shares = append(out.Shares, &wirepb.SlotShare{Server: name, Slots: 4, Connections: 10})
+		if !f.noGrant {
+			out.Shares = append(out.Shares, &wirepb.SlotShare{Server: name, Slots: 4, Connections: 10})
+		}
 	}
 	return out, nil
 }
