Submit independent steps of the reconcilers together

Cause: the leases of a lost zone's backend servers end at once, and each was unregistered in its own log sync, one after the other, in the loop that also renews and expires leases.

--- /dev/null
+++ b/process/control/expire_test.go
@@ -0,0 +1,27 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/version/fleet"
+)
+
+// Guards against backend servers that stay registered when many leases end at
+// once, as when a zone is lost.
+func TestManyLeasesEndTogether(t *testing.T) {
+	is := is.New(t)
+	const servers = 200
+	s, term := startSized(t, servers)
+	s.clock = &manualClock{now: s.clock.Now() + time.Hour}
+	s.expireServers(t.Context(), term)
+	left := 0
+	s.viewFleet(func(f *fleet.Fleet) {
+		for range f.Servers() {
+			left++
+		}
+	})
+	is.Equal(left, 0)
+}
--- a/process/control/platform.go
+++ b/process/control/platform.go
@@ -130,8 +130,8 @@
 	})
 	for _, step := range failed {
 		s.log.Warn().Str("host", step.GetHost()).Msg("the worker of a host is down")
-		s.submit(ctx, &fleetpb.Command{Body: &fleetpb.Command_HostStep{HostStep: step}})
 	}
+	s.submitSteps(ctx, failed)
 }
 
 // rebootHosts reboots each host that is out, once in its maintenance. The token
--- a/process/control/reconcile.go
+++ b/process/control/reconcile.go
@@ -151,7 +151,8 @@
 	s.mu.Lock()
 	expired := t.lease.ExpiredServers(s.clock.Now())
 	s.mu.Unlock()
-	for _, e := range expired {
+	s.each(len(expired), func(i int) { // together, as a lost zone ends hundreds at once
+		e := expired[i]
 		ok := s.submit(ctx, &fleetpb.Command{Body: &fleetpb.Command_Unregister{
 			Unregister: &fleetpb.Unregister{Server: e.Name, BootId: e.BootID, Remove: true},
 		}})
@@ -160,7 +161,7 @@
 			t.lease.RemoveServer(e.Name)
 			s.mu.Unlock()
 		}
-	}
+	})
 }
 
 // maxStepsInRound bounds the consecutive steps of one host in one round: a
@@ -191,9 +192,7 @@
 			ReturnDeadline: s.o.ReturnDeadline,
 		})
 	})
-	for _, step := range out.Steps {
-		s.submit(ctx, &fleetpb.Command{Body: &fleetpb.Command_HostStep{HostStep: step}})
-	}
+	s.submitSteps(ctx, out.Steps)
 	for _, w := range out.Waiting {
 		if w.Overdue {
 			s.log.Info().Str("host", w.Host).Str("reason", string(w.Reason)).Str("detail", w.Detail).Msg("a host drains past its deadline")
@@ -205,6 +204,14 @@
 	return len(out.Steps)
 }
 
+// submitSteps proposes steps of different hosts, which do not depend on each
+// other, so that they share the syncs of the log.
+func (s *Server) submitSteps(ctx context.Context, steps []*fleetpb.HostStep) {
+	s.each(len(steps), func(i int) {
+		s.submit(ctx, &fleetpb.Command{Body: &fleetpb.Command_HostStep{HostStep: steps[i]}})
+	})
+}
+
 func (s *Server) drainEntries(t *term) []drainer.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
