Make the rolling restart keep requests in flight while an entry closes

Cause: the longest request of the test took 400 ms, while an entry's listener closes 3 s after its health check fails, so nothing was in flight then: with the graceful shutdown replaced by an immediate close the test still passed. Change: each entry is stopped with a 6 s posting in flight, whose answer must be whole. Result: with the immediate close the test fails for every entry it lists ('EOF'); with the rule it passes (37 s).

--- a/tests/faults/stop_test.go
+++ b/tests/faults/stop_test.go
@@ -133,8 +133,32 @@
 	}
 }
 
+// outlastingMs is longer than the time for which an entry's health check fails
+// before its listener closes, so that a request is still in flight then.
+const outlastingMs = "6000"
+
+// startOutlasting starts a request through each entry and returns once all run.
+// The function that it returns waits for the answers, which must all be whole.
+func startOutlasting(c *cluster, list servers, entries []*daemon) (wait func()) {
+	var all sync.WaitGroup
+	for _, e := range entries {
+		r := post("ledger")
+		r.header = map[string]string{"X-Hold-Ms": outlastingMs}
+		all.Go(func() {
+			a := c.send(e, r)
+			check(c.t, list, r, a)
+			if a.outcome != answered {
+				c.t.Errorf("a request in flight when %s was stopped ended as %+v", e.name, a)
+			}
+		})
+		eventually(c.t, "the request runs", func() bool { return list.runs(r.id) > 0 })
+	}
+	return all.Wait
+}
+
 // Guards against a planned stop that interrupts a request: every daemon is
-// restarted with SIGTERM under load, two entries or one control process at a time.
+// restarted with SIGTERM under load, two entries or one control process at a
+// time, each entry with a request that outlasts the time its health check fails.
 func TestRollingRestartBreaksNoRequest(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t, smallFleet())
@@ -143,7 +167,9 @@
 	l := startLoad(c, list, 12)
 	for i := 0; i < entryCount; i += 2 {
 		pair := c.entries[i : i+2]
+		wait := startOutlasting(c, list, pair)
 		inParallel(pair, func(d *daemon) { is.Equal(d.stop(), 0) }) // a graceful stop that took too long
+		wait()
 		for _, d := range pair {
 			d.start()
 			eventually(t, d.name+" serves again", func() bool { return c.send(d, get("ledger")).outcome == answered })
