Run jobs on the users' platform: replicated state, leader, entry and adapter

The daemons name every peer in their settings and forward requests to slots; the platform tells three seeds only and asks for jobs whose tasks the system starts.

Change: job/ holds the replicated state, the planner and the tracker of a worker's leases; process/members finds, joins and keeps the control group from seeds; process/jobs drives them; platform/ translates; wire resolves peers whose names carry their address. The control group's leader works in rounds: collect, plan, commit, act.

Ruled out: configuration leases at the entries, since the leader decides each request anyway and an entry without state cannot act on an old one.

--- /dev/null
+++ b/cmd/marjoramtiller-platform/entry.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/platform"
+	"marjoramtiller.example/marjoramtiller/process/jobs"
+	"marjoramtiller.example/marjoramtiller/process/members"
+)
+
+func serveEntry(s *platform.Settings, boot string, log zerolog.Logger, registry *prometheus.Registry, signals <-chan os.Signal) error {
+	entry := jobs.OpenEntry(jobs.EntryOptions{Name: members.Name(net.JoinHostPort(s.IP, "0"), boot), Seeds: s.SeedsInternal,
+		IP: s.IP, BootID: boot, Cluster: cluster, Logger: log})
+	defer func() { _ = entry.Close() }()
+	registry.MustRegister(entry.Collectors()...)
+	observer := openObserver(s, log, registry, nil)
+	if observer != nil {
+		defer func() { _ = observer.Close(context.Background()) }()
+	}
+	handler := &platform.Entry{Passer: entry}
+	callers, err := listen(s.Callers)
+	if err != nil {
+		return err
+	}
+	readiness, err := listen(s.Readiness)
+	if err != nil {
+		return err
+	}
+	server := newServer(handler)
+	ready := newServer(http.HandlerFunc(handler.ServeReadiness))
+	failed := make(chan error, 2)
+	go func() { failed <- server.Serve(callers) }()
+	go func() { failed <- ready.Serve(readiness) }()
+	select {
+	case err := <-failed:
+		return err
+	case sig := <-signals:
+		log.Info().Stringer("signal", sig).Msg("graceful stop started")
+	}
+	handler.Closing()
+	grace := max(s.GracePeriod, defaultGraceTime)
+	select {
+	case <-time.After(min(balancerNotice, grace/2)):
+	case <-signals:
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace-min(balancerNotice, grace/2)-closeReserve/2)
+	defer cancel()
+	err = server.Shutdown(ctx)
+	_ = ready.Close()
+	return err
+}
--- a/connection/wire/pool.go
+++ b/connection/wire/pool.go
@@ -57,7 +57,7 @@
 	if known := p.peers[name]; known != nil {
 		return known, nil
 	}
-	address, ok := p.o.Peers[name]
+	address, ok := p.o.address(name)
 	if !ok {
 		return nil, &PeerError{Detail: fmt.Sprintf("process %q is not in the table", name)}
 	}
@@ -141,7 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if hello.Process != name {
+	if hello.Process != name && (p.o.Matches == nil || !p.o.Matches(name, hello.Process)) {
 		return nil, &PeerError{Detail: fmt.Sprintf("%q answers at the address of %q", hello.Process, name)}
 	}
 	return hello, conn.SetDeadline(time.Time{})
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -67,6 +67,12 @@
 	// Peers are the addresses (IP and port) of the processes that may connect or
 	// be called, by name. The IP is also the only source address accepted.
 	Peers map[string]string
+	// Resolve returns the address of a process that Peers lacks, for groups whose
+	// members change. It is used if Peers has no such name, and may be nil.
+	Resolve func(process string) (address string, known bool)
+	// Matches reports whether the process that answers is the one that was
+	// called. The names must be equal if it is nil.
+	Matches func(called, answers string) bool
 	// LocalIP is the source address of dialled connections, the system's choice
 	// if empty.
 	LocalIP string
@@ -161,6 +167,13 @@
 	return b[0], err
 }
 
+func (o *Options) address(process string) (string, bool) {
+	if address, known := o.Peers[process]; known || o.Resolve == nil {
+		return address, known
+	}
+	return o.Resolve(process)
+}
+
 func (o *Options) hello() *wirepb.Hello {
 	return &wirepb.Hello{Cluster: o.Cluster, Process: o.Process, BootId: o.BootID, Protocol: Protocol}
 }
@@ -185,7 +198,7 @@
 	if h.Cluster != o.Cluster || h.Protocol != Protocol {
 		return nil, &PeerError{Detail: fmt.Sprintf("%q is of cluster %q, protocol %d", h.Process, h.Cluster, h.Protocol)}
 	}
-	address, ok := o.Peers[h.Process]
+	address, ok := o.address(h.Process)
 	if !ok {
 		return nil, &PeerError{Detail: fmt.Sprintf("process %q is not in the table", h.Process)}
 	}
--- /dev/null
+++ b/job/schedule/schedule.go
@@ -0,0 +1,377 @@
+// Package schedule plans which tasks start on which workers. It is pure: a
+// snapshot of jobs and workers goes in, starts come out, and the log checks each
+// start again when it is applied.
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+)
+
+// Limits of a plan.
+const (
+	// earlyMargin starts a timed occurrence at its due time, not before it.
+	earlyMargin = 0 * time.Millisecond
+	// lateCost is the order of jobs that can no longer be in time: behind the others.
+	lateCost = 1 << 40
+	// maxStartsPerPlan bounds one plan, and with it one log entry.
+	maxStartsPerPlan = 512
+)
+
+// Worker is a worker that may take tasks, with what it has left.
+type Worker struct {
+	ID       string
+	BornMs   int64
+	Pool     string
+	Rack     string
+	Labels   []string
+	CPU      int64 // thousandths of a core that are free
+	TotalCPU int64
+	Memory   int64 // MB that are free
+	GPUs     int64
+	// Penalty orders workers of which some are failing or slow: lower ones first.
+	Penalty int
+	// Serving is the number of tasks with a latency target, Fill that of filling tasks.
+	Serving, Fill int
+	Steps         map[StepKey]int // tasks of each step on this worker
+}
+
+// StepKey identifies one occurrence of a step.
+type StepKey struct {
+	Job              string
+	Occurrence, Step uint32
+}
+
+// Input is the snapshot to plan on.
+type Input struct {
+	NowMs   int64 // Unix time
+	Store   *state.Store
+	Queues  map[string]*jobpb.Queue // by key
+	Workers []*Worker
+	// Advice returns the workers on which a step of a queue with an advisor may
+	// run, with their tickets. ok is false while it is not known.
+	Advice func(step StepKey) (tickets map[string]string, ok bool)
+	// Estimate corrects a declared run time.
+	Estimate func(queue string, step *jobpb.Step) time.Duration
+}
+
+// candidate is a step with tasks to start.
+type candidate struct {
+	job        *jobpb.Job
+	occurrence uint32
+	step       int
+	state      *jobpb.StepState
+	order      int64
+	advised    bool
+}
+
+type planner struct {
+	in     Input
+	byPool map[string][]*Worker
+	racks  map[string]string // worker to rack
+	starts []*jobpb.Start
+}
+
+// Plan returns the starts to order now.
+func Plan(in Input) []*jobpb.Start {
+	p := &planner{in: in, byPool: map[string][]*Worker{}, racks: map[string]string{}}
+	for _, w := range in.Workers {
+		p.byPool[w.Pool] = append(p.byPool[w.Pool], w)
+		p.racks[w.ID] = w.Rack
+	}
+	list := p.candidates()
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.job.AcceptedMs, b.job.AcceptedMs),
+			cmp.Compare(a.job.Id, b.job.Id), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step))
+	})
+	for _, c := range list {
+		p.startStep(c)
+		if len(p.starts) >= maxStartsPerPlan {
+			break
+		}
+	}
+	return p.starts
+}
+
+// candidates lists the steps whose turn has come and that have tasks to start.
+func (p *planner) candidates() []candidate {
+	var list []candidate
+	for _, j := range p.in.Store.Open() {
+		if state.Ended(j) || len(p.byPool[j.Pool]) == 0 {
+			continue
+		}
+		for n := uint32(0); n < max(1, j.Repetitions); n++ {
+			due := j.FirstDueMs + int64(n)*j.IntervalMs
+			if j.Repetitions > 0 && due+earlyMargin.Milliseconds() > p.in.NowMs {
+				break
+			}
+			list = p.occurrence(list, j, n, due)
+		}
+	}
+	return list
+}
+
+func (p *planner) occurrence(list []candidate, j *jobpb.Job, n uint32, due int64) []candidate {
+	o := state.OccurrenceOf(j, n)
+	if o == nil {
+		o = state.NewOccurrence(j, n)
+	}
+	if o.Done {
+		return list
+	}
+	queue := p.in.Queues[j.Queue]
+	order := p.order(j, o, queue, due)
+	for i, step := range j.Steps {
+		if !ready(o, step) || !hasWaiting(step, o.Steps[i]) {
+			continue
+		}
+		c := candidate{job: j, occurrence: n, step: i, state: o.Steps[i], order: order, advised: queue != nil && queue.AdviceMs > 0}
+		if step.Lasting {
+			c.order = -lateCost + int64(step.TargetMs)
+			if step.Fill {
+				c.order = lateCost * 2
+			}
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+func ready(o *jobpb.Occurrence, step *jobpb.Step) bool {
+	for _, before := range step.After {
+		if !state.StepDone(o.Steps[before]) {
+			return false
+		}
+	}
+	return true
+}
+
+func hasWaiting(step *jobpb.Step, st *jobpb.StepState) bool {
+	for _, t := range st.Tasks {
+		if !t.Done && t.Worker == "" {
+			return !step.Gang || allIdle(st)
+		}
+	}
+	return false
+}
+
+func allIdle(st *jobpb.StepState) bool {
+	for _, t := range st.Tasks {
+		if t.Worker != "" {
+			return false
+		}
+	}
+	return true
+}
+
+// order returns a job's place: the time by which its next step must start for the
+// job to be in time, behind all others once that has passed.
+func (p *planner) order(j *jobpb.Job, o *jobpb.Occurrence, q *jobpb.Queue, due int64) int64 {
+	begin := j.AcceptedMs
+	if j.Repetitions > 0 {
+		begin = due
+	}
+	whole, left := p.chains(j, o, q)
+	stretch, target := 1.0, int64(0)
+	if q != nil {
+		stretch, target = q.Stretch, int64(q.TargetMs)
+	}
+	latest := begin + int64(stretch*float64(whole.Milliseconds())) + target - left.Milliseconds()
+	if latest < p.in.NowMs {
+		return lateCost + j.AcceptedMs
+	}
+	return latest
+}
+
+// chains returns the longest chain of work of an occurrence, and of what is left of it.
+func (p *planner) chains(j *jobpb.Job, o *jobpb.Occurrence, q *jobpb.Queue) (whole, left time.Duration) {
+	ends := make([]time.Duration, len(j.Steps))
+	rests := make([]time.Duration, len(j.Steps))
+	for i, step := range j.Steps {
+		key := ""
+		if q != nil {
+			key = j.Queue
+		}
+		d := p.in.Estimate(key, step)
+		rest := d
+		if state.StepDone(o.Steps[i]) {
+			rest = 0
+		}
+		for _, before := range step.After {
+			ends[i] = max(ends[i], ends[before])
+			rests[i] = max(rests[i], rests[before])
+		}
+		ends[i] += d
+		rests[i] += rest
+		whole, left = max(whole, ends[i]), max(left, rests[i])
+	}
+	return whole, left
+}
+
+func (p *planner) startStep(c candidate) {
+	step := c.job.Steps[c.step]
+	key := StepKey{Job: c.job.Id, Occurrence: c.occurrence, Step: uint32(c.step)}
+	var tickets map[string]string
+	if c.advised {
+		var ok bool
+		if tickets, ok = p.in.Advice(key); !ok {
+			return
+		}
+	}
+	if step.Gang {
+		p.startGang(c, key, step, tickets)
+		return
+	}
+	for i, t := range c.state.Tasks {
+		if t.Done || t.Worker != "" {
+			continue
+		}
+		w := p.choose(c.job.Pool, key, step, tickets, "")
+		if w == nil {
+			return
+		}
+		p.take(w, key, step)
+		p.starts = append(p.starts, newStart(key, i, t.Run+1, w))
+	}
+}
+
+// startGang starts all tasks of a gang under one run number, or none.
+func (p *planner) startGang(c candidate, key StepKey, step *jobpb.Step, tickets map[string]string) {
+	rack := ""
+	if step.RackLocal {
+		rack = p.roomiestRack(c.job.Pool, step)
+	}
+	run := c.state.Run + 1
+	var begun []*jobpb.Start
+	var used []*Worker
+	for i := range c.state.Tasks {
+		w := p.choose(c.job.Pool, key, step, tickets, rack)
+		if w == nil {
+			for _, u := range used {
+				p.give(u, key, step)
+			}
+			return
+		}
+		p.take(w, key, step)
+		used = append(used, w)
+		begun = append(begun, newStart(key, i, run, w))
+	}
+	p.starts = append(p.starts, begun...)
+}
+
+func newStart(key StepKey, index int, run uint32, w *Worker) *jobpb.Start {
+	ref := &jobpb.TaskRef{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: uint32(index)}
+	return &jobpb.Start{Task: ref, Run: run, Worker: w.ID, BornMs: w.BornMs}
+}
+
+// roomiestRack returns the rack that fits the whole step, the one with least room
+// to spare; empty if none does.
+func (p *planner) roomiestRack(pool string, step *jobpb.Step) string {
+	room := map[string]int64{}
+	for _, w := range p.byPool[pool] {
+		room[w.Rack] += fits(w, step)
+	}
+	best := ""
+	for rack, n := range room {
+		if n < int64(step.Count) {
+			continue
+		}
+		if best == "" || n < room[best] || n == room[best] && rack < best {
+			best = rack
+		}
+	}
+	return best
+}
+
+// fits returns how many tasks of a step a worker has room for.
+func fits(w *Worker, step *jobpb.Step) int64 {
+	n := int64(step.Count)
+	if step.CpuMillis > 0 && !step.Fill {
+		n = min(n, max(0, w.CPU)/int64(step.CpuMillis))
+	}
+	if step.MemoryMb > 0 {
+		n = min(n, max(0, w.Memory)/int64(step.MemoryMb))
+	}
+	if step.Gpus > 0 {
+		n = min(n, max(0, w.GPUs)/int64(step.Gpus))
+	}
+	return n
+}
+
+// choose returns the worker for one more task of a step, nil if none has room.
+func (p *planner) choose(pool string, key StepKey, step *jobpb.Step, tickets map[string]string, rack string) *Worker {
+	var best *Worker
+	for _, w := range p.byPool[pool] {
+		if fits(w, step) == 0 || rack != "" && w.Rack != rack {
+			continue
+		}
+		if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
+			continue
+		}
+		if step.MaxPerWorker > 0 && w.Steps[key] >= int(step.MaxPerWorker) {
+			continue
+		}
+		if tickets != nil {
+			if _, allowed := tickets[w.ID]; !allowed {
+				continue
+			}
+		}
+		if best == nil || better(w, best, step) {
+			best = w
+		}
+	}
+	return best
+}
+
+// better reports whether a is the better worker for a task of step.
+func better(a, b *Worker, step *jobpb.Step) bool {
+	if a.Penalty != b.Penalty {
+		return a.Penalty < b.Penalty
+	}
+	if step.DataRack != "" && (a.Rack == step.DataRack) != (b.Rack == step.DataRack) {
+		return a.Rack == step.DataRack
+	}
+	if step.Fill && a.Serving != b.Serving {
+		return a.Serving < b.Serving
+	}
+	if step.Lasting && a.Fill != b.Fill {
+		return a.Fill < b.Fill
+	}
+	if step.Lasting || step.Fill {
+		if a.CPU != b.CPU {
+			return a.CPU > b.CPU
+		}
+		return a.ID < b.ID
+	}
+	if a.CPU != b.CPU {
+		return a.CPU > b.CPU
+	}
+	return a.ID < b.ID
+}
+
+func (p *planner) take(w *Worker, key StepKey, step *jobpb.Step) { w.change(key, step, 1) }
+func (p *planner) give(w *Worker, key StepKey, step *jobpb.Step) { w.change(key, step, -1) }
+
+// Use takes the room of a task that may be at work from a worker.
+func (w *Worker) Use(key StepKey, step *jobpb.Step) { w.change(key, step, 1) }
+
+func (w *Worker) change(key StepKey, step *jobpb.Step, n int64) {
+	if step.Fill {
+		w.Fill += int(n)
+	} else {
+		w.CPU -= n * int64(step.CpuMillis)
+	}
+	if step.TargetMs > 0 {
+		w.Serving += int(n)
+	}
+	w.Memory -= n * int64(step.MemoryMb)
+	w.GPUs -= n * int64(step.Gpus)
+	if w.Steps == nil {
+		w.Steps = map[StepKey]int{}
+	}
+	w.Steps[key] += int(n)
+}
--- /dev/null
+++ b/job/state/snapshot.go
@@ -0,0 +1,77 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+)
+
+// Snapshot encodes the whole state.
+func (s *Store) Snapshot() ([]byte, error) {
+	snap := &jobpb.Snapshot{Configuration: s.configuration}
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		snap.Jobs = append(snap.Jobs, s.jobs[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		snap.Workers = append(snap.Workers, s.workers[id])
+	}
+	for _, n := range slices.Sorted(maps.Keys(s.waves)) {
+		snap.Waves = append(snap.Waves, s.waves[n])
+	}
+	for _, m := range slices.Sorted(maps.Keys(s.moves)) {
+		snap.Moves = append(snap.Moves, s.moves[m])
+	}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snap)
+	return data, errors.Wrap(err, "encode the snapshot of jobs")
+}
+
+// Restore replaces the state by a snapshot.
+func (s *Store) Restore(data []byte) error {
+	snap := &jobpb.Snapshot{}
+	if err := proto.Unmarshal(data, snap); err != nil {
+		return errors.Wrap(err, "the snapshot of jobs cannot be read; replace this replica by a learner with an empty folder")
+	}
+	*s = *New()
+	if snap.Configuration != nil {
+		s.configuration = snap.Configuration
+	}
+	for _, w := range snap.Workers {
+		s.workers[w.Id] = w
+	}
+	for _, w := range snap.Waves {
+		s.waves[w.Number] = w
+	}
+	for _, m := range snap.Moves {
+		s.moves[m.Machine] = m
+	}
+	for _, j := range snap.Jobs {
+		s.restoreJob(j)
+	}
+	return nil
+}
+
+func (s *Store) restoreJob(j *jobpb.Job) {
+	s.jobs[j.Id] = j
+	if !ended(j.State) {
+		s.open[j.Id] = j
+	}
+	if j.State == jobpb.Job_QUEUED {
+		s.pending[j.Queue]++
+	}
+	for _, o := range j.Occurrences {
+		for k, st := range o.Steps {
+			for i, t := range st.Tasks {
+				if t.Worker == "" {
+					continue
+				}
+				s.open[j.Id] = j
+				ref := &jobpb.TaskRef{Job: j.Id, Occurrence: o.Number, Step: uint32(k), Index: uint32(i)}
+				s.place(&Placement{Job: j, Ref: ref, Step: j.Steps[k], Task: t, State: st})
+			}
+		}
+	}
+}
--- a/process/consensus/core.go
+++ b/process/consensus/core.go
@@ -253,8 +253,10 @@
 	if c.role == Leader {
 		s.LeaseUntil = c.leaseUntil()
 		s.Match = make(map[string]uint64, len(c.progress))
+		s.Silence = make(map[string]time.Duration, len(c.progress))
 		for name, p := range c.progress {
 			s.Match[name] = p.match
+			s.Silence[name] = c.now - p.lastAck
 		}
 	}
 	return s
--- a/process/consensus/types.go
+++ b/process/consensus/types.go
@@ -166,6 +166,7 @@
 	Voters, Learners       []string
 	LeaseUntil             time.Duration // leader only
 	Match                  map[string]uint64
+	Silence                map[string]time.Duration // since a replica's last acknowledgement; leader only
 	TransferTo             string
 	Fresh                  bool // the disk was empty and the group is not founded yet
 	PendingChange, Removed bool
--- /dev/null
+++ b/process/jobs/metrics.go
@@ -0,0 +1,44 @@
+package jobs
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/pkg/errors"
+)
+
+// controlMetrics are the counters of a control process.
+type controlMetrics struct {
+	orders        *prometheus.CounterVec
+	commitSeconds prometheus.Histogram
+	startSeconds  prometheus.Histogram
+}
+
+func newControlMetrics() *controlMetrics {
+	return &controlMetrics{
+		orders: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marjoramtiller_jobs_orders_total", Help: "Orders by kind and outcome."}, []string{"kind", "outcome"}),
+		commitSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marjoramtiller_jobs_commit_seconds", Help: "Time from a log entry's proposal to its result.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12)}),
+		startSeconds: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "marjoramtiller_jobs_start_seconds", Help: "Time from a start order to its answer.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 2, 12)}),
+	}
+}
+
+func (m *controlMetrics) order(kind string, err error) {
+	outcome := "confirmed"
+	var refused *RefusedError
+	switch {
+	case errors.As(err, &refused):
+		outcome = "refused"
+	case err != nil:
+		outcome = "unanswered"
+	}
+	m.orders.WithLabelValues(kind, outcome).Inc()
+}
+
+// Collectors returns the metrics of a control process.
+func (c *Control) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{c.metrics.orders, c.metrics.commitSeconds, c.metrics.startSeconds}
+}
--- /dev/null
+++ b/process/jobs/submit.go
@@ -0,0 +1,172 @@
+package jobs
+
+import (
+	"context"
+	"regexp"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+	"marjoramtiller.example/marjoramtiller/process/consensus"
+	"marjoramtiller.example/marjoramtiller/process/replica"
+	"marjoramtiller.example/marjoramtiller/process/storage"
+)
+
+var jobID = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// retryAfterMs is when a caller may come back after a refusal.
+const retryAfterMs = 1000
+
+// neverApplied reports whether a change that failed is certain never to be applied.
+func neverApplied(err error) bool {
+	var notLeader *consensus.NotLeaderError
+	var notProposed *replica.NotProposedError
+	var stopped *replica.StoppedError
+	var busy *consensus.BusyError
+	var full *storage.DiskFullError
+	var large *storage.TooLargeError
+	var unavailable *UnavailableError
+	var unknown *replica.OutcomeUnknownError
+	if errors.As(err, &unknown) {
+		return false
+	}
+	return errors.As(err, &notLeader) || errors.As(err, &notProposed) || errors.As(err, &stopped) ||
+		errors.As(err, &busy) || errors.As(err, &full) || errors.As(err, &large) || errors.As(err, &unavailable)
+}
+
+// change puts a change into the log and waits for its outcome. An error for which
+// neverApplied is false leaves open whether it is applied.
+func (s *session) change(ctx context.Context, e *jobpb.Entry) (applied bool, err error) {
+	type outcome struct {
+		applied bool
+		err     error
+	}
+	result := make(chan outcome, 1)
+	s.post(func() {
+		s.add(e, func(applied bool, err error) { result <- outcome{applied, err} })
+	})
+	select {
+	case o := <-result:
+		return o.applied, o.err
+	case <-ctx.Done():
+		return false, &replica.OutcomeUnknownError{Err: ctx.Err()}
+	case <-s.done:
+	}
+	select {
+	case o := <-result:
+		return o.applied, o.err
+	default:
+		return false, &replica.OutcomeUnknownError{Err: errors.New("the leader has lost its term")}
+	}
+}
+
+// route finds the queue of a request in the applied configuration.
+func (s *session) route(r *jobpb.Request) (q *jobpb.Queue, id string, refused *jobpb.Response) {
+	s.view(func(st *state.Store) {
+		conf := st.Configuration()
+		if conf.Version == 0 {
+			refused = &jobpb.Response{Outcome: jobpb.Response_NOT_READY, Reason: "there is no configuration yet", RetryAfterMs: retryAfterMs}
+			return
+		}
+		if q, id = findQueue(conf, r.Host, r.Path); q == nil {
+			refused = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: "no queue of the configuration matches"}
+		}
+	})
+	return q, id, refused
+}
+
+func (s *session) submit(ctx context.Context, r *jobpb.Request) *jobpb.Response {
+	q, id, refused := s.route(r)
+	if refused != nil {
+		return refused
+	}
+	if !jobID.MatchString(id) {
+		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "a job's id has 16 hexadecimal digits"}
+	}
+	key := state.QueueKey(q.Host, q.Prefix)
+	if other := s.knownIn(id); other != "" {
+		return known(other, key)
+	}
+	j := proto.Clone(r.Job).(*jobpb.Job)
+	j.Id, j.Queue, j.Pool, j.MaxAttempts = id, key, q.Pool, q.MaxAttempts
+	j.AcceptedMs = s.nowMs()
+	applied, err := s.change(ctx, &jobpb.Entry{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: j}}})
+	if err != nil {
+		s.log.Warn().Err(err).Str("request", id).Str("queue", key).Bool("never_runs", neverApplied(err)).Msg("job not confirmed")
+		return failure(err)
+	}
+	if !applied {
+		return known(s.knownIn(id), key)
+	}
+	s.log.Info().Str("request", id).Str("queue", key).Uint64("configuration", s.queuesAt).Int("steps", len(j.Steps)).Msg("job accepted")
+	return &jobpb.Response{}
+}
+
+func (s *session) knownIn(id string) (queue string) {
+	s.view(func(st *state.Store) {
+		if j := st.Job(id); j != nil {
+			queue = j.Queue
+		}
+	})
+	return queue
+}
+
+// known answers a submission whose id is taken: it is a resend, unless another
+// queue holds it.
+func known(queue, asked string) *jobpb.Response {
+	if queue != asked {
+		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "another queue has a job with this id; choose a new id"}
+	}
+	return &jobpb.Response{}
+}
+
+func failure(err error) *jobpb.Response {
+	if neverApplied(err) {
+		return &jobpb.Response{Outcome: jobpb.Response_REFUSED, Reason: err.Error(), RetryAfterMs: retryAfterMs}
+	}
+	return &jobpb.Response{Outcome: jobpb.Response_UNKNOWN, Reason: err.Error()}
+}
+
+func (s *session) cancelJob(ctx context.Context, r *jobpb.Request) *jobpb.Response {
+	q, id, refused := s.route(r)
+	if refused != nil {
+		return refused
+	}
+	key := state.QueueKey(q.Host, q.Prefix)
+	applied, err := s.change(ctx, &jobpb.Entry{Change: &jobpb.Entry_Cancel{Cancel: &jobpb.Cancel{Job: id, AtMs: s.nowMs()}}})
+	if err != nil {
+		s.log.Warn().Err(err).Str("request", id).Msg("cancellation not confirmed")
+		return failure(err)
+	}
+	if s.knownIn(id) != key {
+		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
+	}
+	s.log.Info().Str("request", id).Bool("running", applied).Msg("job cancelled")
+	return &jobpb.Response{}
+}
+
+// Configure stores a configuration. One that is not newer than the present one is
+// confirmed and changes nothing.
+func (c *Control) Configure(ctx context.Context, conf *jobpb.Configuration) error {
+	s, err := c.leading()
+	if err != nil {
+		return err
+	}
+	applied, err := s.change(ctx, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: conf}})
+	c.log.Info().Err(err).Uint64("version", conf.Version).Bool("newer", applied).Msg("configuration received")
+	return err
+}
+
+// StartWave stores a wave. One that is known is confirmed and changes nothing.
+func (c *Control) StartWave(ctx context.Context, w *jobpb.Wave) error {
+	s, err := c.leading()
+	if err != nil {
+		return err
+	}
+	applied, err := s.change(ctx, &jobpb.Entry{Change: &jobpb.Entry_Wave{Wave: w}})
+	c.log.Info().Err(err).Uint64("wave", w.Number).Int("machines", len(w.Machines)).Uint32("maximum", w.Maximum).
+		Bool("new", applied).Msg("wave received")
+	return err
+}
--- a/process/replica/options.go
+++ b/process/replica/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sys/unix"
 
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/process/consensus"
@@ -44,6 +45,25 @@
 // SystemClock returns the process's monotonic clock.
 func SystemClock() Clock { return systemClock{start: time.Now()} }
 
+// BootClock returns a clock that also counts the time during which the machine
+// is suspended, so that a lease does not outlive a suspension.
+func BootClock() Clock { return bootClock{} }
+
+type bootClock struct{}
+
+func (bootClock) Now() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic("the system has no CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Duration(t.Nano())
+}
+
+func (bootClock) Ticks(d time.Duration) (<-chan time.Time, func()) {
+	t := time.NewTicker(d)
+	return t.C, t.Stop
+}
+
 type systemClock struct{ start time.Time }
 
 func (c systemClock) Now() time.Duration { return time.Since(c.start) }
