--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -237,7 +237,7 @@
 			continue
 		}
 		w := u.s.workers[t.Worker]
-		if w == nil || w.silent || w.left > 0 {
+		if w == nil || w.silent || w.left > 0 || u.leaving(t.Worker) {
 			n++
 			continue
 		}
@@ -251,6 +251,12 @@
 	return n
 }
 
+// leaving reports whether the order for a worker's machine is on its way.
+func (u *upkeepDriver) leaving(worker string) bool {
+	m := u.machines[u.byWorker[worker]]
+	return m != nil && m.ordering
+}
+
 // record stores that a machine's upkeep is ordered, and then orders it; or that
 // it has begun.
 func (u *upkeepDriver) record(w *jobpb.Wave, machine string, begun bool) {
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -18,7 +18,7 @@
 // Timings of orders to workers.
 const (
 	orderTimeout   = 900 * time.Millisecond  // of an order's answer
-	holdWait       = 1800 * time.Millisecond // how long a worker may wait for an end
+	holdWait       = time.Second              // how long a worker may wait for an end
 	holdRetry      = 200 * time.Millisecond  // after a hold without an answer
 	stopRetry      = 400 * time.Millisecond  // between stops of the same run
 	silentReports  = 3                       // report intervals after which a worker without a report gets no new task
@@ -223,7 +223,9 @@
 // hold extends the worker's lease and asks for its list of runs.
 func (s *session) hold(now time.Duration, w *workerState, running bool) {
 	o := HoldOrder{Fence: w.track.Fence(), LastSeen: w.track.LastSeen}
-	if running {
+	// A worker that did not answer is only asked to list its runs: a grant would
+	// put off the time from which they are known to have ended.
+	if running && !w.silent {
 		if deadline, known := w.track.Grant(now); known {
 			o.DeadlineMs = deadline
 		}
@@ -253,7 +255,7 @@
 		return
 	}
 	if err != nil {
-		s.holdFailed(w, sent, now, err)
+		s.holdFailed(w, sent, now, o, err)
 		return
 	}
 	if look.BornMs != w.info.BornMs {
@@ -277,7 +279,7 @@
 	})
 }
 
-func (s *session) holdFailed(w *workerState, sent, now time.Duration, err error) {
+func (s *session) holdFailed(w *workerState, sent, now time.Duration, o HoldOrder, err error) {
 	var refused *RefusedError
 	switch {
 	case errors.As(err, &refused) && refused.Reason == RefusedFence:
@@ -286,7 +288,9 @@
 	case errors.As(err, &refused):
 		s.log.Debug().Err(err).Str("worker", w.info.Id).Msg("hold refused")
 	default:
-		w.track.Unanswered(sent)
+		if o.DeadlineMs > 0 {
+			w.track.Unanswered(sent)
+		}
 		if !w.silent {
 			s.log.Warn().Err(err).Str("worker", w.info.Id).Dur("lapses_in", w.track.LapsedAt()-now).Msg("worker does not answer")
 		}
@@ -541,6 +545,7 @@
 		s.addEnd(w, start.Task, start.Run, jobpb.How_NEVER_STARTED, "")
 	default:
 		w.track.Unanswered(sent)
+		w.silent = true
 		s.raiseFence(w)
 	}
 }
