Move machines between pools as demand changes, spread lasting steps

Cause: each queue peaks above its pool while the others stand idle, and idle machines are paid for.

Change: job/capacity plans moves from the running, waiting and arriving work; idle surplus goes on standby; short tasks take the fullest worker that fits; a lasting step puts no more tasks on a worker than may be away, and one too many is moved on before an upkeep.

--- /dev/null
+++ b/job/capacity/capacity.go
@@ -0,0 +1,207 @@
+// Package capacity decides which machines change their pool: machines that a
+// pool needs are taken from standby or from pools that have some to spare, and
+// machines that nobody needs are put on standby, where they cost nothing. It is
+// pure: a snapshot goes in, moves come out.
+package capacity
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Settings are the weights of the decision.
+type Settings struct {
+	// Fill is the share of a machine's cores that is planned with.
+	Fill float64
+	// Spare is the number of machines a pool has beyond its demand.
+	Spare int
+	// Keep is how long demand counts after it has gone: a move back and forth
+	// costs more than a machine that waits for a moment.
+	Keep time.Duration
+	// Window is the time over which arriving work is averaged.
+	Window time.Duration
+}
+
+// Default returns the settings in use.
+func Default() Settings {
+	return Settings{Fill: 0.9, Spare: 1, Keep: 2 * time.Second, Window: time.Second}
+}
+
+// Pool is a pool with its demand.
+type Pool struct {
+	Name    string
+	Standby bool
+	// Cores is the demand, as Tracker.Cores returns it.
+	Cores float64
+}
+
+// Machine is a machine that is up.
+type Machine struct {
+	Name  string
+	Pool  string
+	Cores float64
+	// Idle reports that nothing runs there and that it may be taken away.
+	Idle bool
+	// Arriving reports that it is on its way to Pool.
+	Arriving bool
+}
+
+// Move puts a machine into another pool.
+type Move struct{ Machine, From, To string }
+
+// Plan returns the moves to order now.
+func Plan(set Settings, pools []Pool, machines []Machine) []Move {
+	p := newPlan(set, pools, machines)
+	needy := slices.Clone(pools)
+	slices.SortFunc(needy, func(a, b Pool) int {
+		return cmp.Or(cmp.Compare(p.surplus[a.Name], p.surplus[b.Name]), cmp.Compare(a.Name, b.Name))
+	})
+	for _, pool := range needy {
+		for !pool.Standby && p.surplus[pool.Name] < 0 {
+			if !p.take(pool.Name) {
+				break
+			}
+		}
+	}
+	p.park()
+	return p.moves
+}
+
+type plan struct {
+	pools   []Pool
+	standby string
+	isOff   map[string]bool
+	idle    map[string][]Machine // by pool
+	surplus map[string]int       // machines beyond the wanted ones
+	moves   []Move
+}
+
+func newPlan(set Settings, pools []Pool, machines []Machine) *plan {
+	p := &plan{pools: pools, isOff: map[string]bool{}, idle: map[string][]Machine{}, surplus: map[string]int{}}
+	var cores, n float64
+	for _, m := range machines {
+		cores += m.Cores
+		n++
+		p.surplus[m.Pool]++
+		if m.Idle && !m.Arriving {
+			p.idle[m.Pool] = append(p.idle[m.Pool], m)
+		}
+	}
+	size := cores / max(1, n) * set.Fill
+	for _, pool := range pools {
+		if pool.Standby {
+			p.isOff[pool.Name] = true
+			if p.standby == "" {
+				p.standby = pool.Name
+			}
+			continue
+		}
+		if size > 0 {
+			p.surplus[pool.Name] -= int(math.Ceil(pool.Cores/size)) + set.Spare
+		}
+	}
+	for _, list := range p.idle {
+		slices.SortFunc(list, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	return p
+}
+
+// take moves one idle machine into a pool: from standby, else from the pool with
+// the largest surplus.
+func (p *plan) take(to string) bool {
+	from := ""
+	for name, list := range p.idle {
+		if len(list) == 0 || name == to || !p.isOff[name] && p.surplus[name] <= 0 {
+			continue
+		}
+		if from == "" || p.better(name, from) {
+			from = name
+		}
+	}
+	if from == "" {
+		return false
+	}
+	p.move(from, to)
+	return true
+}
+
+func (p *plan) better(a, b string) bool {
+	if p.isOff[a] != p.isOff[b] {
+		return p.isOff[a]
+	}
+	if p.surplus[a] != p.surplus[b] {
+		return p.surplus[a] > p.surplus[b]
+	}
+	return a < b
+}
+
+func (p *plan) move(from, to string) {
+	list := p.idle[from]
+	m := list[len(list)-1]
+	p.idle[from] = list[:len(list)-1]
+	p.surplus[from]--
+	p.surplus[to]++
+	p.moves = append(p.moves, Move{Machine: m.Name, From: from, To: to})
+}
+
+// park puts the idle surplus of all pools on standby.
+func (p *plan) park() {
+	if p.standby == "" {
+		return
+	}
+	for _, pool := range p.pools {
+		for !pool.Standby && p.surplus[pool.Name] > 0 && len(p.idle[pool.Name]) > 0 {
+			p.move(pool.Name, p.standby)
+		}
+	}
+}
+
+// Tracker follows the demand of one pool.
+type Tracker struct {
+	set      Settings
+	arrivals []arrival
+	levels   []level // descending: the demand that still counts
+}
+
+type arrival struct {
+	at   time.Duration
+	work float64 // core-seconds
+}
+
+type level struct {
+	at    time.Duration
+	cores float64
+}
+
+// NewTracker returns a tracker without demand.
+func NewTracker(set Settings) *Tracker { return &Tracker{set: set} }
+
+// Arrived adds work that was handed in.
+func (t *Tracker) Arrived(now time.Duration, coreSeconds float64) {
+	t.arrivals = append(t.arrivals, arrival{at: now, work: coreSeconds})
+}
+
+// Cores returns the demand: the highest of the last Keep. live are the cores of
+// the tasks that run or wait for a worker.
+func (t *Tracker) Cores(now time.Duration, live float64) float64 {
+	n := 0
+	for n < len(t.arrivals) && now-t.arrivals[n].at > t.set.Window {
+		n++
+	}
+	t.arrivals = t.arrivals[n:]
+	arriving := 0.0
+	for _, a := range t.arrivals {
+		arriving += a.work
+	}
+	cores := max(live, arriving/t.set.Window.Seconds())
+	for len(t.levels) > 0 && t.levels[len(t.levels)-1].cores <= cores {
+		t.levels = t.levels[:len(t.levels)-1]
+	}
+	t.levels = append(t.levels, level{at: now, cores: cores})
+	for len(t.levels) > 1 && now-t.levels[0].at > t.set.Keep {
+		t.levels = t.levels[1:]
+	}
+	return t.levels[0].cores
+}
--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
@@ -126,7 +128,7 @@
 	queue := p.in.Queues[j.Queue]
 	order := p.order(j, o, queue, due)
 	for i, step := range j.Steps {
-		if !ready(o, step) || !hasWaiting(step, o.Steps[i]) {
+		if !state.Ready(o, step) || !hasWaiting(step, o.Steps[i]) {
 			continue
 		}
 		c := candidate{job: j, occurrence: n, step: i, state: o.Steps[i], order: order, advised: queue != nil && queue.AdviceMs > 0}
@@ -141,15 +143,6 @@
 	return list
 }
 
-func ready(o *jobpb.Occurrence, step *jobpb.Step) bool {
-	for _, before := range step.After {
-		if !state.StepDone(o.Steps[before]) {
-			return false
-		}
-	}
-	return true
-}
-
 func hasWaiting(step *jobpb.Step, st *jobpb.StepState) bool {
 	for _, t := range st.Tasks {
 		if !t.Done && t.Worker == "" {
@@ -230,7 +223,7 @@
 		if t.Done || t.Worker != "" {
 			continue
 		}
-		w := p.choose(c.job.Pool, key, step, tickets, "")
+		w := p.chooseSpread(c.job.Pool, key, step, tickets)
 		if w == nil {
 			return
 		}
@@ -302,6 +295,21 @@
 	return n
 }
 
+// chooseSpread prefers workers that can go out without taking more tasks of a
+// lasting step with them than may be away.
+func (p *planner) chooseSpread(pool string, key StepKey, step *jobpb.Step, tickets map[string]string) *Worker {
+	limit := step.MaxUnavailable
+	if !step.Lasting || limit == 0 || step.MaxPerWorker > 0 && step.MaxPerWorker <= limit {
+		return p.choose(pool, key, step, tickets, "")
+	}
+	spread := proto.Clone(step).(*jobpb.Step)
+	spread.MaxPerWorker = limit
+	if w := p.choose(pool, key, spread, tickets, ""); w != nil {
+		return w
+	}
+	return p.choose(pool, key, step, tickets, "")
+}
+
 // choose returns the worker for one more task of a step, nil if none has room.
 func (p *planner) choose(pool string, key StepKey, step *jobpb.Step, tickets map[string]string, rack string) *Worker {
 	var best *Worker
@@ -341,14 +349,9 @@
 	if step.Lasting && a.Fill != b.Fill {
 		return a.Fill < b.Fill
 	}
-	if step.Lasting || step.Fill {
-		if a.CPU != b.CPU {
-			return a.CPU > b.CPU
-		}
-		return a.ID < b.ID
-	}
+	// The fullest worker that fits: what stays empty can leave the pool.
 	if a.CPU != b.CPU {
-		return a.CPU > b.CPU
+		return a.CPU < b.CPU
 	}
 	return a.ID < b.ID
 }
--- a/job/state/state.go
+++ b/job/state/state.go
@@ -359,6 +359,16 @@
 	return true
 }
 
+// Ready reports whether all steps before a step of an occurrence are done.
+func Ready(o *jobpb.Occurrence, step *jobpb.Step) bool {
+	for _, before := range step.After {
+		if !StepDone(o.Steps[before]) {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *Store) registerWorker(w *jobpb.Worker) bool {
 	known := s.workers[w.Id]
 	if known != nil && known.BornMs > w.BornMs {
--- a/process/jobs/orders.go
+++ b/process/jobs/orders.go
@@ -108,6 +108,7 @@
 	Up       bool // neither moving nor out for upkeep nor down
 	Zone     string
 	Rack     string
+	Cores    float64
 	WorkerID string
 }
 
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -47,6 +47,7 @@
 	starting map[state.TaskKey]bool // starts between the plan and their order's outcome
 	estimate *estimates
 	upkeep   *upkeepDriver
+	moves    *moveDriver
 	advice   *adviceDriver
 	forgotAt time.Duration
 }
@@ -60,6 +61,7 @@
 		queues: map[string]*jobpb.Queue{}, starting: map[state.TaskKey]bool{}, estimate: newEstimates(), dirty: true,
 	}
 	s.upkeep = newUpkeepDriver(s)
+	s.moves = newMoveDriver(s)
 	s.advice = newAdviceDriver(s)
 	return s
 }
@@ -120,6 +122,7 @@
 	}
 	s.forgetJobs(now)
 	s.upkeep.round(now)
+	s.moves.round(now)
 	if s.dirty {
 		s.plan(now)
 	}
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -100,6 +100,7 @@
 	if !applied {
 		return known(s.knownIn(id), key)
 	}
+	s.post(func() { s.moves.arrived(j) })
 	s.log.Info().Str("request", id).Str("queue", key).Uint64("configuration", s.queuesAt).Int("steps", len(j.Steps)).Msg("job accepted")
 	return &jobpb.Response{}
 }
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -21,7 +21,8 @@
 	upkeepPatience  = 1500 * time.Millisecond // that a machine's short tasks are given to end
 	upkeepInterval  = 50 * time.Millisecond   // between looks at the waves
 	fullPercent     = 100
-	upkeepLookahead = 1 // machines that are emptied beyond those that may be out
+	spreadInterval  = 2500 * time.Millisecond // in which a stopped run is seen at work elsewhere
+	upkeepLookahead = 1                       // machines that are emptied beyond those that may be out
 )
 
 // machineState is what this term knows of one machine of a wave.
@@ -29,6 +30,7 @@
 	ordering    bool
 	retryAt     time.Duration
 	confirmedAt time.Duration // when the platform confirmed the upkeep
+	waits       bool          // a lasting step holds the upkeep up
 	cordonedAt  time.Duration // when new tasks were kept away, 0 if they are not
 }
 
@@ -42,6 +44,7 @@
 	listing  bool
 	nextList time.Duration
 	next     time.Duration
+	spreadAt time.Duration // before which no run is stopped to spread its step
 }
 
 func newUpkeepDriver(s *session) *upkeepDriver {
@@ -76,9 +79,6 @@
 				open = append(open, w)
 			}
 		}
-		if len(open) == 0 {
-			return
-		}
 		u.list(now)
 		if u.listed == nil || now < u.s.began+u.s.c.o.Bounds.HolderGap {
 			return
@@ -165,7 +165,7 @@
 		if i < room+upkeepLookahead && m.cordonedAt == 0 {
 			m.cordonedAt = now
 		}
-		if room <= 0 || m.cordonedAt == 0 || now < m.retryAt {
+		if room <= 0 || m.cordonedAt == 0 || now < m.retryAt || u.s.moves.moving[wm.Machine] != nil {
 			continue
 		}
 		worker := u.listed[wm.Machine].WorkerID
@@ -173,7 +173,9 @@
 		if !idle && !hurry && now < m.cordonedAt+upkeepPatience {
 			continue
 		}
-		if !u.available(st, worker) {
+		if blocker := u.blocker(st, worker); blocker != nil {
+			u.explainWait(w, wm.Machine, blocker)
+			u.spread(now, blocker)
 			continue
 		}
 		room--
@@ -213,19 +215,49 @@
 	return n
 }
 
-// available reports whether all that runs on a worker may be ended without
-// leaving a lasting step with more tasks away than it allows.
-func (u *upkeepDriver) available(st *state.Store, workerID string) bool {
+// blocker returns a run that must not be ended now, since its lasting step would
+// have more tasks away than it allows; nil if there is none.
+func (u *upkeepDriver) blocker(st *state.Store, workerID string) *state.Placement {
 	ending := map[*jobpb.StepState]int{}
 	for _, p := range st.Placed(workerID) {
 		if p.Step.Lasting && p.Step.MaxUnavailable > 0 && !state.Ended(p.Job) {
 			ending[p.State]++
 			if u.away(p)+ending[p.State] > int(p.Step.MaxUnavailable) {
-				return false
+				return p
 			}
 		}
 	}
-	return true
+	return nil
+}
+
+// spread stops a run whose step has more tasks on one machine than may be away,
+// so that it begins elsewhere before the machine goes out.
+func (u *upkeepDriver) spread(now time.Duration, p *state.Placement) {
+	w := u.s.workers[p.Task.Worker]
+	if w == nil || u.away(p) >= int(p.Step.MaxUnavailable) || now < u.spreadAt || !u.atWork(w, p) {
+		return
+	}
+	u.spreadAt = now + spreadInterval
+	u.s.log.Info().Str("request", p.Ref.Job).Uint32("step", p.Ref.Step).Uint32("task", p.Ref.Index).Str("worker", w.info.Id).
+		Msg("run stopped: its step has too many tasks on one machine")
+	u.s.sendStop(w, p.Ref, p.Task.Run, func(bool) {})
+}
+
+// atWork reports whether a run was fully at work in its worker's last list.
+func (u *upkeepDriver) atWork(w *workerState, p *state.Placement) bool {
+	run, known := w.load[state.Key(p.Ref)]
+	return known && run.Run == p.Task.Run && run.Percent >= fullPercent
+}
+
+// explainWait logs which step holds an upkeep up, once for each machine.
+func (u *upkeepDriver) explainWait(w *jobpb.Wave, machine string, p *state.Placement) {
+	m := u.machine(machine)
+	if m.waits {
+		return
+	}
+	m.waits = true
+	u.s.log.Info().Uint64("wave", w.Number).Str("machine", machine).Str("request", p.Ref.Job).Uint32("step", p.Ref.Step).
+		Int("away", u.away(p)).Uint32("allowed", p.Step.MaxUnavailable).Msg("upkeep waits for a lasting step")
 }
 
 // away counts the other tasks of a lasting step that are not fully at work. A
@@ -251,6 +283,12 @@
 	return n
 }
 
+// busy reports whether a machine goes out for upkeep now, or is out.
+func (u *upkeepDriver) busy(machine string) bool {
+	m := u.machines[machine]
+	return m != nil && (m.ordering || m.cordonedAt > 0 || u.listedAt <= m.confirmedAt && m.confirmedAt > u.s.began)
+}
+
 // leaving reports whether the order for a worker's machine is on its way.
 func (u *upkeepDriver) leaving(worker string) bool {
 	m := u.machines[u.byWorker[worker]]
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -17,15 +17,15 @@
 
 // Timings of orders to workers.
 const (
-	orderTimeout   = 900 * time.Millisecond  // of an order's answer
-	holdWait       = time.Second              // how long a worker may wait for an end
-	holdRetry      = 200 * time.Millisecond  // after a hold without an answer
-	stopRetry      = 400 * time.Millisecond  // between stops of the same run
-	silentReports  = 3                       // report intervals after which a worker without a report gets no new task
-	goneReports    = 3                       // and after which it may be dropped, once its leases have lapsed
-	leaveGrace     = time.Second             // after a worker has said that it ends
-	refusedPause   = 300 * time.Millisecond  // without starts on a worker that refused one
-	failurePenalty = 4 * time.Second         // for which a failed run counts against a worker
+	orderTimeout   = 900 * time.Millisecond // of an order's answer
+	holdWait       = time.Second            // how long a worker may wait for an end
+	holdRetry      = 200 * time.Millisecond // after a hold without an answer
+	stopRetry      = 400 * time.Millisecond // between stops of the same run
+	silentReports  = 3                      // report intervals after which a worker without a report gets no new task
+	goneReports    = 3                      // and after which it may be dropped, once its leases have lapsed
+	leaveGrace     = time.Second            // after a worker has said that it ends
+	refusedPause   = 300 * time.Millisecond // without starts on a worker that refused one
+	failurePenalty = 4 * time.Second        // for which a failed run counts against a worker
 )
 
 // runState is what this term knows of the order behind a placed run.
@@ -556,7 +556,7 @@
 	interval := s.c.o.Bounds.ReportInterval
 	for id, w := range s.workers {
 		if !w.track.Looked || w.draining || w.silent || w.dropping || w.left > 0 || now < w.pausedTo ||
-			s.silentFor(now, w) > silentReports*interval || s.upkeep.cordoned(id) {
+			s.silentFor(now, w) > silentReports*interval || s.upkeep.cordoned(id) || s.moves.leaving(id) {
 			continue
 		}
 		sw := &schedule.Worker{ID: id, BornMs: w.info.BornMs, Pool: w.info.Pool, Labels: w.info.Labels, Rack: rackOf(w.info.Labels),
