Count a task that is being stopped as away; keep more machines ready

Bursts found pools with one spare machine.

Change: a stop that was sent counts until the run has ended; four spare machines a pool; three arrivals in 0.3 s are the begin of a burst; run times are learned by queue; jobs that are too late ask for two machines at most.

--- a/job/capacity/capacity.go
+++ b/job/capacity/capacity.go
@@ -22,11 +22,17 @@
 	Keep time.Duration
 	// Window is the time over which arriving work is averaged.
 	Window time.Duration
+	// Onset is a shorter one, in which OnsetJobs arrivals are the begin of a burst:
+	// Rise times their rate is expected until moved machines arrive.
+	Onset     time.Duration
+	OnsetJobs int
+	Rise      float64
 }
 
 // Default returns the settings in use.
 func Default() Settings {
-	return Settings{Fill: 0.9, Spare: 1, Keep: 2 * time.Second, Window: time.Second}
+	return Settings{Fill: 0.9, Spare: 4, Keep: 2 * time.Second, Window: time.Second,
+		Onset: 300 * time.Millisecond, OnsetJobs: 3, Rise: 1.6}
 }
 
 // Pool is a pool with its demand.
@@ -191,11 +197,18 @@
 		n++
 	}
 	t.arrivals = t.arrivals[n:]
-	arriving := 0.0
+	arriving, onset, onsetJobs := 0.0, 0.0, 0
 	for _, a := range t.arrivals {
 		arriving += a.work
+		if now-a.at <= t.set.Onset {
+			onset += a.work
+			onsetJobs++
+		}
 	}
 	cores := max(live, arriving/t.set.Window.Seconds())
+	if onsetJobs >= t.set.OnsetJobs {
+		cores = max(cores, t.set.Rise*onset/t.set.Onset.Seconds())
+	}
 	for len(t.levels) > 0 && t.levels[len(t.levels)-1].cores <= cores {
 		t.levels = t.levels[:len(t.levels)-1]
 	}
--- /dev/null
+++ b/job/schedule/estimate.go
@@ -0,0 +1,78 @@
+package schedule
+
+import (
+	"math"
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+)
+
+// Estimates predicts run times. A declared time may say much or nothing, by
+// queue: it is weighed against the queue's mean by how well either has predicted
+// the runs seen so far. The zero value is not usable; see NewEstimates.
+type Estimates struct {
+	queues map[string]*history
+}
+
+// history holds the logarithms of a queue's run times, and of their ratio to the
+// declared ones.
+type history struct {
+	actual, ratio moments
+}
+
+// moments is a running mean and variance that forgets old values.
+type moments struct {
+	n, mean, variance float64
+}
+
+const (
+	memoryRuns   = 300.0 // about as many runs determine a mean
+	minRuns      = 8     // before which the declared time stands
+	minVariance  = 0.01  // of a logarithm, so that no weight becomes infinite
+	minEstimate  = 20 * time.Millisecond
+	maxEstimate  = time.Hour
+	declaredZero = 500 * time.Millisecond // for a step that declares no time
+)
+
+func (m *moments) add(x float64) {
+	m.n = min(m.n+1, memoryRuns)
+	d := x - m.mean
+	m.mean += d / m.n
+	m.variance += (d*(x-m.mean) - m.variance) / m.n
+}
+
+// NewEstimates returns estimates without history.
+func NewEstimates() *Estimates { return &Estimates{queues: map[string]*history{}} }
+
+func declared(step *jobpb.Step) time.Duration {
+	if step.EstimatedMs == 0 {
+		return declaredZero
+	}
+	return time.Duration(step.EstimatedMs) * time.Millisecond
+}
+
+// Add takes the run time of a task that has ended as done.
+func (e *Estimates) Add(queue string, step *jobpb.Step, actual time.Duration) {
+	h := e.queues[queue]
+	if h == nil {
+		h = &history{}
+		e.queues[queue] = h
+	}
+	a := math.Log(max(actual, time.Millisecond).Seconds())
+	h.actual.add(a)
+	h.ratio.add(a - math.Log(declared(step).Seconds()))
+}
+
+// Of returns the expected run time of a task.
+func (e *Estimates) Of(queue string, step *jobpb.Step) time.Duration {
+	d := declared(step)
+	h := e.queues[queue]
+	if h == nil || h.actual.n < minRuns {
+		return d
+	}
+	byMean := h.actual.mean + h.actual.variance/2
+	byDeclared := math.Log(d.Seconds()) + h.ratio.mean + h.ratio.variance/2
+	trust := (h.actual.variance + minVariance) / (h.actual.variance + h.ratio.variance + 2*minVariance)
+	seconds := math.Exp(trust*byDeclared + (1-trust)*byMean)
+	return min(max(time.Duration(seconds*float64(time.Second)), minEstimate), maxEstimate)
+}
--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -56,9 +56,8 @@
 	Workers []*Worker
 	// Advice returns the workers on which a step of a queue with an advisor may
 	// run, with their tickets. ok is false while it is not known.
-	Advice func(step StepKey) (tickets map[string]string, ok bool)
-	// Estimate corrects a declared run time.
-	Estimate func(queue string, step *jobpb.Step) time.Duration
+	Advice    func(step StepKey) (tickets map[string]string, ok bool)
+	Estimates *Estimates
 }
 
 // candidate is a step with tasks to start.
@@ -164,34 +163,53 @@
 // order returns a job's place: the time by which its next step must start for the
 // job to be in time, behind all others once that has passed.
 func (p *planner) order(j *jobpb.Job, o *jobpb.Occurrence, q *jobpb.Queue, due int64) int64 {
+	latest := latestStart(p.in.Estimates, j, o, q, due)
+	if latest < p.in.NowMs {
+		return lateCost + j.AcceptedMs
+	}
+	return latest
+}
+
+// latestStart returns the Unix time in ms by which the next step of an occurrence
+// must start for the job to be in time. due counts for jobs that repeat only.
+func latestStart(e *Estimates, j *jobpb.Job, o *jobpb.Occurrence, q *jobpb.Queue, due int64) int64 {
 	begin := j.AcceptedMs
 	if j.Repetitions > 0 {
 		begin = due
 	}
-	whole, left := p.chains(j, o, q)
+	whole, left := chains(e, j, o)
 	stretch, target := 1.0, int64(0)
 	if q != nil {
 		stretch, target = q.Stretch, int64(q.TargetMs)
 	}
-	latest := begin + int64(stretch*float64(whole.Milliseconds())) + target - left.Milliseconds()
-	if latest < p.in.NowMs {
-		return lateCost + j.AcceptedMs
+	return begin + int64(stretch*float64(whole.Milliseconds())) + target - left.Milliseconds()
+}
+
+// TooLate reports whether a job without repetitions can no longer be in time.
+func TooLate(e *Estimates, j *jobpb.Job, q *jobpb.Queue, nowMs int64) bool {
+	if j.Repetitions > 0 {
+		return false
 	}
-	return latest
+	for _, step := range j.Steps {
+		if step.Lasting {
+			return false
+		}
+	}
+	o := state.OccurrenceOf(j, 0)
+	if o == nil {
+		o = &jobpb.Occurrence{}
+	}
+	return latestStart(e, j, o, q, 0) < nowMs
 }
 
 // chains returns the longest chain of work of an occurrence, and of what is left of it.
-func (p *planner) chains(j *jobpb.Job, o *jobpb.Occurrence, q *jobpb.Queue) (whole, left time.Duration) {
+func chains(e *Estimates, j *jobpb.Job, o *jobpb.Occurrence) (whole, left time.Duration) {
 	ends := make([]time.Duration, len(j.Steps))
 	rests := make([]time.Duration, len(j.Steps))
 	for i, step := range j.Steps {
-		key := ""
-		if q != nil {
-			key = j.Queue
-		}
-		d := p.in.Estimate(key, step)
+		d := e.Of(j.Queue, step)
 		rest := d
-		if state.StepDone(o.Steps[i]) {
+		if i < len(o.Steps) && state.StepDone(o.Steps[i]) {
 			rest = 0
 		}
 		for _, before := range step.After {
--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -9,6 +9,7 @@
 
 	"marjoramtiller.example/marjoramtiller/job/capacity"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/schedule"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
@@ -18,6 +19,9 @@
 	moveInterval    = 100 * time.Millisecond // between looks at the demand
 	moveTimeout     = 4 * time.Second        // after which a moved machine is planned with as listed
 	moveRetry       = time.Second
+	// lateCores bounds the cores that are kept for jobs that are too late: they
+	// are worth little more than the machines they take.
+	lateCores = 128.0
 )
 
 // moving is a move of this term.
@@ -57,7 +61,7 @@
 		if step.Lasting || j.Repetitions > 0 {
 			return
 		}
-		work += float64(step.Count) * coresOf(step) * d.s.estimate.of(j.Queue, step).Seconds()
+		work += float64(step.Count) * coresOf(step) * d.s.estimate.Of(j.Queue, step).Seconds()
 	}
 	d.tracker(j.Pool).Arrived(d.s.now(), work)
 }
@@ -133,8 +137,19 @@
 // pools returns the pools of the configuration with their demand.
 func (d *moveDriver) pools(now time.Duration, st *state.Store) []capacity.Pool {
 	live := map[string]float64{}
+	late := map[string]float64{}
+	nowMs := d.s.nowMs()
 	for _, j := range st.Open() {
-		live[j.Pool] += liveCores(j, d.s.nowMs())
+		running, waiting := liveCores(j, nowMs)
+		live[j.Pool] += running
+		if waiting > 0 && schedule.TooLate(d.s.estimate, j, d.s.queues[j.Queue], nowMs) {
+			late[j.Pool] += waiting
+		} else {
+			live[j.Pool] += waiting
+		}
+	}
+	for pool, cores := range late {
+		live[pool] += min(cores, lateCores)
 	}
 	var pools []capacity.Pool
 	for _, p := range st.Configuration().Pools {
@@ -143,28 +158,31 @@
 	return pools
 }
 
-// liveCores returns the cores of a job's tasks that run or whose turn has come.
-func liveCores(j *jobpb.Job, nowMs int64) float64 {
-	cores := 0.0
+// liveCores returns the cores of a job's tasks that run, and of those whose turn
+// has come.
+func liveCores(j *jobpb.Job, nowMs int64) (running, waiting float64) {
 	if j.State == jobpb.Job_QUEUED && (j.Repetitions == 0 || j.FirstDueMs <= nowMs) {
 		for _, step := range j.Steps {
 			if len(step.After) == 0 {
-				cores += float64(step.Count) * coresOf(step)
+				waiting += float64(step.Count) * coresOf(step)
 			}
 		}
-		return cores
+		return 0, waiting
 	}
 	for _, o := range j.Occurrences {
 		for i, st := range o.Steps {
 			ready := !state.Ended(j) && state.Ready(o, j.Steps[i])
 			for _, t := range st.Tasks {
-				if t.Worker != "" || ready && !t.Done {
-					cores += coresOf(j.Steps[i])
+				switch {
+				case t.Worker != "":
+					running += coresOf(j.Steps[i])
+				case ready && !t.Done:
+					waiting += coresOf(j.Steps[i])
 				}
 			}
 		}
 	}
-	return cores
+	return running, waiting
 }
 
 // machines returns the machines that the plan may count on.
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -45,7 +45,7 @@
 	queues   map[string]*jobpb.Queue
 	queuesAt uint64                 // configuration version of queues
 	starting map[state.TaskKey]bool // starts between the plan and their order's outcome
-	estimate *estimates
+	estimate *schedule.Estimates
 	upkeep   *upkeepDriver
 	moves    *moveDriver
 	advice   *adviceDriver
@@ -58,7 +58,7 @@
 		c: c, term: term, ctx: ctx, cancel: cancel, log: c.log.With().Uint64("term", term).Logger(),
 		done: make(chan struct{}), events: make(chan func(), eventQueue),
 		began: c.o.Clock.Now(), workers: map[string]*workerState{}, fences: map[string]uint64{},
-		queues: map[string]*jobpb.Queue{}, starting: map[state.TaskKey]bool{}, estimate: newEstimates(), dirty: true,
+		queues: map[string]*jobpb.Queue{}, starting: map[state.TaskKey]bool{}, estimate: schedule.NewEstimates(), dirty: true,
 	}
 	s.upkeep = newUpkeepDriver(s)
 	s.moves = newMoveDriver(s)
@@ -221,7 +221,7 @@
 	s.view(func(st *state.Store) {
 		s.refreshQueues(st)
 		in := schedule.Input{NowMs: s.nowMs(), Store: st, Queues: s.queues, Workers: s.usable(now, st),
-			Advice: s.advice.tickets, Estimate: s.estimate.of}
+			Advice: s.advice.tickets, Estimates: s.estimate}
 		for _, start := range schedule.Plan(in) {
 			s.addStart(start)
 		}
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -240,7 +240,7 @@
 	u.spreadAt = now + spreadInterval
 	u.s.log.Info().Str("request", p.Ref.Job).Uint32("step", p.Ref.Step).Uint32("task", p.Ref.Index).Str("worker", w.info.Id).
 		Msg("run stopped: its step has too many tasks on one machine")
-	u.s.sendStop(w, p.Ref, p.Task.Run, func(bool) {})
+	u.s.stopRun(now, w, state.Key(p.Ref), p)
 }
 
 // atWork reports whether a run was fully at work in its worker's last list.
@@ -276,7 +276,8 @@
 		key := state.Key(p.Ref)
 		key.Index = uint32(i)
 		run, known := w.load[key]
-		if !known || run.Run != t.Run || run.Percent < fullPercent {
+		stopping := w.runs[key] != nil && w.runs[key].run == t.Run && w.runs[key].stopAt > 0
+		if !known || run.Run != t.Run || run.Percent < fullPercent || stopping {
 			n++
 		}
 	}
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -336,12 +336,16 @@
 func (s *session) takeEnd(w *workerState, e EndedRun, st *state.Store) {
 	key := state.Key(e.Task)
 	p := st.Placed(w.info.Id)[key]
+	r := w.runs[key]
 	delete(w.runs, key)
 	delete(w.load, key)
 	if p == nil || p.Task.Run != e.Run {
 		return
 	}
 	now := s.now()
+	if e.How == jobpb.How_DONE && r != nil && r.okAt > 0 && p.Task.Checkpoint == "" {
+		s.estimate.Add(p.Job.Queue, p.Step, now-r.okAt)
+	}
 	s.log.Info().Str("request", e.Task.Job).Uint32("step", e.Task.Step).Uint32("task", e.Task.Index).Uint32("run", e.Run).
 		Str("worker", w.info.Id).Uint64("end", e.Number).Str("how", e.How.String()).Msg("run ended")
 	if e.How == jobpb.How_FAILED {
@@ -416,27 +420,31 @@
 // stopEnded stops the runs of jobs that have ended, and lasting ones on workers that leave.
 func (s *session) stopEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) {
 	for key, p := range placed {
-		if !state.Ended(p.Job) && !(w.draining && p.Step.Lasting) {
-			continue
+		if state.Ended(p.Job) || w.draining && p.Step.Lasting {
+			s.stopRun(now, w, key, p)
 		}
-		r := w.runs[key]
-		if r == nil || r.run != p.Task.Run {
-			r = &runState{run: p.Task.Run, fence: w.track.Fence()}
-			w.runs[key] = r
-		}
-		if r.stopAt > 0 && now < r.stopAt+stopRetry || s.starting[key] {
-			continue
-		}
-		r.stopAt = now
-		run := r
-		s.sendStop(w, p.Ref, p.Task.Run, func(ok bool) {
-			if ok {
-				run.stopOkAt = s.now()
-			}
-		})
 	}
 }
 
+// stopRun stops a placed run, unless its start is still on its way or it was told
+// to stop a moment ago.
+func (s *session) stopRun(now time.Duration, w *workerState, key state.TaskKey, p *state.Placement) {
+	r := w.runs[key]
+	if r == nil || r.run != p.Task.Run {
+		r = &runState{run: p.Task.Run, fence: w.track.Fence()}
+		w.runs[key] = r
+	}
+	if r.stopAt > 0 && now < r.stopAt+stopRetry || s.starting[key] {
+		return
+	}
+	r.stopAt = now
+	s.sendStop(w, p.Ref, p.Task.Run, func(ok bool) {
+		if ok {
+			r.stopOkAt = s.now()
+		}
+	})
+}
+
 func (s *session) sendStop(w *workerState, task *jobpb.TaskRef, run uint32, then func(ok bool)) {
 	to := Target{ID: w.info.Id, Address: w.info.Address}
 	o := RunOrder{Task: task, Run: run, Fence: w.track.Fence()}
