Let waiting work take machines that another pool only keeps ready

Change: the plan first covers what runs and waits, from all idle machines, and then what is expected. A burst is seen from four arrivals in 0.5 s.

--- a/job/capacity/capacity.go
+++ b/job/capacity/capacity.go
@@ -32,14 +32,16 @@
 // Default returns the settings in use.
 func Default() Settings {
 	return Settings{Fill: 0.9, Spare: 4, Keep: 2 * time.Second, Window: time.Second,
-		Onset: 300 * time.Millisecond, OnsetJobs: 3, Rise: 1.6}
+		Onset: 500 * time.Millisecond, OnsetJobs: 4, Rise: 1.4}
 }
 
 // Pool is a pool with its demand.
 type Pool struct {
 	Name    string
 	Standby bool
-	// Cores is the demand, as Tracker.Cores returns it.
+	// Live is the demand of the tasks that run or wait for a worker, in cores.
+	Live float64
+	// Cores is the demand that is planned with, as Tracker.Cores returns it.
 	Cores float64
 }
 
@@ -57,45 +59,40 @@
 // Move puts a machine into another pool.
 type Move struct{ Machine, From, To string }
 
-// Plan returns the moves to order now.
+// Plan returns the moves to order now. Work that waits goes before work that is
+// expected: it may take idle machines that another pool keeps ready.
 func Plan(set Settings, pools []Pool, machines []Machine) []Move {
 	p := newPlan(set, pools, machines)
-	needy := slices.Clone(pools)
-	slices.SortFunc(needy, func(a, b Pool) int {
-		return cmp.Or(cmp.Compare(p.surplus[a.Name], p.surplus[b.Name]), cmp.Compare(a.Name, b.Name))
-	})
-	for _, pool := range needy {
-		for !pool.Standby && p.surplus[pool.Name] < 0 {
-			if !p.take(pool.Name) {
-				break
-			}
-		}
-	}
+	p.supply(p.beyondLive)
+	p.supply(p.surplus)
 	p.park()
 	return p.moves
 }
 
 type plan struct {
-	pools   []Pool
-	standby string
-	isOff   map[string]bool
-	idle    map[string][]Machine // by pool
-	surplus map[string]int       // machines beyond the wanted ones
-	moves   []Move
+	pools      []Pool
+	standby    string
+	isOff      map[string]bool
+	idle       map[string][]Machine // by pool
+	beyondLive map[string]int       // machines beyond those that the live demand needs
+	surplus    map[string]int       // machines beyond those that are planned with
+	moves      []Move
 }
 
 func newPlan(set Settings, pools []Pool, machines []Machine) *plan {
-	p := &plan{pools: pools, isOff: map[string]bool{}, idle: map[string][]Machine{}, surplus: map[string]int{}}
+	p := &plan{pools: pools, isOff: map[string]bool{}, idle: map[string][]Machine{},
+		beyondLive: map[string]int{}, surplus: map[string]int{}}
 	var cores, n float64
 	for _, m := range machines {
 		cores += m.Cores
 		n++
 		p.surplus[m.Pool]++
+		p.beyondLive[m.Pool]++
 		if m.Idle && !m.Arriving {
 			p.idle[m.Pool] = append(p.idle[m.Pool], m)
 		}
 	}
-	size := cores / max(1, n) * set.Fill
+	size := max(cores/max(1, n)*set.Fill, 1)
 	for _, pool := range pools {
 		if pool.Standby {
 			p.isOff[pool.Name] = true
@@ -104,9 +101,8 @@
 			}
 			continue
 		}
-		if size > 0 {
-			p.surplus[pool.Name] -= int(math.Ceil(pool.Cores/size)) + set.Spare
-		}
+		p.beyondLive[pool.Name] -= int(math.Ceil(pool.Live / size))
+		p.surplus[pool.Name] -= int(math.Ceil(pool.Cores/size)) + set.Spare
 	}
 	for _, list := range p.idle {
 		slices.SortFunc(list, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
@@ -114,15 +110,34 @@
 	return p
 }
 
+// supply gives machines to the pools that lack some by one of the measures, the
+// neediest first.
+func (p *plan) supply(measure map[string]int) {
+	for {
+		to := ""
+		for _, pool := range p.pools {
+			if pool.Standby || measure[pool.Name] >= 0 {
+				continue
+			}
+			if to == "" || measure[pool.Name] < measure[to] {
+				to = pool.Name
+			}
+		}
+		if to == "" || !p.take(to, measure) {
+			return
+		}
+	}
+}
+
 // take moves one idle machine into a pool: from standby, else from the pool with
-// the largest surplus.
-func (p *plan) take(to string) bool {
+// most to spare by the measure.
+func (p *plan) take(to string, measure map[string]int) bool {
 	from := ""
 	for name, list := range p.idle {
-		if len(list) == 0 || name == to || !p.isOff[name] && p.surplus[name] <= 0 {
+		if len(list) == 0 || name == to || !p.isOff[name] && measure[name] <= 0 {
 			continue
 		}
-		if from == "" || p.better(name, from) {
+		if from == "" || p.better(name, from, measure) {
 			from = name
 		}
 	}
@@ -133,12 +148,12 @@
 	return true
 }
 
-func (p *plan) better(a, b string) bool {
+func (p *plan) better(a, b string, measure map[string]int) bool {
 	if p.isOff[a] != p.isOff[b] {
 		return p.isOff[a]
 	}
-	if p.surplus[a] != p.surplus[b] {
-		return p.surplus[a] > p.surplus[b]
+	if measure[a] != measure[b] {
+		return measure[a] > measure[b]
 	}
 	return a < b
 }
@@ -149,6 +164,8 @@
 	p.idle[from] = list[:len(list)-1]
 	p.surplus[from]--
 	p.surplus[to]++
+	p.beyondLive[from]--
+	p.beyondLive[to]++
 	p.moves = append(p.moves, Move{Machine: m.Name, From: from, To: to})
 }
 
--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -112,7 +112,7 @@
 	}
 	event := d.s.log.Info()
 	for _, p := range pools {
-		event.Dict(p.Name, zerolog.Dict().Float64("cores", p.Cores).Int("machines", count[p.Name]).Int("idle", idle[p.Name]))
+		event.Dict(p.Name, zerolog.Dict().Float64("live", p.Live).Float64("cores", p.Cores).Int("machines", count[p.Name]).Int("idle", idle[p.Name]))
 	}
 	event.Int("moving", len(d.moving)).Dur("list_age", now-d.s.upkeep.listedAt).Msg("pools")
 }
@@ -153,7 +153,7 @@
 	}
 	var pools []capacity.Pool
 	for _, p := range st.Configuration().Pools {
-		pools = append(pools, capacity.Pool{Name: p.Name, Standby: p.Standby, Cores: d.tracker(p.Name).Cores(now, live[p.Name])})
+		pools = append(pools, capacity.Pool{Name: p.Name, Standby: p.Standby, Live: live[p.Name], Cores: d.tracker(p.Name).Cores(now, live[p.Name])})
 	}
 	return pools
 }
