--- /dev/null
+++ b/standin/executor/machines.go
@@ -0,0 +1,109 @@
+package executor
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+)
+
+// Machines is a stand-in for the machine service.
+type Machines struct {
+	Address string
+	// Taken is called when a machine's executor ends for a move or an upkeep.
+	Taken func(machine, executor string)
+
+	server *http.Server
+	mu     sync.Mutex
+	list   []*Machine
+	orders []Order
+}
+
+// Machine is one machine.
+type Machine struct {
+	Name  string `json:"machine"`
+	Pool  string `json:"pool"`
+	State string `json:"state"`
+	ID    string `json:"id"`
+}
+
+// Order is an order that was carried out.
+type Order struct {
+	Path, Machine, Pool, Holder, Fence string
+}
+
+// OpenMachines starts the service on a loopback address.
+func OpenMachines(list ...*Machine) (*Machines, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	m := &Machines{Address: l.Addr().String(), list: list}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /machines", m.serveList)
+	mux.HandleFunc("POST /machine-move", m.order)
+	mux.HandleFunc("POST /machine-upkeep", m.order)
+	m.server = &http.Server{Handler: mux}
+	go func() { _ = m.server.Serve(l) }()
+	return m, nil
+}
+
+// Close stops the service.
+func (m *Machines) Close() { _ = m.server.Close() }
+
+// Orders returns the orders that were carried out.
+func (m *Machines) Orders() []Order {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.orders)
+}
+
+// Back sets a machine up again, with a new executor.
+func (m *Machines) Back(machine, executor string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, x := range m.list {
+		if x.Name == machine {
+			x.State, x.ID = "up", executor
+		}
+	}
+}
+
+func (m *Machines) serveList(w http.ResponseWriter, _ *http.Request) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(map[string]any{"machines": m.list, "next-page-token": nil})
+}
+
+func (m *Machines) order(w http.ResponseWriter, r *http.Request) {
+	var b struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	m.mu.Lock()
+	i := slices.IndexFunc(m.list, func(x *Machine) bool { return x.Name == b.Machine })
+	if i < 0 || m.list[i].State != "up" {
+		m.mu.Unlock()
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(map[string]any{"reason": "busy"})
+		return
+	}
+	x := m.list[i]
+	ended := x.ID
+	x.State, x.ID = "upkeep", ""
+	if b.Pool != "" {
+		x.State, x.Pool = "moving", b.Pool
+	}
+	m.orders = append(m.orders, Order{Path: r.URL.Path, Machine: b.Machine, Pool: b.Pool,
+		Holder: r.Header.Get("X-Duty-Holder"), Fence: r.Header.Get("X-Fencing-Token")})
+	m.mu.Unlock()
+	if m.Taken != nil {
+		m.Taken(b.Machine, ended)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{})
+}
