--- /dev/null
+++ b/job/capacity/capacity_test.go
@@ -0,0 +1,103 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func machines(pool string, n int, idle bool) (list []Machine) {
+	for i := range n {
+		list = append(list, Machine{Name: fmt.Sprint(pool, i), Pool: pool, Cores: 10, Idle: idle})
+	}
+	return list
+}
+
+func settings() Settings {
+	s := Default()
+	s.Fill, s.Spare = 1, 1
+	return s
+}
+
+// Guards against work that waits while another pool keeps idle machines ready
+// for work that it only expects.
+func TestWaitingWorkTakesReadyMachines(t *testing.T) {
+	is := is.New(t)
+	pools := []Pool{{Name: "busy", Live: 40, Cores: 40}, {Name: "ready", Live: 0, Cores: 60}}
+	moves := Plan(settings(), pools, append(machines("busy", 2, false), machines("ready", 6, true)...))
+	is.Equal(len(moves), 2)
+	for _, m := range moves {
+		is.Equal(m.To, "busy")
+	}
+}
+
+// Guards against idle machines that stay in a pool although standby costs nothing,
+// and against a pool that is left without its spare machines.
+func TestSurplusGoesOnStandby(t *testing.T) {
+	is := is.New(t)
+	pools := []Pool{{Name: "a", Live: 20, Cores: 20}, {Name: "off", Standby: true}}
+	moves := Plan(settings(), pools, append(machines("a", 2, false), machines("a", 5, true)...))
+	is.Equal(len(moves), 4)
+	is.Equal(moves[0].To, "off")
+	is.Equal(len(Plan(settings(), pools[:1], machines("a", 7, true))), 0) // nowhere to put them
+}
+
+// Guards against machines that are ordered again while they are on their way.
+func TestArrivingMachinesCount(t *testing.T) {
+	is := is.New(t)
+	pools := []Pool{{Name: "a", Live: 30, Cores: 30}, {Name: "off", Standby: true}}
+	list := append(machines("off", 9, true), machines("a", 1, false)...)
+	for _, m := range Plan(settings(), pools, list) {
+		for i := range list {
+			if list[i].Name == m.Machine {
+				list[i].Pool, list[i].Arriving = m.To, true
+			}
+		}
+	}
+	is.Equal(len(Plan(settings(), pools, list)), 0)
+}
+
+// Guards against moves of machines that are in use, of one machine twice, or into
+// its own pool.
+func TestPlansMoveIdleMachinesOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var pools []Pool
+		var list []Machine
+		for p := range rapid.IntRange(1, 4).Draw(t, "pools") {
+			name := fmt.Sprint("p", p, "-")
+			live := rapid.Float64Range(0, 100).Draw(t, "live")
+			pools = append(pools, Pool{Name: name, Standby: rapid.Bool().Draw(t, "standby"), Live: live, Cores: live * 2})
+			list = append(list, machines(name, rapid.IntRange(0, 6).Draw(t, "idle"), true)...)
+		}
+		byName := map[string]*Machine{}
+		for i := range list {
+			list[i].Name = fmt.Sprint("m", i)
+			list[i].Idle = rapid.Bool().Draw(t, "idle")
+			byName[list[i].Name] = &list[i]
+		}
+		for _, m := range Plan(settings(), pools, list) {
+			x := byName[m.Machine]
+			if x == nil || !x.Idle || x.Pool != m.From || m.From == m.To {
+				t.Fatalf("move %v of %v", m, x)
+			}
+			delete(byName, m.Machine)
+		}
+	})
+}
+
+// Guards against a demand that is forgotten at once, or never.
+func TestDemandIsKeptForATime(t *testing.T) {
+	is := is.New(t)
+	set := settings()
+	tr := NewTracker(set)
+	is.Equal(tr.Cores(0, 50), 50.0)
+	is.Equal(tr.Cores(set.Keep/2, 5), 50.0)
+	is.Equal(tr.Cores(2*set.Keep, 5), 5.0)
+	for i := range set.OnsetJobs {
+		tr.Arrived(3*set.Keep+time.Duration(i), 10)
+	}
+	is.Equal(tr.Cores(3*set.Keep+time.Millisecond, 0), set.Rise*10*float64(set.OnsetJobs)/set.Onset.Seconds())
+}
--- /dev/null
+++ b/job/schedule/schedule_test.go
@@ -0,0 +1,200 @@
+package schedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+)
+
+func store(t interface{ Fatalf(string, ...any) }, entries ...*jobpb.Entry) *state.Store {
+	s := state.New()
+	add(t, s, entries...)
+	return s
+}
+
+func add(t interface{ Fatalf(string, ...any) }, s *state.Store, entries ...*jobpb.Entry) []bool {
+	data, err := proto.Marshal(&jobpb.Command{Entries: entries})
+	if err != nil {
+		t.Fatalf("encode: %v", err)
+	}
+	r := &jobpb.Result{}
+	if err := proto.Unmarshal(s.Apply(1, data), r); err != nil {
+		t.Fatalf("decode: %v", err)
+	}
+	return r.Applied
+}
+
+func job(id string, acceptedMs int64, steps ...*jobpb.Step) *jobpb.Entry {
+	j := &jobpb.Job{Id: id, Queue: "q", Pool: "p", Steps: steps, AcceptedMs: acceptedMs, MaxAttempts: 3}
+	return &jobpb.Entry{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: j}}}
+}
+
+func known(id string) *jobpb.Entry {
+	return &jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: &jobpb.Worker{Id: id, BornMs: 1, Pool: "p"}}}
+}
+
+func workers(n int, cpu int64) (list []*Worker) {
+	for i := range n {
+		list = append(list, &Worker{ID: fmt.Sprint("w", i), BornMs: 1, Pool: "p", Rack: fmt.Sprint("r-", i/2), CPU: cpu, Memory: 1000, GPUs: 1})
+	}
+	return list
+}
+
+func plan(s *state.Store, nowMs int64, list []*Worker) []*jobpb.Start {
+	queue := &jobpb.Queue{Stretch: 1.6, TargetMs: 600}
+	return Plan(Input{NowMs: nowMs, Store: s, Queues: map[string]*jobpb.Queue{"q": queue}, Workers: list, Estimates: NewEstimates()})
+}
+
+// Guards against a gang that starts in part, and against one that is spread over
+// racks although one of them has room for it.
+func TestGang(t *testing.T) {
+	is := is.New(t)
+	s := store(t, job("a", 0, &jobpb.Step{Count: 4, CpuMillis: 1000, Gang: true, RackLocal: true}))
+	is.Equal(len(plan(s, 0, workers(3, 1000))), 0)
+	is.Equal(len(plan(s, 0, workers(4, 1000))), 4) // two in each rack: slower, but not never
+	starts := plan(s, 0, workers(4, 2000))
+	is.Equal(len(starts), 4)
+	for _, st := range starts {
+		is.Equal(st.Run, uint32(1))
+		is.True(st.Worker == "w0" || st.Worker == "w1")
+	}
+}
+
+// Guards against a lasting step whose tasks share a worker, so that its upkeep
+// would take more of them away than is allowed.
+func TestLastingStepIsSpread(t *testing.T) {
+	is := is.New(t)
+	s := store(t, job("a", 0, &jobpb.Step{Count: 3, CpuMillis: 1000, Lasting: true, MaxUnavailable: 1}))
+	used := map[string]bool{}
+	for _, st := range plan(s, 0, workers(3, 9000)) {
+		used[st.Worker] = true
+	}
+	is.Equal(len(used), 3)
+	is.Equal(len(plan(s, 0, workers(2, 9000))), 3) // rather together than not at all
+}
+
+// Guards against jobs that can no longer be in time being served before others.
+func TestLateJobsComeLast(t *testing.T) {
+	is := is.New(t)
+	step := func() *jobpb.Step { return &jobpb.Step{Count: 1, CpuMillis: 1000, EstimatedMs: 500} }
+	s := store(t, job("late", 0, step()), job("soon", 9800, step()), job("new", 10_000, step()))
+	starts := plan(s, 10_000, workers(1, 1000))
+	is.Equal(len(starts), 1)
+	is.Equal(starts[0].Task.Job, "soon")
+}
+
+// Guards against a timed occurrence that starts before it is due.
+func TestOccurrencesWaitUntilDue(t *testing.T) {
+	is := is.New(t)
+	e := job("a", 0, &jobpb.Step{Count: 1, CpuMillis: 1})
+	j := e.GetAccept().Job
+	j.Repetitions, j.FirstDueMs, j.IntervalMs = 3, 1000, 500
+	s := store(t, e)
+	is.Equal(len(plan(s, 999, workers(1, 1000))), 0)
+	is.Equal(len(plan(s, 1000, workers(1, 1000))), 1)
+	is.Equal(len(plan(s, 1500, workers(1, 1000))), 2)
+}
+
+func randomStep(t *rapid.T, number int) *jobpb.Step {
+	step := &jobpb.Step{Count: rapid.Uint32Range(1, 6).Draw(t, "count"), CpuMillis: rapid.Uint64Range(1, 3000).Draw(t, "cpu"),
+		MemoryMb: rapid.Uint64Range(0, 400).Draw(t, "memory"), Gpus: rapid.Uint64Range(0, 1).Draw(t, "gpus"),
+		EstimatedMs: rapid.Uint64Range(0, 2000).Draw(t, "estimate"), Gang: rapid.Bool().Draw(t, "gang"),
+		RackLocal: rapid.Bool().Draw(t, "local"), MaxPerWorker: rapid.Uint32Range(0, 2).Draw(t, "apart"),
+		Fill: rapid.Bool().Draw(t, "fill"), Lasting: rapid.Bool().Draw(t, "lasting")}
+	if rapid.Bool().Draw(t, "label") {
+		step.RequiredLabel = "big"
+	}
+	if number > 0 && rapid.Bool().Draw(t, "after") {
+		step.After = []uint32{uint32(number - 1)}
+	}
+	return step
+}
+
+// Guards against a plan that overloads a worker, ignores a label or a limit of
+// tasks on one worker, starts a step before its turn or a task twice.
+func TestPlansKeepTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := state.New()
+		list := workers(rapid.IntRange(1, 5).Draw(t, "workers"), 4000)
+		for i, w := range list {
+			add(t, s, known(w.ID))
+			if i%2 == 0 {
+				w.Labels = []string{"big"}
+			}
+		}
+		for n := range rapid.IntRange(1, 5).Draw(t, "jobs") {
+			var steps []*jobpb.Step
+			for k := range rapid.IntRange(1, 3).Draw(t, "steps") {
+				steps = append(steps, randomStep(t, k))
+			}
+			add(t, s, job(fmt.Sprint("j", n), int64(n), steps...))
+		}
+		for range 3 {
+			for _, w := range list {
+				w.CPU, w.Memory, w.GPUs, w.Steps, w.Fill, w.Serving = 4000, 1000, 1, nil, 0, 0
+				for key, p := range s.Placed(w.ID) {
+					w.Use(StepKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step}, p.Step)
+				}
+			}
+			for _, st := range plan(s, int64(time.Hour/time.Millisecond), list) {
+				if ok := add(t, s, &jobpb.Entry{Change: &jobpb.Entry_Start{Start: st}}); !ok[0] {
+					t.Fatalf("start %v was refused by the state", st)
+				}
+			}
+			checkLimits(t, s, list)
+		}
+	})
+}
+
+func checkLimits(t *rapid.T, s *state.Store, list []*Worker) {
+	for _, w := range list {
+		var cpu, memory, gpus uint64
+		count := map[StepKey]uint32{}
+		for key, p := range s.Placed(w.ID) {
+			if !p.Step.Fill {
+				cpu += p.Step.CpuMillis
+			}
+			memory += p.Step.MemoryMb
+			gpus += p.Step.Gpus
+			k := StepKey{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step}
+			count[k]++
+			if p.Step.MaxPerWorker > 0 && count[k] > p.Step.MaxPerWorker {
+				t.Fatalf("%d tasks of one step on %s", count[k], w.ID)
+			}
+			if p.Step.RequiredLabel != "" && len(w.Labels) == 0 {
+				t.Fatalf("a task is on %s without its label", w.ID)
+			}
+			for _, before := range p.Step.After {
+				if !state.StepDone(state.OccurrenceOf(p.Job, 0).Steps[before]) {
+					t.Fatalf("step %d began before step %d was done", key.Step, before)
+				}
+			}
+		}
+		if cpu > 4000 || memory > 1000 || gpus > 1 {
+			t.Fatalf("%s holds %d thousandths, %d MB and %d accelerators", w.ID, cpu, memory, gpus)
+		}
+	}
+}
+
+// Guards against declared run times that are trusted although they say nothing,
+// and against learned ones that replace declared ones that are right.
+func TestEstimatesWeighDeclaredTimes(t *testing.T) {
+	is := is.New(t)
+	e := NewEstimates()
+	for i := range 200 {
+		e.Add("wild", &jobpb.Step{EstimatedMs: uint64(50 * (1 + i%40))}, time.Second)
+		e.Add("exact", &jobpb.Step{EstimatedMs: uint64(50 * (1 + i%40))}, time.Duration(100*(1+i%40))*time.Millisecond)
+	}
+	wild := e.Of("wild", &jobpb.Step{EstimatedMs: 50})
+	is.True(wild > 800*time.Millisecond && wild < 1300*time.Millisecond)
+	exact := e.Of("exact", &jobpb.Step{EstimatedMs: 50})
+	is.True(exact > 80*time.Millisecond && exact < 160*time.Millisecond)
+	is.Equal(e.Of("unknown", &jobpb.Step{EstimatedMs: 50}), 50*time.Millisecond)
+}
