Free tasks by what surely ended: refused connections and listed machines

Ruled out: a late start (fences in order in the log) and an early lapse.

Change: a dial error is an order that was not sent; a worker has ended when its machine is listed as not up or with another process, not when an order is confirmed; unconfirmed upkeeps keep their machine free of new tasks, count as away, and are repeated only if nothing there blocks them.

--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -258,7 +258,7 @@
 	case err == nil:
 		mv.until = now + moveTimeout
 		if w := d.s.workers[worker]; w != nil {
-			w.left = now - leaveGrace // nothing ran there, and its process has ended
+			w.silent = true // its process ends with the move, and nothing ran there
 		}
 	case errors.As(err, &refused):
 		mv.until = now + moveRetry
--- a/process/jobs/orders.go
+++ b/process/jobs/orders.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 
+	"github.com/pkg/errors"
+
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
 
@@ -92,8 +94,27 @@
 	return fmt.Sprintf("order refused: %s; plan again from the worker's list of runs", e.Reason)
 }
 
-// Workers sends orders to workers. A RefusedError means that the order is never
-// carried out; any other error that it may be, also later.
+// NotSentError reports an order of which nothing was sent: no connection could be
+// opened. It is never carried out.
+type NotSentError struct{ Err error }
+
+// Error implements error.
+func (e *NotSentError) Error() string {
+	return fmt.Sprintf("order was not sent: %v; plan again with another worker", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *NotSentError) Unwrap() error { return e.Err }
+
+// neverCarriedOut reports whether a failed order is certain to have no effect.
+func neverCarriedOut(err error) bool {
+	var refused *RefusedError
+	var notSent *NotSentError
+	return errors.As(err, &refused) || errors.As(err, &notSent)
+}
+
+// Workers sends orders to workers. A RefusedError or a NotSentError means that the
+// order is never carried out; any other error that it may be, also later.
 type Workers interface {
 	Start(ctx context.Context, to Target, o StartOrder) (clockMs int64, err error)
 	Stop(ctx context.Context, to Target, o RunOrder) (clockMs int64, err error)
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -40,11 +40,14 @@
 	machines map[string]*machineState
 	listed   map[string]Machine
 	byWorker map[string]string // worker's id to machine
-	listedAt time.Duration     // when the last reading was asked for
-	listing  bool
-	nextList time.Duration
-	next     time.Duration
-	spreadAt time.Duration // before which no run is stopped to spread its step
+	// unconfirmed are the machines whose upkeep was ordered, also by an earlier
+	// leader, and may be carried out at any time.
+	unconfirmed map[string]bool
+	listedAt    time.Duration // when the last reading was asked for
+	listing     bool
+	nextList    time.Duration
+	next        time.Duration
+	spreadAt    time.Duration // before which no run is stopped to spread its step
 }
 
 func newUpkeepDriver(s *session) *upkeepDriver {
@@ -62,8 +65,9 @@
 
 // cordoned reports whether a worker gets no new tasks since its machine goes out.
 func (u *upkeepDriver) cordoned(worker string) bool {
-	m := u.machines[u.byWorker[worker]]
-	return m != nil && m.cordonedAt > 0
+	name := u.byWorker[worker]
+	m := u.machines[name]
+	return m != nil && m.cordonedAt > 0 || u.unconfirmed[name]
 }
 
 // round sends the orders that are due.
@@ -74,9 +78,16 @@
 	u.next = now + upkeepInterval
 	u.s.view(func(st *state.Store) {
 		var open []*jobpb.Wave
+		u.unconfirmed = map[string]bool{}
 		for _, w := range st.Waves() {
-			if !state.WaveCompleted(w) {
-				open = append(open, w)
+			if state.WaveCompleted(w) {
+				continue
+			}
+			open = append(open, w)
+			for _, wm := range w.Machines {
+				if wm.Ordered && !wm.Begun {
+					u.unconfirmed[wm.Machine] = true
+				}
 			}
 		}
 		u.list(now)
@@ -112,7 +123,16 @@
 	}()
 }
 
+// took takes a reading of the list. A worker's process has ended if its machine
+// is listed as not up, or with another process, unless it was heard from since
+// the reading was asked for.
 func (u *upkeepDriver) took(asked time.Duration, list []Machine) {
+	for _, m := range list {
+		before := u.listed[m.Name].WorkerID
+		if before != "" && (m.WorkerID != before || !m.Up) {
+			u.s.ended(before, asked, m)
+		}
+	}
 	u.listedAt = asked
 	u.listed = make(map[string]Machine, len(list))
 	u.byWorker = make(map[string]string, len(list))
@@ -151,7 +171,7 @@
 		case u.gone(now, wm.Machine):
 			u.record(w, wm.Machine, true)
 		case wm.Ordered:
-			u.order(now, w, wm.Machine) // not confirmed yet
+			u.orderAgain(now, st, w, wm.Machine)
 		default:
 			waiting = append(waiting, wm)
 		}
@@ -183,6 +203,16 @@
 	}
 }
 
+// orderAgain repeats an order that is not confirmed. It may not have been carried
+// out, so that what runs there by now is ended by this one.
+func (u *upkeepDriver) orderAgain(now time.Duration, st *state.Store, w *jobpb.Wave, machine string) {
+	if blocker := u.blocker(st, u.listed[machine].WorkerID); blocker != nil {
+		u.explainWait(w, machine, blocker)
+		return
+	}
+	u.order(now, w, machine)
+}
+
 // gone reports whether a machine is no longer listed.
 func (u *upkeepDriver) gone(now time.Duration, machine string) bool {
 	_, there := u.listed[machine]
@@ -290,10 +320,11 @@
 	return m != nil && (m.ordering || m.cordonedAt > 0 || u.listedAt <= m.confirmedAt && m.confirmedAt > u.s.began)
 }
 
-// leaving reports whether the order for a worker's machine is on its way.
+// leaving reports whether the order for a worker's machine is on its way, or may be.
 func (u *upkeepDriver) leaving(worker string) bool {
-	m := u.machines[u.byWorker[worker]]
-	return m != nil && m.ordering
+	name := u.byWorker[worker]
+	m := u.machines[name]
+	return m != nil && m.ordering || u.unconfirmed[name]
 }
 
 // record stores that a machine's upkeep is ordered, and then orders it; or that
@@ -339,10 +370,18 @@
 	}
 	m.confirmedAt = now
 	m.cordonedAt = 0
-	if err == nil {
-		if worker := u.s.workers[u.listed[machine].WorkerID]; worker != nil {
-			worker.left = now - leaveGrace // all that ran there has ended
-		}
-	}
 	u.record(w, machine, true)
+	u.nextList = now // it shows which process has ended
+}
+
+// ended notes that a worker's process has ended, as a reading that was asked for
+// at asked shows.
+func (s *session) ended(id string, asked time.Duration, m Machine) {
+	w := s.workers[id]
+	if w == nil || w.left > 0 || asked < w.track.LastContact {
+		return
+	}
+	s.log.Info().Str("worker", id).Str("machine", m.Name).Bool("up", m.Up).Str("listed_worker", m.WorkerID).
+		Dur("list_age", s.now()-asked).Msg("worker has ended: its machine is listed without it")
+	w.left = asked - leaveGrace
 }
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -303,7 +303,7 @@
 	case errors.As(err, &refused):
 		s.log.Debug().Err(err).Str("worker", w.info.Id).Msg("hold refused")
 	default:
-		if o.DeadlineMs > 0 {
+		if o.DeadlineMs > 0 && !neverCarriedOut(err) {
 			w.track.Unanswered(sent)
 		}
 		if !w.silent {
@@ -575,9 +575,9 @@
 	switch {
 	case err == nil:
 		r.answered, r.okAt = true, now
-	case errors.As(err, &refused):
+	case neverCarriedOut(err):
 		w.pausedTo = now + refusedPause
-		if refused.Reason == RefusedFence {
+		if errors.As(err, &refused) && refused.Reason == RefusedFence {
 			s.raiseFence(w)
 		}
 		s.addEnd(w, start.Task, start.Run, jobpb.How_NEVER_STARTED, "")
--- a/standin/executor/machines.go
+++ b/standin/executor/machines.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -13,11 +14,14 @@
 	Address string
 	// Taken is called when a machine's executor ends for a move or an upkeep.
 	Taken func(machine, executor string)
+	// LoseAnswer reports whether an order that is carried out gets no answer.
+	LoseAnswer func(path, machine string) bool
 
 	server *http.Server
 	mu     sync.Mutex
 	list   []*Machine
 	orders []Order
+	upkept map[string]bool // by wave and machine
 }
 
 // Machine is one machine.
@@ -39,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Machines{Address: l.Addr().String(), list: list}
+	m := &Machines{Address: l.Addr().String(), list: list, upkept: map[string]bool{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /machines", m.serveList)
 	mux.HandleFunc("POST /machine-move", m.order)
@@ -80,12 +84,19 @@
 	var b struct {
 		Machine string `json:"machine"`
 		Pool    string `json:"pool"`
+		Wave    uint64 `json:"wave"`
 	}
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	m.mu.Lock()
+	upkeep := fmt.Sprint(b.Wave, b.Machine)
+	if b.Pool == "" && m.upkept[upkeep] {
+		m.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]any{}) // done before
+		return
+	}
 	i := slices.IndexFunc(m.list, func(x *Machine) bool { return x.Name == b.Machine })
 	if i < 0 || m.list[i].State != "up" {
 		m.mu.Unlock()
@@ -96,7 +107,9 @@
 	x := m.list[i]
 	ended := x.ID
 	x.State, x.ID = "upkeep", ""
-	if b.Pool != "" {
+	if b.Pool == "" {
+		m.upkept[upkeep] = true
+	} else {
 		x.State, x.Pool = "moving", b.Pool
 	}
 	m.orders = append(m.orders, Order{Path: r.URL.Path, Machine: b.Machine, Pool: b.Pool,
@@ -105,5 +118,8 @@
 	if m.Taken != nil {
 		m.Taken(b.Machine, ended)
 	}
+	if m.LoseAnswer != nil && m.LoseAnswer(r.URL.Path, b.Machine) {
+		panic(http.ErrAbortHandler)
+	}
 	_ = json.NewEncoder(w).Encode(map[string]any{})
 }
