Order jobs by worth for work, move work off nearly empty and slow workers

By latest start most jobs ended just late; pools with little work left kept 18 machines because a long task stood on each; tasks of slow or frozen workers were waited for.

Change: feasible jobs are ordered by priority and then by remaining work for worth; a machine with little checkpointing work is vacated when another pool lacks machines; a worker with most runs overdue is avoided, and runs that are done sooner elsewhere are begun anew.

--- a/job/capacity/capacity.go
+++ b/job/capacity/capacity.go
@@ -18,6 +18,9 @@
 	// Spare is the share of the mean size of a pool that each pool has beyond its
 	// demand, for the onset of a burst.
 	Spare float64
+	// Vacate is the share of a machine's cores up to which its work is moved on to
+	// free it.
+	Vacate float64
 	// Keep is how long demand counts after it has gone: a move back and forth
 	// costs more than a machine that waits for a moment.
 	Keep time.Duration
@@ -32,7 +35,7 @@
 
 // Default returns the settings in use.
 func Default() Settings {
-	return Settings{Fill: 0.9, Spare: 0.4, Keep: 2 * time.Second, Window: time.Second,
+	return Settings{Fill: 0.9, Spare: 0.4, Vacate: 0.4, Keep: 2 * time.Second, Window: time.Second,
 		Onset: 500 * time.Millisecond, OnsetJobs: 4, Rise: 1.4}
 }
 
@@ -55,19 +58,56 @@
 	Idle bool
 	// Arriving reports that it is on its way to Pool.
 	Arriving bool
+	// Busy is what runs there, in cores. Movable reports that all of it can go on
+	// elsewhere from a checkpoint.
+	Busy    float64
+	Movable bool
 }
 
 // Move puts a machine into another pool.
 type Move struct{ Machine, From, To string }
 
-// Plan returns the moves to order now. Work that waits goes before work that is
-// expected: it may take idle machines that another pool keeps ready.
-func Plan(set Settings, pools []Pool, machines []Machine) []Move {
+// Plan returns the moves to order now, and the machines to vacate so that they can
+// be moved. Work that waits goes before work that is expected: it may take idle
+// machines that another pool keeps ready, and those on which little is left.
+func Plan(set Settings, pools []Pool, machines []Machine) (moves []Move, vacate []string) {
 	p := newPlan(set, pools, machines)
 	p.supply(p.beyondLive)
+	vacate = p.vacate(set, machines)
 	p.supply(p.surplus)
 	p.park()
-	return p.moves
+	return p.moves, vacate
+}
+
+// vacate returns the machines with the least work, from pools that can do without
+// them, for the pools that still lack some.
+func (p *plan) vacate(set Settings, machines []Machine) (names []string) {
+	lacking := 0
+	for _, pool := range p.pools {
+		if !pool.Standby {
+			lacking += max(0, -p.beyondLive[pool.Name])
+		}
+	}
+	var list []Machine
+	for _, m := range machines {
+		if m.Movable && !m.Idle && !m.Arriving && m.Busy <= set.Vacate*m.Cores {
+			list = append(list, m)
+		}
+	}
+	slices.SortFunc(list, func(a, b Machine) int {
+		return cmp.Or(cmp.Compare(a.Busy, b.Busy), cmp.Compare(a.Name, b.Name))
+	})
+	for _, m := range list {
+		if lacking == 0 {
+			break
+		}
+		if p.beyondLive[m.Pool] > 0 {
+			p.beyondLive[m.Pool]--
+			lacking--
+			names = append(names, m.Name)
+		}
+	}
+	return names
 }
 
 type plan struct {
--- a/job/capacity/capacity_test.go
+++ b/job/capacity/capacity_test.go
@@ -27,22 +27,38 @@
 func TestWaitingWorkTakesReadyMachines(t *testing.T) {
 	is := is.New(t)
 	pools := []Pool{{Name: "busy", Live: 40, Cores: 40}, {Name: "ready", Live: 0, Cores: 60}}
-	moves := Plan(settings(), pools, append(machines("busy", 2, false), machines("ready", 6, true)...))
+	moves, _ := Plan(settings(), pools, append(machines("busy", 2, false), machines("ready", 6, true)...))
 	is.Equal(len(moves), 2)
 	for _, m := range moves {
 		is.Equal(m.To, "busy")
 	}
 }
 
+// Guards against machines that a few long tasks keep from a pool with waiting work,
+// and against work that is moved on although nobody lacks a machine.
+func TestLittleWorkIsMovedOn(t *testing.T) {
+	is := is.New(t)
+	list := append(machines("busy", 2, false), machines("quiet", 4, false)...)
+	for i := range list[2:] {
+		list[2+i].Movable, list[2+i].Busy = true, float64(1+i)
+	}
+	quiet := Pool{Name: "quiet", Live: 10, Cores: 10}
+	_, vacate := Plan(settings(), []Pool{{Name: "busy", Live: 40, Cores: 40}, quiet}, list)
+	is.Equal(vacate, []string{"quiet0", "quiet1"})
+	_, vacate = Plan(settings(), []Pool{{Name: "busy", Live: 20, Cores: 20}, quiet}, list)
+	is.Equal(len(vacate), 0)
+}
+
 // Guards against idle machines that stay in a pool although standby costs nothing,
 // and against a pool that is left without its spare machines.
 func TestSurplusGoesOnStandby(t *testing.T) {
 	is := is.New(t)
 	pools := []Pool{{Name: "a", Live: 20, Cores: 20}, {Name: "off", Standby: true}}
-	moves := Plan(settings(), pools, append(machines("a", 2, false), machines("a", 5, true)...))
+	moves, _ := Plan(settings(), pools, append(machines("a", 2, false), machines("a", 5, true)...))
 	is.Equal(len(moves), 4)
 	is.Equal(moves[0].To, "off")
-	is.Equal(len(Plan(settings(), pools[:1], machines("a", 7, true))), 0) // nowhere to put them
+	moves, _ = Plan(settings(), pools[:1], machines("a", 7, true))
+	is.Equal(len(moves), 0) // nowhere to put them
 }
 
 // Guards against machines that are ordered again while they are on their way.
@@ -50,14 +66,16 @@
 	is := is.New(t)
 	pools := []Pool{{Name: "a", Live: 30, Cores: 30}, {Name: "off", Standby: true}}
 	list := append(machines("off", 9, true), machines("a", 1, false)...)
-	for _, m := range Plan(settings(), pools, list) {
+	moves, _ := Plan(settings(), pools, list)
+	for _, m := range moves {
 		for i := range list {
 			if list[i].Name == m.Machine {
 				list[i].Pool, list[i].Arriving = m.To, true
 			}
 		}
 	}
-	is.Equal(len(Plan(settings(), pools, list)), 0)
+	moves, _ = Plan(settings(), pools, list)
+	is.Equal(len(moves), 0)
 }
 
 // Guards against moves of machines that are in use, of one machine twice, or into
@@ -76,9 +94,17 @@
 		for i := range list {
 			list[i].Name = fmt.Sprint("m", i)
 			list[i].Idle = rapid.Bool().Draw(t, "idle")
+			list[i].Movable = rapid.Bool().Draw(t, "movable")
+			list[i].Busy = rapid.Float64Range(0, 10).Draw(t, "busy")
 			byName[list[i].Name] = &list[i]
 		}
-		for _, m := range Plan(settings(), pools, list) {
+		moves, vacate := Plan(settings(), pools, list)
+		for _, name := range vacate {
+			if m := byName[name]; m == nil || m.Idle || !m.Movable {
+				t.Fatalf("machine %s is vacated: %v", name, m)
+			}
+		}
+		for _, m := range moves {
 			x := byName[m.Machine]
 			if x == nil || !x.Idle || x.Pool != m.From || m.From == m.To {
 				t.Fatalf("move %v of %v", m, x)
--- a/job/schedule/estimate.go
+++ b/job/schedule/estimate.go
@@ -18,6 +18,7 @@
 // declared ones.
 type history struct {
 	actual, ratio moments
+	work          moments // core-seconds of whole jobs
 }
 
 // moments is a running mean and variance that forgets old values.
@@ -26,9 +27,14 @@
 }
 
 const (
-	memoryRuns   = 300.0 // about as many runs determine a mean
-	minRuns      = 8     // before which the declared time stands
-	minVariance  = 0.01  // of a logarithm, so that no weight becomes infinite
+	memoryRuns  = 300.0 // about as many runs determine a mean
+	minRuns     = 8     // before which the declared time stands
+	minVariance = 0.01  // of a logarithm, so that no weight becomes infinite
+	// A job is worth a fixed part and one that grows with its work against the
+	// queue's mean, up to a limit.
+	worthFixed   = 0.3
+	worthOfMean  = 0.7
+	maxWorth     = 4.0
 	minEstimate  = 20 * time.Millisecond
 	maxEstimate  = time.Hour
 	declaredZero = 500 * time.Millisecond // for a step that declares no time
@@ -51,13 +57,56 @@
 	return time.Duration(step.EstimatedMs) * time.Millisecond
 }
 
-// Add takes the run time of a task that has ended as done.
-func (e *Estimates) Add(queue string, step *jobpb.Step, actual time.Duration) {
+func (e *Estimates) history(queue string) *history {
 	h := e.queues[queue]
 	if h == nil {
 		h = &history{}
 		e.queues[queue] = h
 	}
+	return h
+}
+
+// AddJob takes the work of a job that was handed in and returns it, in core-seconds.
+func (e *Estimates) AddJob(j *jobpb.Job) float64 {
+	whole, _ := e.work(j, &jobpb.Occurrence{})
+	e.history(j.Queue).work.add(whole)
+	return whole
+}
+
+// work returns the expected work of an occurrence and what is left of it, in
+// core-seconds. Lasting and filling steps have none.
+func (e *Estimates) work(j *jobpb.Job, o *jobpb.Occurrence) (whole, left float64) {
+	for i, step := range j.Steps {
+		if step.Lasting || step.Fill {
+			continue
+		}
+		each := float64(step.CpuMillis) / 1000 * e.Of(j.Queue, step).Seconds()
+		whole += each * float64(step.Count)
+		if i >= len(o.Steps) {
+			left += each * float64(step.Count)
+			continue
+		}
+		for _, t := range o.Steps[i].Tasks {
+			if !t.Done {
+				left += each
+			}
+		}
+	}
+	return whole, left
+}
+
+// worth returns what a job with the given work is worth, as a multiple of a mean one.
+func (e *Estimates) worth(queue string, work float64) float64 {
+	h := e.queues[queue]
+	if h == nil || h.work.mean <= 0 {
+		return 1
+	}
+	return min(worthFixed+worthOfMean*work/h.work.mean, maxWorth)
+}
+
+// Add takes the run time of a task that has ended as done.
+func (e *Estimates) Add(queue string, step *jobpb.Step, actual time.Duration) {
+	h := e.history(queue)
 	a := math.Log(max(actual, time.Millisecond).Seconds())
 	h.actual.add(a)
 	h.ratio.add(a - math.Log(declared(step).Seconds()))
--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -20,6 +20,10 @@
 	earlyMargin = 0 * time.Millisecond
 	// lateCost is the order of jobs that can no longer be in time: behind the others.
 	lateCost = 1 << 40
+	// priorityCost separates the priorities of queues; maxPriority keeps them below lateCost.
+	priorityCost = 1 << 36
+	maxPriority  = 7
+	workUnit     = 1000.0 // steps of the order in a core-second
 	// maxStartsPerPlan bounds one plan, and with it one log entry.
 	maxStartsPerPlan = 512
 )
@@ -190,14 +194,19 @@
 	return true
 }
 
-// order returns a job's place: the time by which its next step must start for the
-// job to be in time, behind all others once that has passed.
+// order returns a job's place: by priority, and then by the work that is left for
+// what the job is worth. Jobs that can no longer be in time come behind all others,
+// the oldest first.
 func (p *planner) order(j *jobpb.Job, o *jobpb.Occurrence, q *jobpb.Queue, due int64) int64 {
-	latest := latestStart(p.in.Estimates, j, o, q, due)
-	if latest < p.in.NowMs {
+	if latestStart(p.in.Estimates, j, o, q, due) < p.in.NowMs {
 		return lateCost + j.AcceptedMs
 	}
-	return latest
+	whole, left := p.in.Estimates.work(j, o)
+	priority := int64(0)
+	if q != nil {
+		priority = int64(min(q.Priority, maxPriority))
+	}
+	return priority*priorityCost + min(int64(left*workUnit/p.in.Estimates.worth(j.Queue, whole)), priorityCost-1)
 }
 
 // latestStart returns the Unix time in ms by which the next step of an occurrence
--- a/job/schedule/schedule_test.go
+++ b/job/schedule/schedule_test.go
@@ -90,6 +90,30 @@
 	is.Equal(starts[0].Task.Job, "soon")
 }
 
+// Guards against small jobs that wait behind large ones of the same worth for
+// their work, against large ones that are put off for good, and against a queue
+// that goes before one of a higher priority.
+func TestOrderIsByWorthForWork(t *testing.T) {
+	is := is.New(t)
+	step := func(count uint32) *jobpb.Step {
+		return &jobpb.Step{Count: count, CpuMillis: 1000, EstimatedMs: 1000}
+	}
+	s := store(t, job("large", 0, step(40)), job("mean", 0, step(10)), job("small", 0, step(2)))
+	e := NewEstimates()
+	for _, j := range s.Jobs() {
+		e.AddJob(j)
+	}
+	q := &jobpb.Queue{Stretch: 1.6, TargetMs: 600}
+	p := &planner{in: Input{Estimates: e, NowMs: 0}}
+	place := func(id string, q *jobpb.Queue) int64 {
+		return p.order(s.Job(id), state.NewOccurrence(s.Job(id), 0), q, 0)
+	}
+	is.True(place("small", q) < place("mean", q))
+	is.True(place("mean", q) < place("large", q))
+	is.True(place("large", q) < 2*place("mean", q))
+	is.True(place("large", q) < place("small", &jobpb.Queue{Stretch: 1.6, TargetMs: 600, Priority: 1}))
+}
+
 // Guards against a timed occurrence that starts before it is due.
 func TestOccurrencesWaitUntilDue(t *testing.T) {
 	is := is.New(t)
--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -17,8 +17,11 @@
 const (
 	poolLogInterval = time.Second
 	moveInterval    = 100 * time.Millisecond // between looks at the demand
+	vacateTime      = time.Second            // in which a vacated machine's work has stopped
 	moveTimeout     = 4 * time.Second        // after which a moved machine is planned with as listed
 	moveRetry       = time.Second
+	// minWorkBeforeMove is how long a run is left alone: most end soon.
+	minWorkBeforeMove = 700 * time.Millisecond
 	// lateCores bounds the cores that are kept for jobs that are too late: they
 	// are worth little more than the machines they take.
 	lateCores = 128.0
@@ -37,12 +40,16 @@
 	set    capacity.Settings
 	demand map[string]*capacity.Tracker // by pool
 	moving map[string]*moving           // by machine
-	next   time.Duration
-	logAt  time.Duration
+	// vacated are machines that get no new tasks until the given time, since their
+	// work is moved on.
+	vacated map[string]time.Duration
+	next    time.Duration
+	logAt   time.Duration
 }
 
 func newMoveDriver(s *session) *moveDriver {
-	return &moveDriver{s: s, set: capacity.Default(), demand: map[string]*capacity.Tracker{}, moving: map[string]*moving{}}
+	return &moveDriver{s: s, set: capacity.Default(), demand: map[string]*capacity.Tracker{}, moving: map[string]*moving{},
+		vacated: map[string]time.Duration{}}
 }
 
 func (d *moveDriver) tracker(pool string) *capacity.Tracker {
@@ -56,14 +63,10 @@
 
 // arrived takes note of a job's work.
 func (d *moveDriver) arrived(j *jobpb.Job) {
-	work := 0.0
-	for _, step := range j.Steps {
-		if step.Lasting || j.Repetitions > 0 {
-			return
-		}
-		work += float64(step.Count) * coresOf(step) * d.s.estimate.Of(j.Queue, step).Seconds()
+	work := d.s.estimate.AddJob(j)
+	if j.Repetitions == 0 && work > 0 {
+		d.tracker(j.Pool).Arrived(d.s.now(), work)
 	}
-	d.tracker(j.Pool).Arrived(d.s.now(), work)
 }
 
 func coresOf(step *jobpb.Step) float64 {
@@ -75,8 +78,8 @@
 
 // leaving reports whether a worker's machine is about to be moved.
 func (d *moveDriver) leaving(worker string) bool {
-	m := d.moving[d.s.upkeep.byWorker[worker]]
-	return m != nil
+	name := d.s.upkeep.byWorker[worker]
+	return d.moving[name] != nil || d.s.now() < d.vacated[name]
 }
 
 // round orders the moves that the demand asks for.
@@ -91,7 +94,10 @@
 		pools := d.pools(now, st)
 		machines := d.machines(now, st)
 		d.logPools(now, pools, machines)
-		moves := capacity.Plan(d.set, pools, machines)
+		moves, vacate := capacity.Plan(d.set, pools, machines)
+		for _, name := range vacate {
+			d.vacate(now, st, name)
+		}
 		for _, m := range moves[:min(len(moves), d.s.c.o.Bounds.orders(moveInterval))] {
 			d.order(m)
 		}
@@ -203,6 +209,9 @@
 			continue
 		default:
 			cm.Idle = standby[m.Pool] || d.idle(now, st, m)
+			if !cm.Idle && now >= d.vacated[name] {
+				cm.Busy, cm.Movable = d.movable(now, st, m)
+			}
 		}
 		list = append(list, cm)
 	}
@@ -216,6 +225,39 @@
 		w.info.Pool == m.Pool && len(st.Placed(m.WorkerID)) == 0 && !d.s.batchStarts(m.WorkerID)
 }
 
+// movable reports whether all that runs on a machine can go on elsewhere from a
+// checkpoint, and the cores that it takes.
+func (d *moveDriver) movable(now time.Duration, st *state.Store, m Machine) (cores float64, movable bool) {
+	w := d.s.workers[m.WorkerID]
+	if w == nil || w.silent || w.draining || w.left > 0 || d.s.batchStarts(m.WorkerID) {
+		return 0, false
+	}
+	for key, p := range st.Placed(m.WorkerID) {
+		r := w.runs[key]
+		atWork := r != nil && r.answered && r.stopAt == 0 && now > r.okAt+minWorkBeforeMove
+		if !atWork || !p.Step.Checkpointing || p.Step.Lasting || p.Step.Gang || p.Step.Fill {
+			return 0, false
+		}
+		cores += coresOf(p.Step)
+	}
+	return cores, true
+}
+
+// vacate stops what runs on a machine, so that it goes on elsewhere.
+func (d *moveDriver) vacate(now time.Duration, st *state.Store, name string) {
+	m := d.s.upkeep.listed[name]
+	w := d.s.workers[m.WorkerID]
+	if w == nil {
+		return
+	}
+	d.vacated[name] = now + vacateTime
+	d.s.log.Info().Str("machine", name).Str("worker", m.WorkerID).Str("pool", m.Pool).Int("runs", len(st.Placed(m.WorkerID))).
+		Msg("work is moved on: another pool lacks machines")
+	for key, p := range st.Placed(m.WorkerID) {
+		d.s.stopRun(now, w, key, p)
+	}
+}
+
 // batchStarts reports whether a start on a worker is on its way into the log.
 func (s *session) batchStarts(worker string) bool {
 	for _, e := range s.batch {
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -59,7 +59,9 @@
 	runs     map[state.TaskKey]*runState
 	load     map[state.TaskKey]Run // from the last list
 	failures []time.Duration
-	slow     float64
+	suspect  bool // is slow or stands still
+	// suspectAt is when it was last suspect, 0 if never.
+	suspectAt time.Duration
 }
 
 // adoptWorkers begins with the workers that earlier leaders knew.
@@ -195,6 +197,7 @@
 			}
 			if stops {
 				s.stopEnded(now, w, placed)
+				s.judgeSpeed(now, w, placed)
 			}
 			if len(placed) > 0 {
 				active++
@@ -599,7 +602,7 @@
 		}
 		sw := &schedule.Worker{ID: id, BornMs: w.info.BornMs, Pool: w.info.Pool, Labels: w.info.Labels, Rack: rackOf(w.info.Labels),
 			CPU: int64(w.info.CpuMillis), Memory: int64(w.info.MemoryMb), GPUs: int64(w.info.Gpus),
-			Penalty: w.penalty(now)}
+			Penalty: w.rank(now)}
 		sw.Use(st.Load(id))
 		list = append(list, sw)
 	}
@@ -607,8 +610,8 @@
 	return list
 }
 
-// penalty counts the recent failures of runs on a worker.
-func (w *workerState) penalty(now time.Duration) int {
+// recentFailures counts the runs that have failed on a worker lately.
+func (w *workerState) recentFailures(now time.Duration) int {
 	kept := w.failures[:0]
 	for _, at := range w.failures {
 		if now-at < failurePenalty {
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -29,6 +29,8 @@
 	Delay       time.Duration
 	// Duration is how long a task runs; a negative one means that it lasts.
 	Duration func(task string) time.Duration
+	// Percent is what a task's row says of its progress; nil means 100.
+	Percent func(task string) int
 	// Fault decides what happens to an order; nil means None.
 	Fault func(path, task string) Fault
 
@@ -284,7 +286,11 @@
 	e.advance()
 	running, finished := [][]any{}, [][]any{}
 	for task, r := range e.runs {
-		running = append(running, []any{task, r.number, "", fullPercent, 0})
+		percent := fullPercent
+		if e.Percent != nil {
+			percent = e.Percent(task)
+		}
+		running = append(running, []any{task, r.number, "", percent, 0})
 	}
 	for _, x := range e.ended {
 		finished = append(finished, []any{x.number, x.task, x.run, x.how, ""})
