Soak the platform's processes under signals and faults of workers

Separate processes on loopback are killed, stopped, paused, restarted and told to reload while a tenth of the orders to workers is lost, unanswered or late. Checked from outside: each accepted job completes, no task has two runs at a time or one after its noted end. Connections are not cut yet.

--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -43,9 +43,20 @@
 	ended   []end
 	highest map[string]uint32
 	starts  []Start
+	past    []Interval
 	down    bool
 }
 
+// Interval is a run that has ended here.
+type Interval struct {
+	Task     string
+	Run      uint32
+	From, To time.Time
+	How      string
+	// Noted is when the end was taken note of, zero if it was not.
+	Noted time.Time
+}
+
 // Start is a start that was carried out.
 type Start struct {
 	Task string
@@ -143,10 +154,31 @@
 
 func (e *Executor) finish(task, how string) {
 	e.ends++
-	e.ended = append(e.ended, end{number: e.ends, task: task, run: e.runs[task].number, how: how})
+	r := e.runs[task]
+	e.ended = append(e.ended, end{number: e.ends, task: task, run: r.number, how: how})
+	to := time.Now()
+	if d := e.Duration(task); how == "done" {
+		to = r.begun.Add(d)
+	}
+	if lapse := e.started.Add(time.Duration(r.deadlineMs) * time.Millisecond); how == "lapsed" {
+		to = lapse
+	}
+	e.past = append(e.past, Interval{Task: task, Run: r.number, From: r.begun, To: to, How: how})
 	delete(e.runs, task)
 }
 
+// Past returns the runs that have ended here; those that go on end now.
+func (e *Executor) Past() []Interval {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	list := append([]Interval(nil), e.past...)
+	for task, r := range e.runs {
+		list = append(list, Interval{Task: task, Run: r.number, From: r.begun, To: time.Now(), How: "running"})
+	}
+	return list
+}
+
 // order decodes an order, applies its fault and the fence, and answers.
 func (e *Executor) order(do func(b orderBody) (reason string)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -251,6 +283,8 @@
 		for _, x := range e.ended {
 			if x.number > b.LastSeen {
 				kept = append(kept, x)
+			} else {
+				e.past[x.number-1].Noted = time.Now()
 			}
 		}
 		e.ended = kept
--- /dev/null
+++ b/tests/soak/soak_test.go
@@ -0,0 +1,328 @@
+// Package soak runs the platform's processes as separate processes on loopback,
+// disturbs them by signals and their workers by faults, and checks from what
+// callers and workers see that no accepted job is lost and no task runs twice.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/standin/executor"
+)
+
+const (
+	controls       = 3
+	entries        = 2
+	workers        = 6
+	faultTime      = 6 * time.Second // of one seed
+	waitLimit      = 2 * time.Minute // for an event after the faults have ended
+	portFirst      = 17300           // internal
+	reportInterval = 200 * time.Millisecond
+	pollInterval   = 20 * time.Millisecond
+)
+
+var seeds = []uint64{1}
+
+// soak is one run: processes, workers and what callers were told.
+type soak struct {
+	t         *testing.T
+	rng       *rand.Rand
+	dir       string
+	binary    string
+	processes []*process
+	executors []*executor.Executor
+	sequence  int
+	mu        sync.Mutex // guards faulty
+	faulty    bool
+	accepted  []string
+}
+
+type process struct {
+	role, name, ip string
+	command        *exec.Cmd
+	log            *os.File
+}
+
+func (p *process) address(port int) string { return fmt.Sprintf("%s:%d", p.ip, portFirst+port) }
+
+const (
+	portControlPlane = 100
+	portCallers      = 101
+	portReadiness    = 102
+)
+
+func ip(kind, number int) string { return fmt.Sprintf("127.77.%d.%d", kind, number+1) }
+
+// settings returns the settings file of a process.
+func (s *soak) settings(p *process, bootstrap bool) string {
+	var seeds []string
+	for i := range controls {
+		seeds = append(seeds, strconv.Quote(fmt.Sprintf("%s:%d", ip(1, i), portFirst+portControlPlane)))
+	}
+	return fmt.Sprintf(`{"node-name":%q,"ip-address":%q,"zone":"z","listen-addresses":{"frontend":%q,"readiness":%q,"control-plane":%q},
+		"internal-port-range":[%d,%d],"seed-nodes":[%s],"bootstrap":%t,"data-directory":%q,"heartbeat-interval-ms":300,
+		"limits":{"memory-mb":200},"bounds":{"grace-period-s":2,"max-hold-ms":3000,"status_s":120}}`,
+		p.name, p.ip, p.address(portCallers), p.address(portReadiness), p.address(portControlPlane), portFirst, portFirst+9,
+		strings.Join(seeds, ","), bootstrap, filepath.Join(s.dir, p.name))
+}
+
+func (s *soak) start(p *process, bootstrap bool) {
+	path := filepath.Join(s.dir, p.name+".json")
+	if err := os.WriteFile(path, []byte(s.settings(p, bootstrap)), 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p.command = exec.Command(s.binary, p.role)
+	p.command.Env = []string{"MARJORAMTILLER_NODE_FILE=" + path}
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	if err := p.command.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *soak) signal(p *process, sig syscall.Signal) {
+	if err := p.command.Process.Signal(sig); err != nil {
+		s.t.Logf("signal %s to %s: %v", sig, p.name, err)
+	}
+}
+
+// restart ends a process by a signal and starts it again.
+func (s *soak) restart(p *process, sig syscall.Signal) {
+	s.signal(p, sig)
+	_ = p.command.Wait() // the exit status of a killed process
+	s.start(p, false)
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, seed)), dir: t.TempDir(), faulty: true}
+	s.binary = filepath.Join(s.dir, "platform")
+	if out, err := exec.Command("go", "build", "-o", s.binary, "../../cmd/marjoramtiller-platform").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	for i := range controls + entries {
+		p := &process{role: "control", name: fmt.Sprint("control-", i), ip: ip(1, i)}
+		if i >= controls {
+			p.role, p.name, p.ip = "entry", fmt.Sprint("entry-", i-controls), ip(2, i-controls)
+		}
+		log, err := os.Create(filepath.Join(s.dir, p.name+".log"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.log = log
+		s.processes = append(s.processes, p)
+		s.start(p, true)
+	}
+	for i := range workers {
+		e, err := executor.Open(fmt.Sprint("i-", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Duration = func(string) time.Duration { return 150 * time.Millisecond }
+		e.Delay = time.Second
+		faults := rand.New(rand.NewPCG(seed, uint64(i)))
+		e.Fault = func(string, string) executor.Fault {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if !s.faulty || faults.Float64() > 0.1 {
+				return executor.None
+			}
+			return []executor.Fault{executor.LoseAnswer, executor.LoseOrder, executor.Late}[faults.IntN(3)]
+		}
+		s.executors = append(s.executors, e)
+	}
+	t.Cleanup(s.close)
+	return s
+}
+
+func (s *soak) close() {
+	for _, p := range s.processes {
+		_ = p.command.Process.Signal(syscall.SIGCONT)
+		_ = p.command.Process.Kill()
+		_ = p.command.Wait()
+		_ = p.log.Close()
+		if s.t.Failed() {
+			data, err := os.ReadFile(p.log.Name())
+			s.t.Logf("log of %s (%v):\n%s", p.name, err, data)
+		}
+	}
+	for _, e := range s.executors {
+		e.Close()
+	}
+}
+
+var client = &http.Client{Timeout: time.Second}
+
+func (s *soak) call(method, address, host, path, body string) (int, string) {
+	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	if err != nil {
+		s.t.Error(err)
+		return 0, ""
+	}
+	if host != "" {
+		req.Host = host
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	buf := make([]byte, 1024)
+	n, _ := resp.Body.Read(buf) // an empty body has nothing to read
+	return resp.StatusCode, string(buf[:n])
+}
+
+// reportAll sends the workers' reports to the control processes in turn until done
+// is closed.
+func (s *soak) reportAll(done chan struct{}) {
+	for {
+		s.sequence++
+		var calls sync.WaitGroup
+		at := s.processes[s.sequence%controls].address(portControlPlane)
+		for _, e := range s.executors {
+			calls.Go(func() { s.report(at, e) })
+		}
+		calls.Wait()
+		select {
+		case <-done:
+			return
+		case <-time.After(reportInterval):
+		}
+	}
+}
+
+func (s *soak) report(at string, e *executor.Executor) {
+	body := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":8000,"mem-mb":1000},
+		"labels":["a","r-1"],"clock-ms":1,"born":%d,"sequence":%d}`, e.Address, e.BornMs, s.sequence)
+	s.call(http.MethodPut, at, "", "/executors/"+e.ID, body)
+}
+
+func (s *soak) entry() string {
+	return s.processes[controls+s.rng.IntN(entries)].address(portCallers)
+}
+
+const configuration = `{"version":1,"routes":[{"name":"r","host":"a.example","path-prefix":"/q/","timeout-ms":3000,"target-latency-ms":600,
+	"service":"pool","max-attempts":3,"stretch-factor":1.6}],"services":[{"name":"pool"}]}`
+
+// eventually waits for a condition.
+func (s *soak) eventually(what string, ok func() bool) {
+	s.t.Helper()
+	for until := time.Now().Add(waitLimit); time.Now().Before(until); {
+		if ok() {
+			return
+		}
+		time.Sleep(pollInterval)
+	}
+	s.t.Fatalf("did not happen within %s: %s", waitLimit, what)
+}
+
+// disturb hurts one process, mostly a control process, one at a time.
+func (s *soak) disturb() {
+	p := s.processes[s.rng.IntN(len(s.processes))]
+	switch s.rng.IntN(4) {
+	case 0:
+		s.restart(p, syscall.SIGKILL)
+	case 1:
+		s.restart(p, syscall.SIGTERM)
+	case 2:
+		s.signal(p, syscall.SIGSTOP)
+		paused := p.command.Process
+		time.AfterFunc(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() { _ = paused.Signal(syscall.SIGCONT) })
+	case 3:
+		s.signal(p, syscall.SIGHUP)
+	}
+}
+
+func (s *soak) run() {
+	s.eventually("the configuration is confirmed", func() bool {
+		code, _ := s.call(http.MethodPut, s.processes[0].address(portControlPlane), "", "/configuration", configuration)
+		return code == http.StatusOK
+	})
+	done := make(chan struct{})
+	reported := make(chan struct{})
+	go func() {
+		defer close(reported)
+		s.reportAll(done)
+	}()
+	defer func() {
+		close(done)
+		<-reported
+	}()
+	nextFault := time.Now()
+	for until := time.Now().Add(faultTime); time.Now().Before(until); {
+		id := fmt.Sprintf("%016x", s.rng.Uint64())
+		body := `{"spec":"x","steps":[{"count":3,"cpu":2000,"estimated-ms":150},{"count":2,"cpu":2000,"estimated-ms":150,"after":[0]}]}`
+		if code, _ := s.call(http.MethodPost, s.entry(), "a.example", "/q/"+id, body); code == http.StatusOK {
+			s.accepted = append(s.accepted, id)
+		}
+		if time.Now().After(nextFault) {
+			s.disturb()
+			nextFault = time.Now().Add(time.Duration(300+s.rng.IntN(1500)) * time.Millisecond)
+		}
+	}
+	s.mu.Lock()
+	s.faulty = false
+	s.mu.Unlock()
+	for _, id := range s.accepted {
+		s.eventually("job "+id+" is completed", func() bool {
+			_, body := s.call(http.MethodGet, s.entry(), "a.example", "/q/"+id, "")
+			return strings.Contains(body, "completed")
+		})
+	}
+}
+
+// check asserts that no two runs of a task were at work at the same time, and that
+// none began after an end that was taken note of as done.
+func (s *soak) check() {
+	byTask := map[string][]executor.Interval{}
+	for _, e := range s.executors {
+		for _, x := range e.Past() {
+			byTask[x.Task] = append(byTask[x.Task], x)
+		}
+	}
+	for task, list := range byTask {
+		slices.SortFunc(list, func(a, b executor.Interval) int { return a.From.Compare(b.From) })
+		for i, x := range list[1:] {
+			before := list[i]
+			if x.From.Before(before.To) {
+				s.t.Errorf("task %s: run %d began %s before the end of run %d", task, x.Run, before.To.Sub(x.From), before.Run)
+			}
+			if before.How == "done" && !before.Noted.IsZero() {
+				s.t.Errorf("task %s: run %d began after run %d was done", task, x.Run, before.Run)
+			}
+		}
+	}
+}
+
+// Guards against accepted jobs that are lost and tasks that run twice while control
+// and entry processes are killed, stopped, paused and restarted, and orders to
+// workers are lost or late. MARJORAMTILLER_SOAK_SEEDS=N runs N fresh seeds.
+func TestSoak(t *testing.T) {
+	run := seeds
+	if n, err := strconv.Atoi(os.Getenv("MARJORAMTILLER_SOAK_SEEDS")); err == nil {
+		run = nil
+		for range n {
+			run = append(run, rand.Uint64N(1<<32))
+		}
+	}
+	for _, seed := range run {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			s := newSoak(t, seed)
+			s.run()
+			s.check()
+			is.New(t).True(len(s.accepted) > 0)
+			t.Logf("seed %d: %d jobs accepted", seed, len(s.accepted))
+		})
+	}
+}
