Split the leader's driver and the job state by what each file does

No change of behaviour: starts, lists of runs, the register of workers, reads and membership have files of their own; unused fields are gone.

--- /dev/null
+++ b/job/state/apply.go
@@ -0,0 +1,312 @@
+package state
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+)
+
+// Apply carries out one command of the log.
+func (s *Store) Apply(_ uint64, command []byte) []byte {
+	c := &jobpb.Command{}
+	if err := proto.Unmarshal(command, c); err != nil {
+		return nil
+	}
+	result := &jobpb.Result{Applied: make([]bool, len(c.Entries))}
+	for i, e := range c.Entries {
+		result.Applied[i] = s.apply(e)
+	}
+	data, err := proto.Marshal(result)
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
+func (s *Store) apply(e *jobpb.Entry) bool {
+	switch c := e.Change.(type) {
+	case *jobpb.Entry_Accept:
+		return s.accept(c.Accept.Job)
+	case *jobpb.Entry_Cancel:
+		return s.cancel(c.Cancel)
+	case *jobpb.Entry_Start:
+		return s.start(c.Start)
+	case *jobpb.Entry_End:
+		return s.end(c.End)
+	case *jobpb.Entry_Configure:
+		return s.configure(c.Configure)
+	case *jobpb.Entry_Worker:
+		return s.registerWorker(c.Worker)
+	case *jobpb.Entry_Gone:
+		return s.removeWorker(c.Gone)
+	case *jobpb.Entry_Wave:
+		return s.addWave(c.Wave)
+	case *jobpb.Entry_Upkeep:
+		return s.upkeep(c.Upkeep)
+	case *jobpb.Entry_Move:
+		return s.move(c.Move)
+	case *jobpb.Entry_Forget:
+		return s.forget(c.Forget)
+	}
+	return false
+}
+
+func (s *Store) configure(c *jobpb.Configuration) bool {
+	if c.Version <= s.configuration.Version {
+		return false
+	}
+	s.configuration = c
+	return true
+}
+
+func (s *Store) accept(j *jobpb.Job) bool {
+	if s.jobs[j.Id] != nil {
+		return false
+	}
+	s.jobs[j.Id] = j
+	s.open[j.Id] = j
+	s.pending[j.Queue]++
+	return true
+}
+
+func (s *Store) cancel(c *jobpb.Cancel) bool {
+	j := s.jobs[c.Job]
+	if j == nil || ended(j.State) {
+		return false
+	}
+	s.setState(j, jobpb.Job_CANCELLED, c.AtMs)
+	return true
+}
+
+func (s *Store) setState(j *jobpb.Job, to jobpb.Job_State, atMs int64) {
+	if j.State == jobpb.Job_QUEUED {
+		s.pending[j.Queue]--
+		if s.pending[j.Queue] == 0 {
+			delete(s.pending, j.Queue)
+		}
+	}
+	j.State = to
+	if ended(to) {
+		j.EndedMs = atMs
+		j.Spec = ""
+		s.closeIfIdle(j)
+	}
+}
+
+// closeIfIdle drops an ended job without runs from the open ones.
+func (s *Store) closeIfIdle(j *jobpb.Job) {
+	for _, o := range j.Occurrences {
+		for _, st := range o.Steps {
+			for _, t := range st.Tasks {
+				if t.Worker != "" {
+					return
+				}
+			}
+		}
+	}
+	j.Occurrences = nil
+	delete(s.open, j.Id)
+}
+
+func (s *Store) find(ref *jobpb.TaskRef) *Placement {
+	j := s.jobs[ref.Job]
+	if j == nil || int(ref.Step) >= len(j.Steps) {
+		return nil
+	}
+	o := OccurrenceOf(j, ref.Occurrence)
+	if o == nil || o.Steps == nil || int(ref.Index) >= len(o.Steps[ref.Step].Tasks) {
+		return nil
+	}
+	st := o.Steps[ref.Step]
+	return &Placement{Job: j, Ref: ref, Step: j.Steps[ref.Step], Task: st.Tasks[ref.Index], State: st}
+}
+
+func (s *Store) start(c *jobpb.Start) bool {
+	j := s.jobs[c.Task.Job]
+	w := s.workers[c.Worker]
+	if j == nil || ended(j.State) || w == nil || w.BornMs != c.BornMs {
+		return false
+	}
+	if OccurrenceOf(j, c.Task.Occurrence) == nil {
+		j.Occurrences = append(j.Occurrences, NewOccurrence(j, c.Task.Occurrence))
+	}
+	p := s.find(c.Task)
+	if p == nil || p.Task.Done || p.Task.Worker != "" || c.Run <= p.Task.Run {
+		return false
+	}
+	p.Task.Run, p.Task.Worker, p.Task.BornMs = c.Run, c.Worker, c.BornMs
+	if p.State.Run < c.Run {
+		p.State.Run = c.Run
+	}
+	if j.State == jobpb.Job_QUEUED {
+		s.setState(j, jobpb.Job_ACTIVE, 0)
+	}
+	s.place(p)
+	return true
+}
+
+func (s *Store) place(p *Placement) {
+	m := s.placed[p.Task.Worker]
+	if m == nil {
+		m = map[TaskKey]*Placement{}
+		s.placed[p.Task.Worker] = m
+	}
+	m[Key(p.Ref)] = p
+	l := s.loads[p.Task.Worker]
+	if l == nil {
+		l = &Load{}
+		s.loads[p.Task.Worker] = l
+	}
+	l.Add(Key(p.Ref).StepOf(), p.Step, 1)
+}
+
+func (s *Store) displace(p *Placement) {
+	m := s.placed[p.Task.Worker]
+	delete(m, Key(p.Ref))
+	s.loads[p.Task.Worker].Add(Key(p.Ref).StepOf(), p.Step, -1)
+	if len(m) == 0 {
+		delete(s.placed, p.Task.Worker)
+		delete(s.loads, p.Task.Worker)
+	}
+	p.Task.Worker, p.Task.BornMs = "", 0
+}
+
+func (s *Store) end(c *jobpb.End) bool {
+	p := s.find(c.Task)
+	if p == nil || p.Task.Run != c.Run || p.Task.Worker != c.Worker || c.Worker == "" {
+		return false
+	}
+	s.displace(p)
+	s.settle(p, c.How, c.Checkpoint, c.AtMs)
+	return true
+}
+
+// settle records how a run has ended.
+func (s *Store) settle(p *Placement, how jobpb.How, checkpoint string, atMs int64) {
+	if checkpoint != "" {
+		p.Task.Checkpoint = checkpoint
+	}
+	switch {
+	case how == jobpb.How_DONE && !p.Step.Lasting:
+		p.Task.Done = true
+		if p.Step.Gang {
+			// One end stands for all: the members of a gang end together.
+			for _, t := range p.State.Tasks {
+				t.Done = true
+			}
+		}
+		s.completeOccurrence(p, atMs)
+	case how == jobpb.How_FAILED && !p.Step.Lasting:
+		s.countFailure(p, atMs)
+	}
+	if ended(p.Job.State) {
+		s.closeIfIdle(p.Job)
+	}
+}
+
+func (s *Store) countFailure(p *Placement, atMs int64) {
+	p.Task.Failures++
+	failures := p.Task.Failures
+	if p.Step.Gang {
+		p.State.Failures++
+		failures = p.State.Failures
+	}
+	if p.Job.MaxAttempts > 0 && failures >= p.Job.MaxAttempts && !ended(p.Job.State) {
+		s.setState(p.Job, jobpb.Job_FAILED, atMs)
+	}
+}
+
+func (s *Store) completeOccurrence(p *Placement, atMs int64) {
+	j := p.Job
+	if ended(j.State) {
+		return
+	}
+	o := OccurrenceOf(j, p.Ref.Occurrence)
+	for _, st := range o.Steps {
+		if !StepDone(st) {
+			return
+		}
+	}
+	o.Done, o.DoneMs = true, atMs
+	if len(j.Occurrences) < int(max(1, j.Repetitions)) {
+		return
+	}
+	for _, other := range j.Occurrences {
+		if !other.Done {
+			return
+		}
+	}
+	s.setState(j, jobpb.Job_COMPLETED, atMs)
+}
+
+func (s *Store) registerWorker(w *jobpb.Worker) bool {
+	known := s.workers[w.Id]
+	if known != nil && known.BornMs > w.BornMs {
+		return false
+	}
+	if known != nil && known.BornMs < w.BornMs {
+		// A new process with the old name runs nothing of before.
+		s.endAllOn(w.Id, 0)
+	}
+	s.workers[w.Id] = w
+	return true
+}
+
+func (s *Store) removeWorker(c *jobpb.WorkerGone) bool {
+	known := s.workers[c.Id]
+	if known == nil || known.BornMs != c.BornMs {
+		return false
+	}
+	s.endAllOn(c.Id, c.AtMs)
+	delete(s.workers, c.Id)
+	return true
+}
+
+func (s *Store) endAllOn(worker string, atMs int64) {
+	for _, p := range s.SortedPlacements(worker) {
+		s.displace(p)
+		s.settle(p, jobpb.How_LOST, "", atMs)
+	}
+}
+
+func (s *Store) addWave(w *jobpb.Wave) bool {
+	if s.waves[w.Number] != nil {
+		return false
+	}
+	s.waves[w.Number] = w
+	return true
+}
+
+func (s *Store) upkeep(u *jobpb.Upkeep) bool {
+	w := s.waves[u.Wave]
+	if w == nil {
+		return false
+	}
+	for _, m := range w.Machines {
+		if m.Machine == u.Machine && !m.Begun {
+			m.Ordered = true
+			m.Begun = u.Begun
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Store) move(m *jobpb.Move) bool {
+	if m.Done {
+		_, known := s.moves[m.Machine]
+		delete(s.moves, m.Machine)
+		return known
+	}
+	s.moves[m.Machine] = m
+	return true
+}
+
+func (s *Store) forget(id string) bool {
+	j := s.jobs[id]
+	if j == nil || !ended(j.State) || s.open[id] != nil {
+		return false
+	}
+	delete(s.jobs, id)
+	return true
+}
--- a/process/jobs/entry.go
+++ b/process/jobs/entry.go
@@ -51,8 +51,6 @@
 	mu      sync.Mutex
 	leader  string
 	members []string
-	lost    bool // no leader answers
-	heardAt time.Time
 }
 
 // OpenEntry starts an entry.
--- /dev/null
+++ b/process/jobs/reads.go
@@ -0,0 +1,141 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+	"marjoramtiller.example/marjoramtiller/process/replica"
+)
+
+// findQueue returns the queue with the longest prefix of a path, and what follows it.
+func findQueue(conf *jobpb.Configuration, host, path string) (*jobpb.Queue, string) {
+	var best *jobpb.Queue
+	for _, q := range conf.Queues {
+		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+			best = q
+		}
+	}
+	if best == nil {
+		return nil, ""
+	}
+	return best, path[len(best.Prefix):]
+}
+
+// jobState answers from the applied state: the caller has checked that this
+// process leads, so it reflects all that was ever confirmed.
+func (c *Control) jobState(r *jobpb.Request) (resp *jobpb.Response) {
+	c.replica.View(func(replica.StateMachine) {
+		conf := c.store.Configuration()
+		if conf.Version == 0 {
+			resp = &jobpb.Response{Outcome: jobpb.Response_NOT_READY, Reason: "there is no configuration yet"}
+			return
+		}
+		q, id := findQueue(conf, r.Host, r.Path)
+		if q == nil {
+			resp = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE}
+			return
+		}
+		key := state.QueueKey(q.Host, q.Prefix)
+		if id == "" {
+			resp = &jobpb.Response{Pending: uint32(c.store.Pending(key)), Counted: true}
+			return
+		}
+		j := c.store.Job(id)
+		if j == nil || j.Queue != key {
+			resp = &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
+			return
+		}
+		resp = &jobpb.Response{State: j.State}
+	})
+	// The lease may have ended while the state was read.
+	if !c.Leads() {
+		return &jobpb.Response{Outcome: jobpb.Response_NOT_LEADER}
+	}
+	return resp
+}
+
+// Configuration returns the newest configuration as it was sent.
+func (c *Control) Configuration(ctx context.Context) (document []byte, version uint64, err error) {
+	if _, err := c.leading(); err != nil {
+		return nil, 0, err
+	}
+	if err := c.replica.ReadBarrier(ctx); err != nil {
+		return nil, 0, &UnavailableError{Reason: err.Error()}
+	}
+	c.replica.View(func(replica.StateMachine) {
+		document, version = c.store.Configuration().Document, c.store.Configuration().Version
+	})
+	if version == 0 {
+		return nil, 0, &UnavailableError{Reason: "there is no configuration yet"}
+	}
+	return document, version, nil
+}
+
+// WaveCompleted reports whether a wave is known and completed.
+func (c *Control) WaveCompleted(ctx context.Context, number uint64) (completed, known bool, err error) {
+	if _, err := c.leading(); err != nil {
+		return false, false, err
+	}
+	if err := c.replica.ReadBarrier(ctx); err != nil {
+		return false, false, &UnavailableError{Reason: err.Error()}
+	}
+	c.replica.View(func(replica.StateMachine) {
+		w := c.store.Waves()[number]
+		known = w != nil
+		completed = known && state.WaveCompleted(w)
+	})
+	return completed, known, nil
+}
+
+// Dump is the state of a control process as shown to operators.
+type Dump struct {
+	Name    string         `json:"name"`
+	Leader  string         `json:"leader"`
+	Term    uint64         `json:"term"`
+	Applied uint64         `json:"applied"`
+	Voters  []string       `json:"voters"`
+	Version uint64         `json:"configuration_version"`
+	Jobs    map[string]int `json:"jobs"`    // by state
+	Pending map[string]int `json:"pending"` // by queue
+	Runs    map[string]int `json:"runs"`    // by worker
+	Waves   map[uint64]int `json:"waves"`   // machines that have not begun, by wave
+}
+
+// Dump returns the state of this process as JSON.
+func (c *Control) Dump(context.Context) ([]byte, error) {
+	s := c.replica.Status()
+	d := Dump{Name: c.o.Name, Leader: s.Leader, Term: s.Term, Applied: s.Applied, Voters: s.Voters,
+		Jobs: map[string]int{}, Pending: map[string]int{}, Runs: map[string]int{}, Waves: map[uint64]int{}}
+	c.replica.View(func(replica.StateMachine) {
+		d.Version = c.store.Configuration().Version
+		for _, j := range c.store.Jobs() {
+			d.Jobs[j.State.String()]++
+			if j.State == jobpb.Job_QUEUED {
+				d.Pending[j.Queue]++
+			}
+		}
+		for id := range c.store.Workers() {
+			d.Runs[id] = len(c.store.Placed(id))
+		}
+		for n, w := range c.store.Waves() {
+			d.Waves[n] = 0
+			for _, m := range w.Machines {
+				if !m.Begun {
+					d.Waves[n]++
+				}
+			}
+		}
+	})
+	return json.Marshal(d)
+}
+
+func (c *Control) dump() *jobpb.Response {
+	data, err := c.Dump(c.ctx)
+	if err != nil {
+		return &jobpb.Response{Outcome: jobpb.Response_NOT_READY, Reason: err.Error()}
+	}
+	return &jobpb.Response{Dump: data}
+}
--- /dev/null
+++ b/process/jobs/registry.go
@@ -0,0 +1,99 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+)
+
+// Report takes what a worker says of itself. It returns nil once a successor of
+// this leader would know of a new or leaving worker.
+func (c *Control) Report(ctx context.Context, r Report) error {
+	s, err := c.leading()
+	if err != nil {
+		return err
+	}
+	result := make(chan error, 1)
+	s.post(func() { s.report(r, result) })
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return &UnavailableError{Reason: "the report was not stored in time"}
+	case <-s.done:
+		return &UnavailableError{Reason: "this process no longer leads"}
+	}
+}
+
+func (s *session) report(r Report, result chan<- error) {
+	w := s.workers[r.Worker.Id]
+	now := s.now()
+	if w != nil && w.info.BornMs > r.Worker.BornMs {
+		result <- nil // a late report of an earlier process
+		return
+	}
+	if w != nil && w.info.BornMs == r.Worker.BornMs {
+		if r.Sequence < w.sequence {
+			result <- nil
+			return
+		}
+		w.sequence = r.Sequence
+		w.track.SampleClock(now, r.ClockMs)
+		if w.draining {
+			r.Worker.Draining = true
+		}
+		if sameWorker(w.info, r.Worker) {
+			result <- nil
+			return
+		}
+	}
+	s.register(r, result)
+}
+
+func sameWorker(a, b *jobpb.Worker) bool {
+	return a.Address == b.Address && a.Pool == b.Pool && a.Zone == b.Zone && a.CpuMillis == b.CpuMillis &&
+		a.MemoryMb == b.MemoryMb && a.Gpus == b.Gpus && a.Draining == b.Draining && slices.Equal(a.Labels, b.Labels)
+}
+
+// register stores a worker that is new or has changed.
+func (s *session) register(r Report, result chan<- error) {
+	info := r.Worker
+	if w := s.workers[info.Id]; w != nil && info.Draining && w.info.BornMs == info.BornMs {
+		w.draining = true // no start from now on, even before it is stored
+	}
+	s.add(&jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: info}}, func(applied bool, err error) {
+		result <- err
+		if err != nil || !applied {
+			return
+		}
+		w := s.workers[info.Id]
+		if w == nil || w.info.BornMs != info.BornMs {
+			if w != nil {
+				s.fences[info.Id] = w.track.Fence() + 1
+			}
+			w = s.adopt(info, false)
+			w.sequence = r.Sequence
+		}
+		w.info = info
+		w.draining = info.Draining
+		w.track.SampleClock(s.now(), r.ClockMs)
+		s.log.Info().Str("worker", info.Id).Int64("born_ms", info.BornMs).Str("pool", info.Pool).Bool("draining", info.Draining).
+			Str("address", info.Address).Msg("worker registered")
+	})
+}
+
+// Leave takes a worker's word that it ends now.
+func (c *Control) Leave(ctx context.Context, id string) error {
+	s, err := c.leading()
+	if err != nil {
+		return err
+	}
+	s.post(func() {
+		if w := s.workers[id]; w != nil {
+			w.left = s.now()
+			s.log.Info().Str("worker", id).Msg("worker leaves")
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/process/jobs/starts.go
@@ -0,0 +1,153 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+)
+
+// stopEnded stops the runs of jobs that have ended, and lasting ones on workers that leave.
+func (s *session) stopEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) {
+	for key, p := range placed {
+		if state.Ended(p.Job) || w.draining && p.Step.Lasting {
+			s.stopRun(now, w, key, p)
+		}
+	}
+}
+
+// stopRun stops a placed run, unless its start is still on its way or it was told
+// to stop a moment ago.
+func (s *session) stopRun(now time.Duration, w *workerState, key state.TaskKey, p *state.Placement) {
+	r := w.runs[key]
+	if r == nil || r.run != p.Task.Run {
+		r = &runState{run: p.Task.Run, fence: w.track.Fence()}
+		w.runs[key] = r
+	}
+	if r.stopAt > 0 && now < r.stopAt+stopRetry || s.starting[key] {
+		return
+	}
+	r.stopAt = now
+	s.sendStop(w, p.Ref, p.Task.Run, func(ok bool) {
+		if ok {
+			r.stopOkAt = s.now()
+		}
+	})
+}
+
+func (s *session) sendStop(w *workerState, task *jobpb.TaskRef, run uint32, then func(ok bool)) {
+	to := Target{ID: w.info.Id, Address: w.info.Address}
+	o := RunOrder{Task: task, Run: run, Fence: w.track.Fence()}
+	if !s.c.Leads() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		clockMs, err := s.c.o.Workers.Stop(ctx, to, o)
+		cancel()
+		s.post(func() {
+			s.answered(w, clockMs, err)
+			s.logOrder("stop", w, task, run, err)
+			then(err == nil)
+		})
+	}()
+}
+
+func (s *session) logOrder(kind string, w *workerState, task *jobpb.TaskRef, run uint32, err error) {
+	level := zerolog.DebugLevel
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	s.log.WithLevel(level).Err(err).Str("order", kind).Str("request", task.Job).Uint32("step", task.Step).Uint32("task", task.Index).
+		Uint32("run", run).Str("worker", w.info.Id).Uint64("fence", w.track.Fence()).Msg("order")
+	s.c.metrics.order(kind, err)
+}
+
+// answered takes the clock from an order's answer.
+func (s *session) answered(w *workerState, clockMs int64, err error) {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		clockMs = refused.ClockMs
+	}
+	if clockMs > 0 {
+		w.track.SampleClock(s.now(), clockMs)
+	}
+}
+
+// sendStart orders a start that is in the log.
+func (s *session) sendStart(start *jobpb.Start) {
+	w := s.workers[start.Worker]
+	key := state.Key(start.Task)
+	if w == nil || w.info.BornMs != start.BornMs {
+		delete(s.starting, key)
+		return // the worker's end has freed the task
+	}
+	var spec, checkpoint string
+	var ok bool
+	s.view(func(st *state.Store) {
+		p := st.Placed(start.Worker)[key]
+		if p == nil || p.Task.Run != start.Run || state.Ended(p.Job) {
+			return
+		}
+		spec, checkpoint, ok = p.Job.Spec, gangCheckpoint(p), true
+	})
+	deadline, known := w.track.Grant(s.now())
+	if !ok || !known || !s.c.Leads() || w.draining {
+		delete(s.starting, key)
+		delete(w.runs, key)
+		s.addEnd(w, start.Task, start.Run, jobpb.How_NEVER_STARTED, "")
+		return
+	}
+	r := &runState{run: start.Run, fence: w.track.Fence()}
+	w.runs[key] = r
+	o := StartOrder{Task: start.Task, Run: start.Run, Spec: spec, Checkpoint: checkpoint, DeadlineMs: deadline, Fence: r.fence,
+		Ticket: s.advice.ticket(start)}
+	to := Target{ID: w.info.Id, Address: w.info.Address}
+	sent := s.now()
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
+		clockMs, err := s.c.o.Workers.Start(ctx, to, o)
+		cancel()
+		s.post(func() { s.started(w, start, r, sent, clockMs, err) })
+	}()
+}
+
+// gangCheckpoint returns the checkpoint to resume from; the members of a gang share one.
+func gangCheckpoint(p *state.Placement) string {
+	if !p.Step.Gang {
+		return p.Task.Checkpoint
+	}
+	best := ""
+	for _, t := range p.State.Tasks {
+		best = max(best, t.Checkpoint)
+	}
+	return best
+}
+
+func (s *session) started(w *workerState, start *jobpb.Start, r *runState, sent time.Duration, clockMs int64, err error) {
+	key := state.Key(start.Task)
+	now := s.now()
+	delete(s.starting, key)
+	s.answered(w, clockMs, err)
+	s.logOrder("start", w, start.Task, start.Run, err)
+	s.c.metrics.startSeconds.Observe((now - sent).Seconds())
+	var refused *RefusedError
+	switch {
+	case err == nil:
+		r.answered, r.okAt = true, now
+	case neverCarriedOut(err):
+		w.pausedTo = now + refusedPause
+		if errors.As(err, &refused) && refused.Reason == RefusedFence {
+			s.raiseFence(w)
+		}
+		s.addEnd(w, start.Task, start.Run, jobpb.How_NEVER_STARTED, "")
+	default:
+		w.track.Unanswered(sent)
+		w.silent = true
+		s.raiseFence(w)
+	}
+}
