Keep a later run's record when an earlier order of its task settles

A worker was dropped, as its machine had moved, with starts on their way; the tasks were planned anew, and the outcome of the first orders then removed the mark of the second ones. A list of runs that lacked them made them free while they were starting. An end that a worker lists again removed the record of a later run in the same way.

Ruled out: leases and fences (one term, one fence in the log).

Change: marks and records are settled by run number.

--- a/process/jobs/looks.go
+++ b/process/jobs/looks.go
@@ -127,12 +127,11 @@
 func (s *session) takeEnd(w *workerState, e EndedRun, st *state.Store) {
 	key := state.Key(e.Task)
 	p := st.Placed(w.info.Id)[key]
-	r := w.runs[key]
-	delete(w.runs, key)
-	delete(w.load, key)
+	r := w.runs.take(key, e.Run)
 	if p == nil || p.Task.Run != e.Run {
 		return
 	}
+	delete(w.load, key)
 	now := s.now()
 	if e.How == jobpb.How_DONE && r != nil && r.okAt > 0 && p.Task.Checkpoint == "" {
 		s.estimate.Add(p.Job.Queue, p.Step, now-r.okAt)
@@ -186,13 +185,13 @@
 		if r, there := running[key]; there && r.Run == p.Task.Run {
 			continue
 		}
-		if listed[key] || s.starting[key] {
+		if listed[key] || s.starting.has(key) {
 			continue
 		}
 		if s.settled(w, key, p, sent, o) {
 			s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Uint32("task", key.Index).Uint32("run", p.Task.Run).
 				Str("worker", w.info.Id).Uint64("fence", o.Fence).Msg("run is not at its worker and cannot begin there: it is free again")
-			delete(w.runs, key)
+			w.runs.take(key, p.Task.Run)
 			s.addEnd(w, p.Ref, p.Task.Run, jobpb.How_NEVER_STARTED, "")
 		}
 	}
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -43,8 +43,8 @@
 	workers  map[string]*workerState
 	fences   map[string]uint64 // highest fence used for a worker that was dropped
 	queues   map[string]*jobpb.Queue
-	queuesAt uint64                 // configuration version of queues
-	starting map[state.TaskKey]bool // starts between the plan and their order's outcome
+	queuesAt uint64 // configuration version of queues
+	starting startSet
 	estimate *schedule.Estimates
 	upkeep   *upkeepDriver
 	moves    *moveDriver
@@ -60,7 +60,7 @@
 		c: c, term: term, ctx: ctx, cancel: cancel, log: c.log.With().Uint64("term", term).Logger(),
 		done: make(chan struct{}), events: make(chan func(), eventQueue),
 		began: c.o.Clock.Now(), workers: map[string]*workerState{}, fences: map[string]uint64{},
-		queues: map[string]*jobpb.Queue{}, starting: map[state.TaskKey]bool{}, estimate: schedule.NewEstimates(), dirty: true,
+		queues: map[string]*jobpb.Queue{}, starting: startSet{}, estimate: schedule.NewEstimates(), dirty: true,
 	}
 	s.upkeep = newUpkeepDriver(s)
 	s.moves = newMoveDriver(s)
@@ -248,10 +248,10 @@
 
 func (s *session) addStart(start *jobpb.Start) {
 	key := state.Key(start.Task)
-	s.starting[key] = true
+	s.starting.begin(key, start.Run)
 	s.add(&jobpb.Entry{Change: &jobpb.Entry_Start{Start: start}}, func(applied bool, err error) {
 		if !applied {
-			delete(s.starting, key)
+			s.starting.settle(key, start.Run)
 			s.log.Debug().Err(err).Str("job", key.Job).Str("worker", start.Worker).Msg("start was not recorded")
 			return
 		}
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -28,7 +28,7 @@
 		r = &runState{run: p.Task.Run, fence: w.track.Fence()}
 		w.runs[key] = r
 	}
-	if r.stopAt > 0 && now < r.stopAt+stopRetry || s.starting[key] {
+	if r.stopAt > 0 && now < r.stopAt+stopRetry || s.starting.has(key) {
 		return
 	}
 	r.stopAt = now
@@ -83,7 +83,7 @@
 	w := s.workers[start.Worker]
 	key := state.Key(start.Task)
 	if w == nil || w.info.BornMs != start.BornMs {
-		delete(s.starting, key)
+		s.starting.settle(key, start.Run)
 		return // the worker's end has freed the task
 	}
 	var spec, checkpoint string
@@ -97,8 +97,8 @@
 	})
 	deadline, known := w.track.Grant(s.now())
 	if !ok || !known || !s.c.Leads() || w.draining {
-		delete(s.starting, key)
-		delete(w.runs, key)
+		s.starting.settle(key, start.Run)
+		w.runs.take(key, start.Run)
 		s.addEnd(w, start.Task, start.Run, jobpb.How_NEVER_STARTED, "")
 		return
 	}
@@ -131,7 +131,7 @@
 func (s *session) started(w *workerState, start *jobpb.Start, r *runState, sent time.Duration, clockMs int64, err error) {
 	key := state.Key(start.Task)
 	now := s.now()
-	delete(s.starting, key)
+	s.starting.settle(key, start.Run)
 	s.answered(w, clockMs, err)
 	s.logOrder("start", w, start.Task, start.Run, err)
 	s.c.metrics.startSeconds.Observe((now - sent).Seconds())
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -28,16 +28,6 @@
 	failurePenalty   = 4 * time.Second        // for which a failed run counts against a worker
 )
 
-// runState is what this term knows of the order behind a placed run.
-type runState struct {
-	run      uint32
-	fence    uint64
-	answered bool
-	okAt     time.Duration // when the worker confirmed the start
-	stopAt   time.Duration // when the last stop was sent
-	stopOkAt time.Duration // when the worker confirmed a stop
-}
-
 // workerState is what this term knows of a worker's process.
 type workerState struct {
 	info     *jobpb.Worker
@@ -51,7 +41,7 @@
 	left     time.Duration
 	draining bool // has announced that it leaves
 	dropping bool
-	runs     map[state.TaskKey]*runState
+	runs     runSet
 	load     map[state.TaskKey]Run // from the last list
 	failures []time.Duration
 	suspect  bool // is slow or stands still
@@ -69,7 +59,7 @@
 }
 
 func (s *session) adopt(info *jobpb.Worker, earlier bool) *workerState {
-	w := &workerState{info: info, draining: info.Draining, runs: map[state.TaskKey]*runState{}, load: map[state.TaskKey]Run{}}
+	w := &workerState{info: info, draining: info.Draining, runs: runSet{}, load: map[state.TaskKey]Run{}}
 	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
 	for w.track.Fence() < s.fences[info.Id] {
 		w.track.RaiseFence()
