Refuse a start that a worker has no room for, and plan only on all starts

Ruled out: free runs that were not free (no such line for the workers).

Change: the state re-checks the room of a worker when a start is applied; no plan is made that might not fit into the next entry.

--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -24,10 +24,12 @@
 	priorityCost = 1 << 36
 	maxPriority  = 7
 	workUnit     = 1000.0 // steps of the order in a core-second
-	// maxStartsPerPlan bounds one plan, and with it one log entry.
-	maxStartsPerPlan = 512
 )
 
+// MaxStartsPerPlan is about the number of starts of one plan; a step that has begun
+// to start may exceed it.
+const MaxStartsPerPlan = 512
+
 // Worker is a worker that may take tasks, with what it has left.
 type Worker struct {
 	ID     string
@@ -111,7 +113,7 @@
 	})
 	for _, c := range list {
 		p.startStep(c)
-		if len(p.starts) >= maxStartsPerPlan {
+		if len(p.starts) >= MaxStartsPerPlan {
 			break
 		}
 	}
--- a/job/schedule/schedule_test.go
+++ b/job/schedule/schedule_test.go
@@ -37,7 +37,7 @@
 }
 
 func known(id string) *jobpb.Entry {
-	return &jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: &jobpb.Worker{Id: id, BornMs: 1, Pool: "p"}}}
+	return &jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: &jobpb.Worker{Id: id, BornMs: 1, Pool: "p", CpuMillis: 4000, MemoryMb: 1000, Gpus: 1}}}
 }
 
 func workers(n int, cpu int64) (list []*Worker) {
--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -131,7 +131,7 @@
 		j.Occurrences = append(j.Occurrences, NewOccurrence(j, c.Task.Occurrence))
 	}
 	p := s.find(c.Task)
-	if p == nil || p.Task.Done || p.Task.Worker != "" || c.Run <= p.Task.Run {
+	if p == nil || p.Task.Done || p.Task.Worker != "" || c.Run <= p.Task.Run || !s.hasRoom(w, p.Step) {
 		return false
 	}
 	p.Task.Run, p.Task.Worker, p.Task.BornMs = c.Run, c.Worker, c.BornMs
@@ -145,6 +145,17 @@
 	return true
 }
 
+// hasRoom reports whether a worker can take one more task of a step.
+func (s *Store) hasRoom(w *jobpb.Worker, step *jobpb.Step) bool {
+	l := s.loads[w.Id]
+	if l == nil {
+		l = &Load{}
+	}
+	cpu := l.CPUMillis + int64(step.CpuMillis)
+	return (step.Fill || cpu <= int64(w.CpuMillis)) && l.MemoryMB+int64(step.MemoryMb) <= int64(w.MemoryMb) &&
+		l.GPUs+int64(step.Gpus) <= int64(w.Gpus)
+}
+
 func (s *Store) place(p *Placement) {
 	m := s.placed[p.Task.Worker]
 	if m == nil {
--- a/job/state/state_test.go
+++ b/job/state/state_test.go
@@ -68,6 +68,19 @@
 	is.Equal(apply(t, s, start(r, 3, "w1", 1)), []bool{false}) // done
 }
 
+// Guards against a worker that is given more than it has by two plans, of which the
+// later one did not see the starts of the earlier one.
+func TestStartNeedsRoom(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	w := &jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: &jobpb.Worker{Id: "w1", BornMs: 1, CpuMillis: 4000, MemoryMb: 10}}}
+	apply(t, s, w, accept("a", 2, &jobpb.Step{Count: 3, CpuMillis: 2000}, &jobpb.Step{Count: 2, CpuMillis: 9000, MemoryMb: 10, Fill: true}))
+	got := apply(t, s, start(ref("a", 0, 0), 1, "w1", 1), start(ref("a", 0, 1), 1, "w1", 1), start(ref("a", 0, 2), 1, "w1", 1),
+		start(ref("a", 1, 0), 1, "w1", 1), start(ref("a", 1, 1), 1, "w1", 1))
+	is.Equal(got, []bool{true, true, false, true, false})
+	is.Equal(apply(t, s, end(ref("a", 0, 0), 1, "w1", jobpb.How_STOPPED), start(ref("a", 0, 2), 1, "w1", 1)), []bool{true, true})
+}
+
 // Guards against attempts beyond the limit, and against a loss of the worker that
 // counts as an attempt.
 func TestAttempts(t *testing.T) {
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -123,7 +123,8 @@
 	s.forgetJobs(now)
 	s.upkeep.round(now)
 	s.moves.round(now)
-	if s.dirty {
+	// What a plan starts must be in the next entry: a later plan would not see it.
+	if s.dirty && len(s.batch)+schedule.MaxStartsPerPlan <= maxBatchEntries {
 		s.plan(now)
 	}
 	s.commit()
