Remove settings and fields that nothing reads

Bounds of the platform that no rule of the product uses, the zone and rack of listed machines, and a margin of zero are gone. No change of behaviour.

--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -16,8 +16,6 @@
 
 // Limits of a plan.
 const (
-	// earlyMargin starts a timed occurrence at its due time, not before it.
-	earlyMargin = 0 * time.Millisecond
 	// lateCost is the order of jobs that can no longer be in time: behind the others.
 	lateCost = 1 << 40
 	// priorityCost separates the priorities of queues; maxPriority keeps them below lateCost.
@@ -143,7 +141,7 @@
 		}
 		for n := uint32(0); n < max(1, j.Repetitions); n++ {
 			due := j.FirstDueMs + int64(n)*j.IntervalMs
-			if j.Repetitions > 0 && due+earlyMargin.Milliseconds() > p.in.NowMs {
+			if j.Repetitions > 0 && due > p.in.NowMs {
 				break
 			}
 			list = p.occurrence(list, j, n, due)
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -46,10 +46,6 @@
 	ReportInterval time.Duration
 	StatusKept     time.Duration // how long an ended job is known
 	HolderGap      time.Duration // between the last order of one leader for a machine and the first of the next
-	Notice         time.Duration // a task counts as away for this long after it is back
-	Upkeep         time.Duration
-	Migration      time.Duration
-	StopTime       time.Duration
 	// OrdersPerSecond bounds the orders to the machine service, 0 without a bound.
 	OrdersPerSecond float64
 }
--- a/process/jobs/orders.go
+++ b/process/jobs/orders.go
@@ -127,8 +127,6 @@
 	Name     string
 	Pool     string
 	Up       bool // neither moving nor out for upkeep nor down
-	Zone     string
-	Rack     string
 	Cores    float64
 	WorkerID string
 }
