--- a/process/replica/snapshot_test.go
+++ b/process/replica/snapshot_test.go
@@ -27,6 +27,7 @@
 func TestSlowSnapshotDoesNotHoldUpTheLog(t *testing.T) {
 	is := is.New(t)
 	c := newCluster(t)
+	c.election = calmElection
 	slow, release := context.WithCancel(context.Background())
 	t.Cleanup(release)
 	c.machine = func() StateMachine { return &slowMachine{release: slow.Done()} }
