--- a/process/jobs/entry.go
+++ b/process/jobs/entry.go
@@ -34,7 +34,6 @@
 	// refuseAfter is when a request that reached no leader is refused: its caller
 	// can come back, and a late refusal helps nobody.
 	refuseAfter = 140 * time.Millisecond
-	answerSlack = 150 * time.Millisecond // left for the answer's way to the caller
 )
 
 // Entry passes callers' requests to the control leader. It holds no state of its
