Count a confirmed upkeep's tasks as away until a list shows it

Since ends are taken from the list of machines, the tasks of a machine whose upkeep was just confirmed counted as at work until the next list.

Ruled out: orders on their way (marked) and unconfirmed ones (marked).

Change: such a machine's worker counts as leaving until a list that was asked for after the confirmation. The wave's test now ends executors silently beside an old list; it did not fail without the change.

--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -317,14 +317,19 @@
 // busy reports whether a machine goes out for upkeep now, or is out.
 func (u *upkeepDriver) busy(machine string) bool {
 	m := u.machines[machine]
-	return m != nil && (m.ordering || m.cordonedAt > 0 || u.listedAt <= m.confirmedAt && m.confirmedAt > u.s.began)
+	return m != nil && (m.ordering || m.cordonedAt > 0 || u.justOut(m))
 }
 
 // leaving reports whether the order for a worker's machine is on its way, or may be.
 func (u *upkeepDriver) leaving(worker string) bool {
 	name := u.byWorker[worker]
 	m := u.machines[name]
-	return m != nil && m.ordering || u.unconfirmed[name]
+	return m != nil && (m.ordering || u.justOut(m)) || u.unconfirmed[name]
+}
+
+// justOut reports whether an upkeep was confirmed that no list shows yet.
+func (u *upkeepDriver) justOut(m *machineState) bool {
+	return m.confirmedAt > u.s.began && u.listedAt <= m.confirmedAt
 }
 
 // record stores that a machine's upkeep is ordered, and then orders it; or that
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -302,6 +302,9 @@
 		case <-time.After(holdPoll):
 		}
 	}
+	if e.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	_ = json.NewEncoder(w).Encode(e.list())
 }
 
