Order no upkeep for a machine whose worker the list does not name yet

Ruled out: orders of one round (counted), confirmed ones (counted).

Change: an upkeep waits until the list names a known worker, or 4 s.

--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -22,6 +22,7 @@
 	upkeepInterval  = 50 * time.Millisecond   // between looks at the waves
 	fullPercent     = 100
 	spreadInterval  = 2500 * time.Millisecond // in which a stopped run is seen at work elsewhere
+	unknownTime     = 4 * time.Second         // after which a machine without a known worker has no tasks
 	upkeepLookahead = 1                       // machines that are emptied beyond those that may be out
 )
 
@@ -30,6 +31,7 @@
 	ordering    bool
 	retryAt     time.Duration
 	confirmedAt time.Duration // when the platform confirmed the upkeep
+	unknownAt   time.Duration // since when its worker is not known, 0 if it is
 	waits       bool          // a lasting step holds the upkeep up
 	cordonedAt  time.Duration // when new tasks were kept away, 0 if they are not
 }
@@ -188,6 +190,9 @@
 		if room <= 0 || m.cordonedAt == 0 || now < m.retryAt || u.s.moves.moving[wm.Machine] != nil {
 			continue
 		}
+		if !u.workerKnown(now, st, wm.Machine) {
+			continue
+		}
 		worker := u.listed[wm.Machine].WorkerID
 		idle := shortTasks(st, worker) == 0
 		if !idle && !hurry && now < m.cordonedAt+upkeepPatience {
@@ -203,6 +208,27 @@
 	}
 }
 
+// workerKnown reports whether the list names the worker that runs on a machine. A
+// worker can register, and be given tasks, before a list names it; one that stays
+// unknown for a while has no tasks.
+func (u *upkeepDriver) workerKnown(now time.Duration, st *state.Store, machine string) bool {
+	m := u.machine(machine)
+	listed := u.listed[machine]
+	for _, p := range st.Configuration().Pools {
+		if p.Name == listed.Pool && p.Standby {
+			return true
+		}
+	}
+	if u.s.workers[listed.WorkerID] != nil {
+		m.unknownAt = 0
+		return true
+	}
+	if m.unknownAt == 0 {
+		m.unknownAt = now
+	}
+	return now > m.unknownAt+unknownTime
+}
+
 // orderAgain repeats an order that is not confirmed. It may not have been carried
 // out, so that what runs there by now is ended by this one.
 func (u *upkeepDriver) orderAgain(now time.Duration, st *state.Store, w *jobpb.Wave, machine string) {
