--- a/tests/faults/cluster_test.go
+++ b/tests/faults/cluster_test.go
@@ -267,6 +267,15 @@
 	})
 }
 
+// groupNames returns the names of the ledger groups.
+func groupNames() []string {
+	var names []string
+	for n := range ledgerGroups {
+		names = append(names, fmt.Sprintf("ledger-%d", n))
+	}
+	return names
+}
+
 // leader waits for the leader of a group and returns it.
 func (c *cluster) leader(group string) *daemon {
 	c.t.Helper()
--- a/tests/faults/server_test.go
+++ b/tests/faults/server_test.go
@@ -221,9 +221,14 @@
 	}
 }
 
-// waitServing waits until every entry has an answer from the service.
+// waitServing waits until the ledger groups have leaders and every entry has an
+// answer from the service. The groups are elected one by one, so that the
+// service can be reached before the ledger takes its first key.
 func (list servers) waitServing(c *cluster) {
 	c.t.Helper()
+	for _, group := range groupNames() {
+		c.leader(group)
+	}
 	for _, e := range c.entries {
 		eventually(c.t, e.name+" serves", func() bool {
 			return c.send(e, get(list[0].service)).outcome == answered
