Let a new leader's orders wait only for machines that were ordered lately

Cause: a new leader sent no order to the machine service for 3 s, so that two holders never take turns at one machine within the lease duration.

Ruled out: slow reading of the list (it was there 0.2 s after the election); a shorter denial of votes after a restart, as an earlier leader's lease may stand.

The rule speaks of one machine, and the log names the machines that a predecessor may have ordered: open moves, which now stay in the log for the gap after their last order, and machines of waves that are open or were due within 10 s. Only these wait; workers of machines that a predecessor's move may still take get no tasks until the list shows it.

--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -79,13 +79,17 @@
 // leaving reports whether a worker's machine is about to be moved.
 func (d *moveDriver) leaving(worker string) bool {
 	name := d.s.upkeep.byWorker[worker]
-	return d.moving[name] != nil || d.s.now() < d.vacated[name]
+	now := d.s.now()
+	if pool, may := d.s.holder.arrives(now, name); may && d.s.upkeep.listed[name].Pool != pool {
+		return true
+	}
+	return d.moving[name] != nil || now < d.vacated[name]
 }
 
 // round orders the moves that the demand asks for.
 func (d *moveDriver) round(now time.Duration) {
 	u := d.s.upkeep
-	if d.s.c.o.Machines == nil || now < d.next || u.listed == nil || now < d.s.began+d.s.c.o.Bounds.HolderGap {
+	if d.s.c.o.Machines == nil || now < d.next || u.listed == nil {
 		return
 	}
 	d.next = now + moveInterval
@@ -134,7 +138,7 @@
 		}
 	}
 	for name := range st.Moves() {
-		if d.moving[name] == nil {
+		if d.moving[name] == nil && d.s.holder.forgettable(now, name) {
 			done := &jobpb.Move{Machine: name, Done: true}
 			d.s.add(&jobpb.Entry{Change: &jobpb.Entry_Move{Move: done}}, nil)
 		}
@@ -207,6 +211,7 @@
 			cm.Pool, cm.Arriving = mv.to, true
 		case !m.Up || u.busy(name):
 			continue
+		case !d.s.holder.mayOrder(now, name):
 		default:
 			cm.Idle = standby[m.Pool] || d.idle(now, st, m)
 			if !cm.Idle && now >= d.vacated[name] {
@@ -272,6 +277,7 @@
 func (d *moveDriver) order(m capacity.Move) {
 	now := d.s.now()
 	mv := &moving{to: m.To, ordering: true, until: now + moveTimeout}
+	d.s.holder.ordered(now, m.Machine)
 	d.moving[m.Machine] = mv
 	worker := d.s.upkeep.listed[m.Machine].WorkerID
 	change := &jobpb.Move{Machine: m.Machine, Pool: m.To}
@@ -293,6 +299,7 @@
 func (d *moveDriver) ordered(m capacity.Move, mv *moving, worker string, err error) {
 	now := d.s.now()
 	mv.ordering = false
+	d.s.holder.ordered(now, m.Machine)
 	d.s.log.Info().Err(err).Str("machine", m.Machine).Str("worker", worker).Str("from", m.From).Str("to", m.To).Msg("move ordered")
 	d.s.c.metrics.order("move", err)
 	var refused *RefusedError
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -48,6 +48,7 @@
 	estimate *schedule.Estimates
 	upkeep   *upkeepDriver
 	moves    *moveDriver
+	holder   *holder
 	advice   *adviceDriver
 	forgotAt time.Duration
 	stopsAt  time.Duration // of the next look for runs to stop
@@ -65,6 +66,7 @@
 	s.upkeep = newUpkeepDriver(s)
 	s.moves = newMoveDriver(s)
 	s.advice = newAdviceDriver(s)
+	s.view(func(st *state.Store) { s.holder = newHolder(st, s.began, c.o.Bounds.HolderGap, s.nowMs()) })
 	return s
 }
 
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -93,7 +93,7 @@
 			}
 		}
 		u.list(now)
-		if u.listed == nil || now < u.s.began+u.s.c.o.Bounds.HolderGap {
+		if u.listed == nil {
 			return
 		}
 		slices.SortFunc(open, func(a, b *jobpb.Wave) int { return cmp.Compare(a.DueMs, b.DueMs) })
@@ -172,6 +172,7 @@
 		case wm.Begun || u.machine(wm.Machine).ordering:
 		case u.gone(now, wm.Machine):
 			u.record(w, wm.Machine, true)
+		case !u.s.holder.mayOrder(now, wm.Machine):
 		case wm.Ordered:
 			u.orderAgain(now, st, w, wm.Machine)
 		default:
