Stop slow runs only where another worker can take them

Cause: a job that declares 20 ms and runs for half a second, on the only worker of its pool, was stopped and started anew without an end: its runs were overdue by the declared time, and "sooner elsewhere" did not ask for another worker.

Ruled out: lapsed leases (each end is STOPPED by an order of the leader).

Change: a run is begun anew only while the pool has a worker that answers and is not suspect; a declared run time that no run has confirmed counts for the first three runs of a task.

--- a/job/schedule/estimate.go
+++ b/job/schedule/estimate.go
@@ -112,13 +112,20 @@
 	h.ratio.add(a - math.Log(declared(step).Seconds()))
 }
 
+// Learned reports whether enough runs of a queue were seen to correct what its
+// jobs declare.
+func (e *Estimates) Learned(queue string) bool {
+	h := e.queues[queue]
+	return h != nil && h.actual.n >= minRuns
+}
+
 // Of returns the expected run time of a task.
 func (e *Estimates) Of(queue string, step *jobpb.Step) time.Duration {
 	d := declared(step)
-	h := e.queues[queue]
-	if h == nil || h.actual.n < minRuns {
+	if !e.Learned(queue) {
 		return d
 	}
+	h := e.queues[queue]
 	byMean := h.actual.mean + h.actual.variance/2
 	byDeclared := math.Log(d.Seconds()) + h.ratio.mean + h.ratio.variance/2
 	trust := (h.actual.variance + minVariance) / (h.actual.variance + h.ratio.variance + 2*minVariance)
--- a/process/jobs/slow.go
+++ b/process/jobs/slow.go
@@ -14,6 +14,7 @@
 	overdueShare  = 0.5                    // of its runs, likewise
 	rescueFactor  = 1.5                    // expected run times that a run must still need to be begun anew
 	rescueRounds  = 4                      // runs taken from one worker at a look
+	unlearnedRuns = 3                      // of a task that are stopped on the word of its declared run time
 	fullShare     = 100.0
 )
 
@@ -46,7 +47,7 @@
 		if rescued == rescueRounds {
 			return
 		}
-		if !p.Step.Lasting && !p.Step.Gang && !state.Ended(p.Job) && s.overdue(now, w, key, p) && s.soonerElsewhere(now, w, key, p) {
+		if s.rescuable(w, p) && s.overdue(now, w, key, p) && s.soonerElsewhere(now, w, key, p) {
 			s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Uint32("task", key.Index).Str("worker", w.info.Id).
 				Int("percent", w.load[key].Percent).Dur("ran", now-w.runs[key].okAt).Msg("run stopped: it is done sooner elsewhere")
 			s.stopRun(now, w, key, p)
@@ -55,6 +56,26 @@
 	}
 }
 
+// rescuable reports whether a run of a suspect worker may be stopped to begin anew
+// elsewhere. There must be a worker that is not suspect, and a declared run time
+// that no run has confirmed counts for the first runs of a task only: else it could
+// be stopped again and again and never end.
+func (s *session) rescuable(w *workerState, p *state.Placement) bool {
+	if p.Step.Lasting || p.Step.Gang || state.Ended(p.Job) {
+		return false
+	}
+	if !s.estimate.Learned(p.Job.Queue) && p.Task.Run > unlearnedRuns {
+		return false
+	}
+	for _, other := range s.workers {
+		if other != w && other.info.Pool == w.info.Pool && other.track.Looked && !other.suspect && !other.silent &&
+			!other.draining && !other.dropping && other.left == 0 {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *session) overdue(now time.Duration, w *workerState, key state.TaskKey, p *state.Placement) bool {
 	r := w.runs[key]
 	if r == nil || !r.answered || r.run != p.Task.Run || r.stopAt > 0 {
