Serve jobs through the product's own interface and show them to operators

Change: entries serve PUT, GET and DELETE /v1/queues/{queue}/jobs/{id} and GET /v1/queues/{queue} on their observe listener, with the product's names and problem documents; the control leader serves /v1/queues, /v1/runs, /v1/machines and /v1/waves. `marjoramtiller` has queues, runs, machines, waves and job submit|state|cancel; [client] job_control and job_entries name the processes. A cancellation that names another queue's job changes nothing now.

Not done: the INI daemons and the demo run no control process for jobs.

--- a/cmd/marjoramtiller-platform/control.go
+++ b/cmd/marjoramtiller-platform/control.go
@@ -38,7 +38,7 @@
 		return err
 	}
 	registry.MustRegister(control.Collectors()...)
-	observer := openObserver(s, log, registry, control.Dump)
+	observer := openObserver(s, log, registry, control.OperatorsHandler(), control.Dump)
 	if observer != nil {
 		defer func() { _ = observer.Close(context.Background()) }()
 	}
--- a/cmd/marjoramtiller-platform/entry.go
+++ b/cmd/marjoramtiller-platform/entry.go
@@ -20,7 +20,7 @@
 		IP: s.IP, BootID: boot, Cluster: cluster, Logger: log})
 	defer func() { _ = entry.Close() }()
 	registry.MustRegister(entry.Collectors()...)
-	observer := openObserver(s, log, registry, nil)
+	observer := openObserver(s, log, registry, jobs.CallersHandler(entry), nil)
 	if observer != nil {
 		defer func() { _ = observer.Close(context.Background()) }()
 	}
--- a/cmd/marjoramtiller-platform/main.go
+++ b/cmd/marjoramtiller-platform/main.go
@@ -130,13 +130,13 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func openObserver(s *platform.Settings, log zerolog.Logger, registry *prometheus.Registry, dump func(context.Context) ([]byte, error)) *observe.Server {
+func openObserver(s *platform.Settings, log zerolog.Logger, registry *prometheus.Registry, api http.Handler, dump func(context.Context) ([]byte, error)) *observe.Server {
 	address, err := netip.ParseAddrPort(s.Metrics)
 	if err != nil {
 		log.Warn().Err(err).Msg("no metrics: the address cannot be read")
 		return nil
 	}
-	server, err := observe.Listen(observe.Options{Address: address, Logger: log, Metrics: observe.MetricsHandler(registry), Dump: dump})
+	server, err := observe.Listen(observe.Options{Address: address, Logger: log, Metrics: observe.MetricsHandler(registry), API: api, Dump: dump})
 	if err != nil {
 		log.Warn().Err(err).Msg("no metrics: the address cannot be used")
 		return nil
--- a/cmd/marjoramtiller/main.go
+++ b/cmd/marjoramtiller/main.go
@@ -44,6 +44,13 @@
   host move -to POOL [-epoch N] NAME
   voters list
   voters add-learner|promote|remove ID
+  queues                         print the queues of jobs
+  runs [-queue QUEUE]            print the runs that may be at work
+  machines                       print the machines, their pools and workers
+  waves                          print the progress of the waves over machines
+  job submit -queue QUEUE [-id ID] FILE
+  job state -queue QUEUE ID
+  job cancel -queue QUEUE ID
   bench                          print the metrics of both users' workloads
                                  beside baselines and targets
   dump                           print a control process's state as JSON
@@ -93,6 +100,13 @@
 	"voters add-learner": voterCommand(operator.AddLearner),
 	"voters promote":     voterCommand(operator.Promote),
 	"voters remove":      voterCommand(operator.RemoveVoter),
+	"queues":             jobQueues,
+	"runs":               jobRuns,
+	"machines":           jobMachines,
+	"waves":              jobWaves,
+	"job submit":         jobSubmit,
+	"job state":          jobState,
+	"job cancel":         jobCancel,
 	"bench":              bench,
 	"demo":               demo,
 	"dump":               dump,
--- /dev/null
+++ b/process/jobs/callers.go
@@ -0,0 +1,145 @@
+package jobs
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/request/outcome"
+)
+
+// Limits of callers' requests.
+const (
+	MaxJobBytes     = 1 << 20 // of a submission
+	callerTimeout   = 3 * time.Second // without Request-Deadline-Ms
+	maxCallerMs     = 60_000
+	headerDeadline  = "Request-Deadline-Ms"
+	headerMediaType = "application/json"
+)
+
+// Passer hands a request to the control leader, as Entry does.
+type Passer interface {
+	Pass(ctx context.Context, r *jobpb.Request) *jobpb.Response
+}
+
+// JobAnswer is what a caller is told about a job.
+type JobAnswer struct {
+	Queue string `json:"queue"`
+	ID    string `json:"id"`
+	// State is queued, active, completed, failed or cancelled; it is left out where a
+	// submission or a cancellation is confirmed.
+	State string `json:"state,omitempty"`
+}
+
+// QueueAnswer is what a caller is told about a queue.
+type QueueAnswer struct {
+	Queue   string `json:"queue"`
+	Pending uint32 `json:"pending"` // accepted jobs without a start
+}
+
+// StateNames are the names of a job's states in answers.
+var StateNames = map[jobpb.Job_State]string{
+	jobpb.Job_QUEUED: "queued", jobpb.Job_ACTIVE: "active", jobpb.Job_COMPLETED: "completed",
+	jobpb.Job_FAILED: "failed", jobpb.Job_CANCELLED: "cancelled",
+}
+
+// CallersHandler returns the callers' interface for jobs: PUT, GET and DELETE
+// /v1/queues/{queue}/jobs/{id}, and GET /v1/queues/{queue}. A job's body is the
+// JSON form of jobpb.Job with spec, steps, repetitions, first_due_ms and
+// interval_ms. PUT may be sent again with the same id: it remains one job.
+func CallersHandler(p Passer) http.Handler {
+	mux := http.NewServeMux()
+	door := callers{p}
+	mux.HandleFunc("PUT /v1/queues/{queue}/jobs/{id}", door.submit)
+	mux.HandleFunc("GET /v1/queues/{queue}/jobs/{id}", door.pass(jobpb.Request_STATE))
+	mux.HandleFunc("DELETE /v1/queues/{queue}/jobs/{id}", door.pass(jobpb.Request_CANCEL))
+	mux.HandleFunc("GET /v1/queues/{queue}", door.pass(jobpb.Request_STATE))
+	return mux
+}
+
+type callers struct{ passer Passer }
+
+func (c callers) submit(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxJobBytes))
+	if err != nil {
+		outcome.New(outcome.CauseBodyTooLarge, err.Error()).Write(w)
+		return
+	}
+	j := &jobpb.Job{}
+	if err := protojson.Unmarshal(data, j); err != nil {
+		outcome.New(outcome.CauseInvalidRequest, err.Error()).Write(w)
+		return
+	}
+	// What a caller does not set is the system's.
+	j = &jobpb.Job{Spec: j.Spec, Steps: j.Steps, Repetitions: j.Repetitions, FirstDueMs: j.FirstDueMs, IntervalMs: j.IntervalMs}
+	if err := CheckJob(j); err != nil {
+		outcome.New(outcome.CauseInvalidRequest, err.Error()).Write(w)
+		return
+	}
+	c.answer(w, r, &jobpb.Request{Kind: jobpb.Request_SUBMIT, Job: j})
+}
+
+func (c callers) pass(kind jobpb.Request_Kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) { c.answer(w, r, &jobpb.Request{Kind: kind}) }
+}
+
+func (c callers) answer(w http.ResponseWriter, r *http.Request, req *jobpb.Request) {
+	req.Queue, req.Id = r.PathValue("queue"), r.PathValue("id")
+	ctx, cancel := context.WithTimeout(r.Context(), callerTime(r))
+	defer cancel()
+	resp := c.passer.Pass(ctx, req)
+	if resp.Outcome != jobpb.Response_OK {
+		problemOf(req, resp).Write(w)
+		return
+	}
+	answer := JobAnswer{Queue: req.Queue, ID: req.Id}
+	switch {
+	case resp.Counted:
+		writeAnswer(w, QueueAnswer{Queue: req.Queue, Pending: resp.Pending})
+		return
+	case req.Kind == jobpb.Request_STATE:
+		answer.State = StateNames[resp.State]
+	}
+	writeAnswer(w, answer)
+}
+
+func writeAnswer(w http.ResponseWriter, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err) // strings and numbers always marshal
+	}
+	w.Header().Set("Content-Type", headerMediaType)
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data)
+}
+
+func callerTime(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	if err != nil || ms <= 0 {
+		return callerTimeout
+	}
+	return time.Duration(min(ms, maxCallerMs)) * time.Millisecond
+}
+
+// problemOf explains an answer without success. Only a submission whose outcome
+// is unknown may have been accepted.
+func problemOf(req *jobpb.Request, resp *jobpb.Response) *outcome.Error {
+	retry := max(time.Duration(resp.RetryAfterMs)*time.Millisecond, time.Second)
+	switch resp.Outcome {
+	case jobpb.Response_NO_QUEUE:
+		return outcome.New(outcome.CauseUnknownQueue, "there is no queue "+req.Queue)
+	case jobpb.Response_NO_JOB:
+		return outcome.New(outcome.CauseUnknownJob, "the queue "+req.Queue+" has no job "+req.Id)
+	case jobpb.Response_INVALID:
+		return outcome.New(outcome.CauseInvalidRequest, resp.Reason)
+	case jobpb.Response_UNKNOWN:
+		return outcome.New(outcome.CauseJobUnconfirmed, resp.Reason).After(retry)
+	}
+	return outcome.New(outcome.CauseUnavailable, resp.Reason).After(retry)
+}
--- a/process/jobs/reads.go
+++ b/process/jobs/reads.go
@@ -10,6 +10,12 @@
 	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
+const noQueue = "no queue of the configuration matches"
+
+func noConfiguration() *jobpb.Response {
+	return &jobpb.Response{Outcome: jobpb.Response_NOT_READY, Reason: "there is no configuration yet", RetryAfterMs: retryAfterMs}
+}
+
 // findQueue returns the queue with the longest prefix of a path, and what follows it.
 func findQueue(conf *jobpb.Configuration, host, path string) (*jobpb.Queue, string) {
 	var best *jobpb.Queue
@@ -24,18 +30,32 @@
 	return best, path[len(best.Prefix):]
 }
 
+// resolve returns the queue that a request is for, nil if there is none, and the
+// job's id.
+func resolve(conf *jobpb.Configuration, r *jobpb.Request) (*jobpb.Queue, string) {
+	if r.Queue == "" {
+		return findQueue(conf, r.Host, r.Path)
+	}
+	for _, q := range conf.Queues {
+		if q.Name == r.Queue {
+			return q, r.Id
+		}
+	}
+	return nil, ""
+}
+
 // jobState answers from the applied state: the caller has checked that this
 // process leads, so it reflects all that was ever confirmed.
 func (c *Control) jobState(r *jobpb.Request) (resp *jobpb.Response) {
 	c.replica.View(func(replica.StateMachine) {
 		conf := c.store.Configuration()
 		if conf.Version == 0 {
-			resp = &jobpb.Response{Outcome: jobpb.Response_NOT_READY, Reason: "there is no configuration yet"}
+			resp = noConfiguration()
 			return
 		}
-		q, id := findQueue(conf, r.Host, r.Path)
+		q, id := resolve(conf, r)
 		if q == nil {
-			resp = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE}
+			resp = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: noQueue}
 			return
 		}
 		key := state.QueueKey(q.Host, q.Prefix)
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -67,11 +67,11 @@
 	s.view(func(st *state.Store) {
 		conf := st.Configuration()
 		if conf.Version == 0 {
-			refused = &jobpb.Response{Outcome: jobpb.Response_NOT_READY, Reason: "there is no configuration yet", RetryAfterMs: retryAfterMs}
+			refused = noConfiguration()
 			return
 		}
-		if q, id = findQueue(conf, r.Host, r.Path); q == nil {
-			refused = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: "no queue of the configuration matches"}
+		if q, id = resolve(conf, r); q == nil {
+			refused = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: noQueue}
 		}
 	})
 	return q, id, refused
@@ -136,6 +136,9 @@
 		return refused
 	}
 	key := state.QueueKey(q.Host, q.Prefix)
+	if other := s.knownIn(id); other != "" && other != key {
+		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
+	}
 	applied, err := s.change(ctx, &jobpb.Entry{Change: &jobpb.Entry_Cancel{Cancel: &jobpb.Cancel{Job: id, AtMs: s.nowMs()}}})
 	if err != nil {
 		s.log.Warn().Err(err).Str("request", id).Msg("cancellation not confirmed")
--- /dev/null
+++ b/process/jobs/views.go
@@ -0,0 +1,200 @@
+package jobs
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+	"marjoramtiller.example/marjoramtiller/request/outcome"
+)
+
+// viewTimeout bounds the wait for the leader's loop.
+const viewTimeout = 2 * time.Second
+
+// QueueView is a queue as operators see it.
+type QueueView struct {
+	Queue    string         `json:"queue"`
+	Pool     string         `json:"pool"`
+	Priority uint32         `json:"priority"`
+	Pending  int            `json:"pending"` // accepted jobs without a start
+	Jobs     map[string]int `json:"jobs"`    // remembered jobs by state
+}
+
+// RunView is a run that may be at work.
+type RunView struct {
+	Job        string `json:"job"`
+	Queue      string `json:"queue"`
+	Occurrence uint32 `json:"occurrence"`
+	Step       uint32 `json:"step"`
+	Task       uint32 `json:"task"`
+	Run        uint32 `json:"run"`
+	Worker     string `json:"worker"`
+	Percent    int    `json:"percent"` // of the worker's last list, -1 if it does not show the run
+}
+
+// MachineView is a machine of the machine service's last list.
+type MachineView struct {
+	Machine  string  `json:"machine"`
+	Pool     string  `json:"pool"`
+	Up       bool    `json:"up"`
+	Cores    float64 `json:"cores"`
+	Worker   string  `json:"worker"`
+	Runs     int     `json:"runs"`
+	MovingTo string  `json:"moving_to,omitempty"`
+	Cordoned bool    `json:"cordoned"` // gets no new tasks
+}
+
+// WaveView is a wave's progress.
+type WaveView struct {
+	Wave      uint64   `json:"wave"`
+	Maximum   uint32   `json:"maximum"` // machines out at once
+	DueMs     int64    `json:"due_ms"`  // Unix time
+	Machines  int      `json:"machines"`
+	Begun     int      `json:"begun"`
+	Ordered   []string `json:"ordered"` // ordered and not confirmed
+	Waiting   []string `json:"waiting"`
+	Completed bool     `json:"completed"`
+}
+
+// Views is what the leader shows to operators.
+type Views struct {
+	Leader        string        `json:"leader"`
+	Term          uint64        `json:"term"`
+	Configuration uint64        `json:"configuration"` // version in force
+	ListAgeMs     int64         `json:"list_age_ms"`   // of the list of machines, -1 without one
+	Queues        []QueueView   `json:"queues,omitempty"`
+	Runs          []RunView     `json:"runs,omitempty"`
+	Machines      []MachineView `json:"machines,omitempty"`
+	Waves         []WaveView    `json:"waves,omitempty"`
+}
+
+// OperatorsHandler returns the operators' interface: GET /v1/queues, /v1/runs,
+// /v1/machines and /v1/waves. The leader answers; another process answers 503 and
+// names it.
+func (c *Control) OperatorsHandler() http.Handler {
+	mux := http.NewServeMux()
+	for path, fill := range map[string]func(*session, *state.Store, *Views){
+		"/v1/queues": (*session).viewQueues, "/v1/runs": (*session).viewRuns,
+		"/v1/machines": (*session).viewMachines, "/v1/waves": (*session).viewWaves,
+	} {
+		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
+			v, err := c.views(r.Context(), fill)
+			if err != nil {
+				outcome.New(outcome.CauseUnavailable, err.Error()+"; the leader is "+c.replica.Status().Leader).After(time.Second).Write(w)
+				return
+			}
+			writeAnswer(w, v)
+		})
+	}
+	return mux
+}
+
+// views fills a view on the leader's loop, which owns what it shows.
+func (c *Control) views(ctx context.Context, fill func(*session, *state.Store, *Views)) (*Views, error) {
+	s, err := c.leading()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	done := make(chan *Views, 1)
+	s.post(func() {
+		v := &Views{Leader: c.o.Name, Term: s.term, ListAgeMs: -1}
+		if s.upkeep.listed != nil {
+			v.ListAgeMs = (s.now() - s.upkeep.listedAt).Milliseconds()
+		}
+		s.view(func(st *state.Store) {
+			v.Configuration = st.Configuration().Version
+			fill(s, st, v)
+		})
+		done <- v
+	})
+	select {
+	case v := <-done:
+		return v, nil
+	case <-s.done:
+		return nil, &UnavailableError{Reason: "this process no longer leads"}
+	case <-ctx.Done():
+		return nil, &UnavailableError{Reason: "the leader is busy"}
+	}
+}
+
+func (s *session) viewQueues(st *state.Store, v *Views) {
+	jobsOf := map[string]map[string]int{}
+	for _, j := range st.Jobs() {
+		if jobsOf[j.Queue] == nil {
+			jobsOf[j.Queue] = map[string]int{}
+		}
+		jobsOf[j.Queue][StateNames[j.State]]++
+	}
+	for _, q := range st.Configuration().Queues {
+		key := state.QueueKey(q.Host, q.Prefix)
+		v.Queues = append(v.Queues, QueueView{Queue: q.Name, Pool: q.Pool, Priority: q.Priority, Pending: st.Pending(key), Jobs: jobsOf[key]})
+	}
+	slices.SortFunc(v.Queues, func(a, b QueueView) int { return cmp.Compare(a.Queue, b.Queue) })
+}
+
+func (s *session) viewRuns(st *state.Store, v *Views) {
+	names := map[string]string{}
+	for _, q := range st.Configuration().Queues {
+		names[state.QueueKey(q.Host, q.Prefix)] = q.Name
+	}
+	for _, id := range slices.Sorted(maps.Keys(st.Workers())) {
+		for _, p := range st.SortedPlacements(id) {
+			v.Runs = append(v.Runs, RunView{Job: p.Ref.Job, Queue: names[p.Job.Queue], Occurrence: p.Ref.Occurrence, Step: p.Ref.Step,
+				Task: p.Ref.Index, Run: p.Task.Run, Worker: id, Percent: s.percentOf(id, p)})
+		}
+	}
+}
+
+// percentOf returns the progress of a run in its worker's last list, -1 if that
+// does not show it.
+func (s *session) percentOf(id string, p *state.Placement) int {
+	w := s.workers[id]
+	if w == nil {
+		return -1
+	}
+	run, there := w.load[state.Key(p.Ref)]
+	if !there || run.Run != p.Task.Run {
+		return -1
+	}
+	return run.Percent
+}
+
+func (s *session) viewMachines(st *state.Store, v *Views) {
+	for _, name := range slices.Sorted(maps.Keys(s.upkeep.listed)) {
+		m := s.upkeep.listed[name]
+		mv := MachineView{Machine: name, Pool: m.Pool, Up: m.Up, Cores: m.Cores, Worker: m.WorkerID,
+			Runs: len(st.Placed(m.WorkerID)), Cordoned: s.upkeep.cordoned(m.WorkerID)}
+		if moving := s.moves.moving[name]; moving != nil {
+			mv.MovingTo = moving.to
+		}
+		v.Machines = append(v.Machines, mv)
+	}
+}
+
+func (s *session) viewWaves(st *state.Store, v *Views) {
+	for _, number := range slices.Sorted(maps.Keys(st.Waves())) {
+		v.Waves = append(v.Waves, viewWave(st.Waves()[number]))
+	}
+}
+
+func viewWave(w *jobpb.Wave) WaveView {
+	wv := WaveView{Wave: w.Number, Maximum: w.Maximum, DueMs: w.DueMs, Machines: len(w.Machines), Completed: state.WaveCompleted(w)}
+	for _, m := range w.Machines {
+		switch {
+		case m.Begun:
+			wv.Begun++
+		case m.Ordered:
+			wv.Ordered = append(wv.Ordered, m.Machine)
+		default:
+			wv.Waiting = append(wv.Waiting, m.Machine)
+		}
+	}
+	return wv
+}
--- a/process/observe/observe.go
+++ b/process/observe/observe.go
@@ -63,23 +63,24 @@
 		Str("program", program).Str("cluster", cluster).Str("process", process).Logger(), nil
 }
 
-// Options configure the server. Metrics, Dump and Health may be nil.
+// Options configure the server. Metrics, Dump, Health and API may be nil.
 type Options struct {
 	Address netip.AddrPort
 	Logger  zerolog.Logger
 	Metrics http.Handler                              // for example MetricsHandler
 	Dump    func(ctx context.Context) ([]byte, error) // the process's state as JSON
 	Health  func() error                              // nil while the process can serve
+	API     http.Handler                              // serves the paths under /v1/, nil for none
 }
 
-// Server serves /metrics, /dump and /healthz.
+// Server serves /metrics, /dump, /healthz and the API under /v1/.
 type Server struct {
 	listener net.Listener
 	server   *http.Server
 	done     chan struct{}
 }
 
-// Handler returns the handler of the three paths.
+// Handler returns the handler of the three paths and of the API's.
 func Handler(o Options) http.Handler {
 	mux := http.NewServeMux()
 	if o.Metrics != nil {
@@ -87,6 +88,9 @@
 	}
 	mux.HandleFunc("GET /dump", o.serveDump)
 	mux.HandleFunc("GET /healthz", o.serveHealth)
+	if o.API != nil {
+		mux.Handle("/v1/", o.API)
+	}
 	return mux
 }
 
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -62,6 +62,8 @@
 		{"control", "snapshot_entries", "512", false, ControlProgram, "Log entries between two snapshots.", "use 16 to 65536", integer(16, 65536)},
 		{"client", "operator", "", true, ClientProgram, "Name recorded with each change.", "use letters, digits, '-', '_' and '.'", name},
 		{"client", "control", "", true, ClientProgram, "Operators' listeners of the control processes, separated by spaces.", addressRemedy, addresses},
+		{"client", "job_control", "", false, ClientProgram, "Observe listeners of the control processes for jobs, separated by spaces: `queues`, `runs`, `machines` and `waves` ask them.", addressRemedy, optionalAddresses},
+		{"client", "job_entries", "", false, ClientProgram, "Observe listeners of the entries for jobs, separated by spaces: the `job` commands ask them.", addressRemedy, optionalAddresses},
 		{"client", "timeout", "10s", false, ClientProgram, "Timeout of one HTTP exchange.", "use a duration from 100ms to 5m, such as 10s", duration("100ms", "5m")},
 		{"client", "retry_for", "60s", false, ClientProgram, "Total time that a change is resent for after lost responses.", "use a duration from 1s to 1h, such as 60s", duration("1s", "1h")},
 	}
--- a/process/settings/parse.go
+++ b/process/settings/parse.go
@@ -82,6 +82,14 @@
 	return list, nil
 }
 
+// optionalAddresses accepts an empty list.
+func optionalAddresses(value string) (any, error) {
+	if strings.TrimSpace(value) == "" {
+		return []netip.AddrPort(nil), nil
+	}
+	return addresses(value)
+}
+
 func absolutePath(value string) (any, error) {
 	if !filepath.IsAbs(value) {
 		return nil, fmt.Errorf("is not an absolute path")
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -97,6 +97,8 @@
 		Cluster:      get[string](v, "cluster", "name"),
 		Operator:     get[string](v, "client", "operator"),
 		Control:      get[[]netip.AddrPort](v, "client", "control"),
+		JobControl:   get[[]netip.AddrPort](v, "client", "job_control"),
+		JobEntries:   get[[]netip.AddrPort](v, "client", "job_entries"),
 		Timeout:      get[time.Duration](v, "client", "timeout"),
 		RetryFor:     get[time.Duration](v, "client", "retry_for"),
 		LogLevel:     get[string](v, "process", "log_level"),
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -93,6 +93,8 @@
 	Cluster      string
 	Operator     string           // recorded as the actor of each change
 	Control      []netip.AddrPort // operators' listeners, tried in order
+	JobControl   []netip.AddrPort // empty: no jobs are shown
+	JobEntries   []netip.AddrPort // empty: no jobs are handed in
 	Timeout      time.Duration    // one HTTP exchange
 	RetryFor     time.Duration    // total time that a change is resent for
 	LogLevel     string
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -46,6 +46,9 @@
 	CauseAnswerOmitted  Cause = "answer-omitted"
 	CauseKeyUnchecked   Cause = "key-unchecked"
 	CauseKeyFinished    Cause = "key-finished"
+	CauseUnknownQueue   Cause = "unknown-queue"
+	CauseUnknownJob     Cause = "unknown-job"
+	CauseJobUnconfirmed Cause = "job-unconfirmed"
 )
 
 // TypePrefix precedes the cause in the type member of a problem document.
@@ -98,6 +101,9 @@
 	CauseAnswerOmitted:  {Unknown, http.StatusConflict, "The request has run; its answer was too large to keep", "Read the effect of the request at the service; do not send it again with a new key."},
 	CauseKeyUnchecked:   {Unknown, http.StatusBadGateway, "This sending of the request did not run; whether an earlier one with its key did is not known", "Send the request again with the same key after the time in Retry-After."},
 	CauseKeyFinished:    {Unknown, http.StatusConflict, "The request has run; this sending of it did not", "Send the request again with the same key after the time in Retry-After to get its answer."},
+	CauseUnknownQueue:   {NotRun, http.StatusNotFound, "No such queue", "Name a queue of the configuration in the path."},
+	CauseUnknownJob:     {NotRun, http.StatusGone, "No such job", "Submit the job if it is still wanted."},
+	CauseJobUnconfirmed: {Unknown, http.StatusGatewayTimeout, "The request was not confirmed in time", "Send it again with the same id after the time in Retry-After: it remains one job."},
 	CauseNoRecord:       {NotRun, http.StatusNotFound, "There is no record of this key", "Send the request with this key if it is still wanted."},
 }
 
