Try spare machines by the order of peaks

Change (a trial): capacity.Turns lowers the spare share to 0.1 after a peak, and the work expected from n arrivals is lowered by their standard deviation.

--- a/job/capacity/capacity.go
+++ b/job/capacity/capacity.go
@@ -18,6 +18,10 @@
 	// Spare is the share of the mean size of a pool that each pool has beyond its
 	// demand, for the onset of a burst.
 	Spare float64
+	// SpareRested is that share for a pool that has just had its peak.
+	SpareRested float64
+	// Peak is the share of the mean size of a pool beyond which its demand is a peak.
+	Peak float64
 	// Vacate is the share of a machine's cores up to which its work is moved on to
 	// free it.
 	Vacate float64
@@ -35,7 +39,7 @@
 
 // Default returns the settings in use.
 func Default() Settings {
-	return Settings{Fill: 0.9, Spare: 0.4, Vacate: 0.4, Keep: 2 * time.Second, Window: time.Second,
+	return Settings{Fill: 0.9, Spare: 0.4, SpareRested: 0.1, Peak: 0.5, Vacate: 0.4, Keep: 2 * time.Second, Window: time.Second,
 		Onset: 500 * time.Millisecond, OnsetJobs: 4, Rise: 1.4}
 }
 
@@ -47,6 +51,8 @@
 	Live float64
 	// Cores is the demand that is planned with, as Tracker.Cores returns it.
 	Cores float64
+	// Rested reports that other pools are expected to peak before this one, see Turns.
+	Rested bool
 }
 
 // Machine is a machine that is up.
@@ -133,7 +139,7 @@
 			p.idle[m.Pool] = append(p.idle[m.Pool], m)
 		}
 	}
-	spare := int(math.Ceil(set.Spare * n / max(1, float64(len(pools)))))
+	mean := n / max(1, float64(len(pools)))
 	size := max(cores/max(1, n)*set.Fill, 1)
 	for _, pool := range pools {
 		if pool.Standby {
@@ -143,8 +149,12 @@
 			}
 			continue
 		}
+		spare := set.Spare
+		if pool.Rested {
+			spare = set.SpareRested
+		}
 		p.beyondLive[pool.Name] -= int(math.Ceil(pool.Live / size))
-		p.surplus[pool.Name] -= int(math.Ceil(pool.Cores/size)) + spare
+		p.surplus[pool.Name] -= int(math.Ceil(pool.Cores/size)) + int(math.Ceil(spare*mean))
 	}
 	for _, list := range p.idle {
 		slices.SortFunc(list, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
@@ -264,9 +274,9 @@
 			onsetJobs++
 		}
 	}
-	cores := max(live, arriving/t.set.Window.Seconds())
+	cores := max(live, arriving/t.set.Window.Seconds()*certainty(len(t.arrivals)))
 	if onsetJobs >= t.set.OnsetJobs {
-		cores = max(cores, t.set.Rise*onset/t.set.Onset.Seconds())
+		cores = max(cores, t.set.Rise*onset/t.set.Onset.Seconds()*certainty(onsetJobs))
 	}
 	for len(t.levels) > 0 && t.levels[len(t.levels)-1].cores <= cores {
 		t.levels = t.levels[:len(t.levels)-1]
@@ -277,3 +287,12 @@
 	}
 	return t.levels[0].cores
 }
+
+// certainty is the share of a rate seen in n arrivals that is left when their
+// standard deviation is taken off.
+func certainty(n int) float64 {
+	if n == 0 {
+		return 0
+	}
+	return 1 - 1/math.Sqrt(float64(n))
+}
