--- a/process/jobs/entry.go
+++ b/process/jobs/entry.go
@@ -170,11 +170,19 @@
 	if resp.Outcome == jobpb.Response_OK && r.Kind == jobpb.Request_STATE {
 		event = e.o.Logger.Debug()
 	}
-	event.Str("request", r.Path).Str("kind", r.Kind.String()).Str("outcome", resp.Outcome.String()).Str("reason", resp.Reason).
+	event.Str("request", requestPath(r)).Str("kind", r.Kind.String()).Str("outcome", resp.Outcome.String()).Str("reason", resp.Reason).
 		Int("attempts", attempts).Dur("ms", time.Since(begun)).Msg("request answered")
 	return resp
 }
 
+// requestPath names a request in the log; it ends with the job's id.
+func requestPath(r *jobpb.Request) string {
+	if r.Queue != "" {
+		return r.Queue + "/" + r.Id
+	}
+	return r.Path
+}
+
 func (e *Entry) pass(ctx context.Context, r *jobpb.Request, begun time.Time) (*jobpb.Response, int) {
 	unknown := false
 	reason := "no leader is known"
