Check an upkeep again before its order, and count leaving workers as away

Between plan and order nothing was checked again, and runs on leaving workers counted as at work.

Change: tasks on leaving workers count as away; the blocker is asked again when the log has the upkeep, just before the order; a run on a leaving worker is not stopped while an upkeep that takes another task of its step is on its way.

--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -16,7 +16,7 @@
 
 // Limits of callers' requests.
 const (
-	MaxJobBytes     = 1 << 20 // of a submission
+	MaxJobBytes     = 1 << 20         // of a submission
 	callerTimeout   = 3 * time.Second // without Request-Deadline-Ms
 	maxCallerMs     = 60_000
 	headerDeadline  = "Request-Deadline-Ms"
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -62,6 +62,13 @@
 	return max(1, int(moveShare*b.OrdersPerSecond*interval.Seconds()))
 }
 
+// replicatedLog is what a session needs of a replica.
+type replicatedLog interface {
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	View(fn func(replica.StateMachine))
+	Status() replica.Status
+}
+
 // Control is a control process: a replica of the jobs and, while it leads, the
 // sender of all orders.
 type Control struct {
@@ -69,6 +76,7 @@
 	log     zerolog.Logger
 	store   *state.Store
 	replica *replica.Replica
+	group   replicatedLog // the replica, for sessions
 	pool    *wire.Pool
 	server  *wire.Server
 	metrics *controlMetrics
@@ -112,7 +120,7 @@
 		_ = c.pool.Close()
 		return nil, err
 	}
-	c.replica = r
+	c.replica, c.group = r, r
 	c.server, err = wire.Listen(net, c)
 	if err != nil {
 		cancel()
@@ -159,7 +167,7 @@
 }
 
 // Leads reports whether this process leads and no other process can lead now.
-func (c *Control) Leads() bool { return c.replica.Status().LeaseValid }
+func (c *Control) Leads() bool { return c.group.Status().LeaseValid }
 
 // LeaderHost returns the IP of the leader's machine, empty if none is known.
 func (c *Control) LeaderHost() string { return members.Host(c.replica.Status().Leader) }
@@ -244,7 +252,7 @@
 }
 
 func (c *Control) handle(ctx context.Context, peer string, r *jobpb.Request) *jobpb.Response {
-	status := c.replica.Status()
+	status := c.group.Status()
 	switch r.Kind {
 	case jobpb.Request_MEMBERS:
 		return &jobpb.Response{Members: append(status.Voters, status.Learners...), Leader: status.Leader}
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -157,7 +157,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, commitTimeout)
 		defer cancel()
-		result, err := s.c.replica.Propose(ctx, data)
+		result, err := s.c.group.Propose(ctx, data)
 		s.post(func() {
 			s.inFlight, s.dirty = false, true
 			s.c.metrics.commitSeconds.Observe((s.now() - sent).Seconds())
@@ -203,7 +203,7 @@
 
 // view calls fn with the applied state while nothing is applied.
 func (s *session) view(fn func(st *state.Store)) {
-	s.c.replica.View(func(replica.StateMachine) { fn(s.c.store) })
+	s.c.group.View(func(replica.StateMachine) { fn(s.c.store) })
 }
 
 func (s *session) refreshQueues(st *state.Store) {
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -14,7 +14,7 @@
 // stopEnded stops the runs of jobs that have ended, and lasting ones on workers that leave.
 func (s *session) stopEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) {
 	for key, p := range placed {
-		if state.Ended(p.Job) || w.draining && p.Step.Lasting {
+		if state.Ended(p.Job) || w.draining && p.Step.Lasting && s.upkeep.mayStop(p) {
 			s.stopRun(now, w, key, p)
 		}
 	}
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -230,8 +230,8 @@
 	return now > m.unknownAt+unknownTime
 }
 
-// orderAgain repeats an order that is not confirmed. It may not have been carried
-// out, so that what runs there by now is ended by this one.
+// orderAgain sends or repeats an order that is in the log and not confirmed. It may
+// not have been carried out, so that what runs there by now is ended by this one.
 func (u *upkeepDriver) orderAgain(now time.Duration, st *state.Store, w *jobpb.Wave, machine string) {
 	if blocker := u.blocker(st, u.listed[machine].WorkerID); blocker != nil {
 		u.explainWait(w, machine, blocker)
@@ -317,8 +317,9 @@
 		Int("away", u.away(p)).Uint32("allowed", p.Step.MaxUnavailable).Msg("upkeep waits for a lasting step")
 }
 
-// away counts the other tasks of a lasting step that are not fully at work. A
-// worker that is emptied for its own upkeep counts as it is.
+// away counts the other tasks of a lasting step that are not fully at work, or on a
+// worker that leaves: they are stopped at any moment. A worker that is emptied for
+// its own upkeep counts as it is.
 func (u *upkeepDriver) away(p *state.Placement) int {
 	n := 0
 	for i, t := range p.State.Tasks {
@@ -326,7 +327,7 @@
 			continue
 		}
 		w := u.s.workers[t.Worker]
-		if w == nil || w.silent || w.left > 0 || u.leaving(t.Worker) {
+		if w == nil || w.silent || w.draining || w.left > 0 || u.leaving(t.Worker) {
 			n++
 			continue
 		}
@@ -347,6 +348,20 @@
 	return m != nil && (m.ordering || m.cordonedAt > 0 || u.justOut(m))
 }
 
+// mayStop reports whether a run on a worker that leaves may be stopped now: not
+// while an upkeep that takes another task of its step is on its way.
+func (u *upkeepDriver) mayStop(p *state.Placement) bool {
+	if p.Step.MaxUnavailable == 0 {
+		return true
+	}
+	for _, t := range p.State.Tasks {
+		if t.Worker != "" && t.Worker != p.Task.Worker && u.leaving(t.Worker) {
+			return false
+		}
+	}
+	return true
+}
+
 // leaving reports whether the order for a worker's machine is on its way, or may be.
 func (u *upkeepDriver) leaving(worker string) bool {
 	name := u.byWorker[worker]
@@ -368,7 +383,8 @@
 	u.s.add(&jobpb.Entry{Change: &jobpb.Entry_Upkeep{Upkeep: e}}, func(applied bool, err error) {
 		m.ordering = false
 		if applied && !begun {
-			u.order(u.s.now(), w, machine)
+			// Tasks may have gone away since the plan, while the log was written.
+			u.s.view(func(st *state.Store) { u.orderAgain(u.s.now(), st, w, machine) })
 		}
 	})
 }
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -1,23 +1,27 @@
 package jobs
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/state"
 	"marjoramtiller.example/marjoramtiller/job/worker"
+	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
 // upkeepFixture is a leader's view of a lasting step with a task on each of two
 // workers, of which one may be away, and of a wave over their machines.
 type upkeepFixture struct {
-	st *state.Store
-	s  *session
-	u  *upkeepDriver
+	st     *state.Store
+	s      *session
+	u      *upkeepDriver
+	orders chan string // machines that were ordered
 }
 
 func newUpkeepFixture(t *testing.T) *upkeepFixture {
@@ -29,7 +33,9 @@
 		{Change: &jobpb.Entry_Wave{Wave: &jobpb.Wave{Number: 1, Maximum: 2, DueMs: time.Now().Add(time.Hour).UnixMilli(),
 			Machines: []*jobpb.WaveMachine{{Machine: "m-0"}, {Machine: "m-1"}}}}},
 	}
-	s := &session{c: &Control{}, log: zerolog.Nop(), workers: map[string]*workerState{}}
+	machines := &countedMachines{orders: make(chan string, 8)}
+	s := &session{c: &Control{o: ControlOptions{Clock: replica.BootClock(), Machines: machines}, metrics: newControlMetrics()},
+		ctx: t.Context(), events: make(chan func(), 8), log: zerolog.Nop(), workers: map[string]*workerState{}}
 	for i, id := range []string{"w-0", "w-1"} {
 		ref := &jobpb.TaskRef{Job: "job", Index: uint32(i)}
 		info := &jobpb.Worker{Id: id, Pool: "pool"}
@@ -39,11 +45,43 @@
 			load: map[state.TaskKey]Run{state.Key(ref): {Task: ref, Run: 1, Percent: fullPercent}}}
 	}
 	st := storeOf(t, entries...)
+	s.c.store, s.c.group = st, fixedLog{}
 	s.holder = newHolder(st, 0, 0, 0)
 	s.moves = newMoveDriver(s)
 	s.upkeep = newUpkeepDriver(s)
 	s.upkeep.took(0, []Machine{{Name: "m-0", Pool: "pool", Up: true, WorkerID: "w-0"}, {Name: "m-1", Pool: "pool", Up: true, WorkerID: "w-1"}})
-	return &upkeepFixture{st: st, s: s, u: s.upkeep}
+	return &upkeepFixture{st: st, s: s, u: s.upkeep, orders: machines.orders}
+}
+
+// fixedLog is the log of a leader whose state does not change.
+type fixedLog struct{}
+
+func (fixedLog) Propose(context.Context, []byte) ([]byte, error) {
+	return nil, errors.New("nothing is committed")
+}
+func (fixedLog) View(fn func(replica.StateMachine)) { fn(nil) }
+func (fixedLog) Status() replica.Status             { return replica.Status{LeaseValid: true} }
+
+// countedMachines confirms all orders and names the machines that were ordered.
+type countedMachines struct{ orders chan string }
+
+func (m *countedMachines) List(context.Context) ([]Machine, error) { return nil, nil }
+func (m *countedMachines) Move(_ context.Context, machine, _ string, _ uint64) error {
+	m.orders <- machine
+	return nil
+}
+func (m *countedMachines) Upkeep(_ context.Context, machine string, _, _ uint64) error {
+	m.orders <- machine
+	return nil
+}
+
+// commit tells the waiters of the batch that their changes are applied.
+func (f *upkeepFixture) commit() {
+	waiters := f.s.waiters
+	f.s.batch, f.s.waiters = nil, nil
+	for _, then := range waiters {
+		then(true, nil)
+	}
 }
 
 // Guards against a second upkeep of a lasting step while the first one is
@@ -97,3 +135,47 @@
 	f.u.wave(time.Second, f.st, f.st.Waves()[1])
 	is.Equal(len(f.s.batch), 0)
 }
+
+// Guards against an upkeep that was planned while all tasks were at work, and is
+// ordered after another task's worker has begun to leave and its run was stopped.
+func TestUpkeepIsCheckedAgainBeforeItsOrder(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	wave := f.st.Waves()[1]
+	f.u.wave(time.Second, f.st, wave)
+	is.Equal(len(f.s.batch), 1)
+	f.s.workers["w-0"].draining, f.s.workers["w-1"].draining = true, true
+	f.commit()
+	is.Equal(len(f.orders), 0)
+
+	f = newUpkeepFixture(t)
+	f.u.wave(time.Second, f.st, f.st.Waves()[1])
+	f.commit()
+	is.Equal(<-f.orders, "m-0")
+}
+
+// Guards against a stop on a worker that leaves while the upkeep of another task's
+// machine is on its way: the two together take more away than is allowed.
+func TestNoStopWhileAnUpkeepIsOnItsWay(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	p := f.st.SortedPlacements("w-1")[0]
+	is.True(f.u.mayStop(p))
+	f.u.machine("m-0").ordering = true
+	is.True(!f.u.mayStop(p))
+	f.u.machine("m-0").ordering = false
+	f.u.unconfirmed = map[string]bool{"m-0": true}
+	is.True(!f.u.mayStop(p))
+	p.Step.MaxUnavailable = 0
+	is.True(f.u.mayStop(p))
+}
+
+// Guards against an upkeep that counts on a task whose worker leaves: its run is
+// stopped at any moment.
+func TestTaskOnLeavingWorkerIsAway(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	is.Equal(f.u.blocker(f.st, "w-1"), nil)
+	f.s.workers["w-0"].draining = true
+	is.True(f.u.blocker(f.st, "w-1") != nil)
+}
