--- a/job/capacity/capacity.go
+++ b/job/capacity/capacity.go
@@ -18,10 +18,6 @@
 	// Spare is the share of the mean size of a pool that each pool has beyond its
 	// demand, for the onset of a burst.
 	Spare float64
-	// SpareRested is that share for a pool that has just had its peak.
-	SpareRested float64
-	// Peak is the share of the mean size of a pool beyond which its demand is a peak.
-	Peak float64
 	// Vacate is the share of a machine's cores up to which its work is moved on to
 	// free it.
 	Vacate float64
@@ -39,7 +35,7 @@
 
 // Default returns the settings in use.
 func Default() Settings {
-	return Settings{Fill: 0.9, Spare: 0.4, SpareRested: 0.1, Peak: 0.5, Vacate: 0.4, Keep: 2 * time.Second, Window: time.Second,
+	return Settings{Fill: 0.9, Spare: 0.4, Vacate: 0.4, Keep: 2 * time.Second, Window: time.Second,
 		Onset: 500 * time.Millisecond, OnsetJobs: 4, Rise: 1.4}
 }
 
@@ -51,8 +47,6 @@
 	Live float64
 	// Cores is the demand that is planned with, as Tracker.Cores returns it.
 	Cores float64
-	// Rested reports that other pools are expected to peak before this one, see Turns.
-	Rested bool
 }
 
 // Machine is a machine that is up.
@@ -139,7 +133,7 @@
 			p.idle[m.Pool] = append(p.idle[m.Pool], m)
 		}
 	}
-	mean := n / max(1, float64(len(pools)))
+	spare := int(math.Ceil(set.Spare * n / max(1, float64(len(pools)))))
 	size := max(cores/max(1, n)*set.Fill, 1)
 	for _, pool := range pools {
 		if pool.Standby {
@@ -149,12 +143,8 @@
 			}
 			continue
 		}
-		spare := set.Spare
-		if pool.Rested {
-			spare = set.SpareRested
-		}
 		p.beyondLive[pool.Name] -= int(math.Ceil(pool.Live / size))
-		p.surplus[pool.Name] -= int(math.Ceil(pool.Cores/size)) + int(math.Ceil(spare*mean))
+		p.surplus[pool.Name] -= int(math.Ceil(pool.Cores/size)) + spare
 	}
 	for _, list := range p.idle {
 		slices.SortFunc(list, func(a, b Machine) int { return cmp.Compare(a.Name, b.Name) })
@@ -274,9 +264,9 @@
 			onsetJobs++
 		}
 	}
-	cores := max(live, arriving/t.set.Window.Seconds()*certainty(len(t.arrivals)))
+	cores := max(live, arriving/t.set.Window.Seconds())
 	if onsetJobs >= t.set.OnsetJobs {
-		cores = max(cores, t.set.Rise*onset/t.set.Onset.Seconds()*certainty(onsetJobs))
+		cores = max(cores, t.set.Rise*onset/t.set.Onset.Seconds())
 	}
 	for len(t.levels) > 0 && t.levels[len(t.levels)-1].cores <= cores {
 		t.levels = t.levels[:len(t.levels)-1]
@@ -287,12 +277,3 @@
 	}
 	return t.levels[0].cores
 }
-
-// certainty is the share of a rate seen in n arrivals that is left when their
-// standard deviation is taken off.
-func certainty(n int) float64 {
-	if n == 0 {
-		return 0
-	}
-	return 1 - 1/math.Sqrt(float64(n))
-}
--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -39,8 +39,7 @@
 	s      *session
 	set    capacity.Settings
 	demand map[string]*capacity.Tracker // by pool
-	turns  *capacity.Turns
-	moving map[string]*moving // by machine
+	moving map[string]*moving           // by machine
 	// vacated are machines that get no new tasks until the given time, since their
 	// work is moved on.
 	vacated map[string]time.Duration
@@ -49,8 +48,7 @@
 }
 
 func newMoveDriver(s *session) *moveDriver {
-	set := capacity.Default()
-	return &moveDriver{s: s, set: set, demand: map[string]*capacity.Tracker{}, turns: capacity.NewTurns(set), moving: map[string]*moving{},
+	return &moveDriver{s: s, set: capacity.Default(), demand: map[string]*capacity.Tracker{}, moving: map[string]*moving{},
 		vacated: map[string]time.Duration{}}
 }
 
@@ -99,7 +97,6 @@
 		d.settle(now, st)
 		pools := d.pools(now, st)
 		machines := d.machines(now, st)
-		d.turns.Note(now, pools, machines)
 		d.logPools(now, pools, machines)
 		moves, vacate := capacity.Plan(d.set, pools, machines)
 		for _, name := range vacate {
