Mend four ways in which a wave takes too much away or never ends

Ruled out for the first: the order of a new leader 0.1 s after its election; the machines that it ordered ran no task of the step.

Change: tasks that begin beside a run count before it is stopped; blocked upkeeps make room whether planned or in the log; where the listed worker leaves or does not answer, an upkeep, also a repeated one, waits for a list that is newer than the registration of each worker that no list names.

--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -22,7 +22,7 @@
 	upkeepInterval  = 50 * time.Millisecond   // between looks at the waves
 	fullPercent     = 100
 	spreadInterval  = 2500 * time.Millisecond // in which a stopped run is seen at work elsewhere
-	unknownTime     = 4 * time.Second         // after which a machine without a known worker has no tasks
+	listLag         = time.Second             // by which a list may name a worker later than it registers
 	upkeepLookahead = 1                       // machines that are emptied beyond those that may be out
 )
 
@@ -31,7 +31,6 @@
 	ordering    bool
 	retryAt     time.Duration
 	confirmedAt time.Duration // when the platform confirmed the upkeep
-	unknownAt   time.Duration // since when its worker is not known, 0 if it is
 	waits       bool          // a lasting step holds the upkeep up
 	cordonedAt  time.Duration // when new tasks were kept away, 0 if they are not
 }
@@ -191,17 +190,14 @@
 		if room <= 0 || m.cordonedAt == 0 || now < m.retryAt || u.s.moves.moving[wm.Machine] != nil {
 			continue
 		}
-		if !u.workerKnown(now, st, wm.Machine) {
+		if !u.workerKnown(st, wm.Machine) {
 			continue
 		}
-		worker := u.listed[wm.Machine].WorkerID
-		idle := shortTasks(st, worker) == 0
+		idle := shortTasks(st, u.listed[wm.Machine].WorkerID) == 0
 		if !idle && !hurry && now < m.cordonedAt+upkeepPatience {
 			continue
 		}
-		if blocker := u.blocker(st, worker); blocker != nil {
-			u.explainWait(w, wm.Machine, blocker)
-			u.spread(now, blocker)
+		if u.blocked(now, st, w, wm.Machine) {
 			continue
 		}
 		room--
@@ -209,32 +205,32 @@
 	}
 }
 
-// workerKnown reports whether the list names the worker that runs on a machine. A
-// worker can register, and be given tasks, before a list names it; one that stays
-// unknown for a while has no tasks.
-func (u *upkeepDriver) workerKnown(now time.Duration, st *state.Store, machine string) bool {
-	m := u.machine(machine)
+// workerKnown reports whether what runs on a machine is known. A worker can
+// register, and be given tasks, before a list names it, while the one before is
+// still listed. It may run on any machine whose listed worker does not answer or
+// leaves.
+func (u *upkeepDriver) workerKnown(st *state.Store, machine string) bool {
 	listed := u.listed[machine]
 	for _, p := range st.Configuration().Pools {
 		if p.Name == listed.Pool && p.Standby {
 			return true
 		}
 	}
-	if u.s.workers[listed.WorkerID] != nil {
-		m.unknownAt = 0
+	if w := u.s.workers[listed.WorkerID]; w != nil && !w.draining && !w.silent && w.left == 0 {
 		return true
 	}
-	if m.unknownAt == 0 {
-		m.unknownAt = now
+	for id, w := range u.s.workers {
+		if w.info.Pool == listed.Pool && u.byWorker[id] == "" && u.listedAt < w.since+listLag {
+			return false
+		}
 	}
-	return now > m.unknownAt+unknownTime
+	return true
 }
 
 // orderAgain sends or repeats an order that is in the log and not confirmed. It may
 // not have been carried out, so that what runs there by now is ended by this one.
 func (u *upkeepDriver) orderAgain(now time.Duration, st *state.Store, w *jobpb.Wave, machine string) {
-	if blocker := u.blocker(st, u.listed[machine].WorkerID); blocker != nil {
-		u.explainWait(w, machine, blocker)
+	if !u.workerKnown(st, machine) || u.blocked(now, st, w, machine) {
 		return
 	}
 	u.order(now, w, machine)
@@ -287,11 +283,24 @@
 	return nil
 }
 
+// blocked reports whether a lasting step holds a machine's upkeep up. It makes room
+// where the step has too many tasks on the machine: an upkeep that is in the log
+// would otherwise wait for them without an end.
+func (u *upkeepDriver) blocked(now time.Duration, st *state.Store, w *jobpb.Wave, machine string) bool {
+	blocker := u.blocker(st, u.listed[machine].WorkerID)
+	if blocker == nil {
+		return false
+	}
+	u.explainWait(w, machine, blocker)
+	u.spread(now, blocker)
+	return true
+}
+
 // spread stops a run whose step has more tasks on one machine than may be away,
 // so that it begins elsewhere before the machine goes out.
 func (u *upkeepDriver) spread(now time.Duration, p *state.Placement) {
 	w := u.s.workers[p.Task.Worker]
-	if w == nil || u.away(p) >= int(p.Step.MaxUnavailable) || now < u.spreadAt || !u.atWork(w, p) {
+	if w == nil || u.away(p)+u.notAtWork(w, p) >= int(p.Step.MaxUnavailable) || now < u.spreadAt || !u.atWork(w, p) {
 		return
 	}
 	u.spreadAt = now + spreadInterval
@@ -300,6 +309,22 @@
 	u.s.stopRun(now, w, state.Key(p.Ref), p)
 }
 
+// notAtWork counts the other tasks of a run's step on its own worker that are not
+// fully at work.
+func (u *upkeepDriver) notAtWork(w *workerState, p *state.Placement) int {
+	n := 0
+	for i, t := range p.State.Tasks {
+		if uint32(i) == p.Ref.Index || t.Worker != p.Task.Worker {
+			continue
+		}
+		ref := &jobpb.TaskRef{Job: p.Ref.Job, Occurrence: p.Ref.Occurrence, Step: p.Ref.Step, Index: uint32(i)}
+		if !u.atWork(w, &state.Placement{Ref: ref, Task: t}) {
+			n++
+		}
+	}
+	return n
+}
+
 // atWork reports whether a run was fully at work in its worker's last list.
 func (u *upkeepDriver) atWork(w *workerState, p *state.Placement) bool {
 	run, known := w.load[state.Key(p.Ref)]
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -95,20 +95,31 @@
 }
 
 // Guards against the upkeep of a machine whose new worker has registered and runs
-// tasks that may not be away, while the list still names the worker before.
+// tasks that may not be away, while the list still names the worker before, which
+// is gone, leaves or is silent; and against a wait without an end.
 func TestUpkeepWaitsForTheListedWorker(t *testing.T) {
 	is := is.New(t)
-	f := newUpkeepFixture(t)
-	wave := f.st.Waves()[1]
-	f.u.listed["m-0"] = Machine{Name: "m-0", Pool: "pool", Up: true, WorkerID: "w-before"}
-	f.u.listed["m-1"] = Machine{Name: "m-1", Pool: "pool", Up: true, WorkerID: "w-before-1"}
-	now := 10 * time.Second
-	f.u.wave(now, f.st, wave)
-	is.Equal(len(f.s.batch), 0)
-	f.u.wave(now+unknownTime, f.st, wave)
-	is.Equal(len(f.s.batch), 0)
-	f.u.wave(now+unknownTime+1, f.st, wave) // no worker has come: nothing runs there
-	is.Equal(len(f.s.batch), 2)
+	for name, change := range map[string]func(f *upkeepFixture){
+		"gone":    func(f *upkeepFixture) { delete(f.s.workers, "w-0") },
+		"leaving": func(f *upkeepFixture) { f.s.workers["w-0"].draining = true },
+		"silent":  func(f *upkeepFixture) { f.s.workers["w-0"].silent = true },
+		"left":    func(f *upkeepFixture) { f.s.workers["w-0"].left = time.Second },
+	} {
+		f := newUpkeepFixture(t)
+		wave := f.st.Waves()[1]
+		wave.Machines = wave.Machines[:1]
+		f.s.workers["w-new"] = &workerState{info: &jobpb.Worker{Id: "w-new", Pool: "pool"}, since: 9 * time.Second}
+		f.u.listedAt = 9 * time.Second
+		is.True(f.u.workerKnown(f.st, "m-0")) // the listed worker answers
+		change(f)
+		f.u.wave(10*time.Second, f.st, wave)
+		if len(f.s.batch) != 0 {
+			t.Errorf("upkeep although another worker may run there; the listed one is %s", name)
+		}
+		f.u.listedAt = 9*time.Second + listLag // it runs on no machine of the list
+		f.u.wave(11*time.Second, f.st, wave)
+		is.Equal(len(f.s.batch), 1)
+	}
 }
 
 // Guards against an upkeep that waits for the worker of a machine on standby.
@@ -179,3 +190,19 @@
 	f.s.workers["w-0"].draining = true
 	is.True(f.u.blocker(f.st, "w-1") != nil)
 }
+
+// Guards against a run that is stopped to spread its step while another task of
+// the step, which has just begun on the same worker, is not at work yet.
+func TestNoSpreadWhileATaskBeginsOnTheSameWorker(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	p := f.st.SortedPlacements("w-0")[0]
+	begins := p.State.Tasks[1]
+	begins.Worker = "w-0"
+	w := f.s.workers["w-0"]
+	is.Equal(f.u.notAtWork(w, p), 1)
+	f.u.spread(time.Second, p)
+	is.Equal(len(w.runs), 0)
+	w.load[state.TaskKey{Job: "job", Index: 1}] = Run{Run: 1, Percent: fullPercent}
+	is.Equal(f.u.notAtWork(w, p), 0)
+}
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -32,6 +32,7 @@
 type workerState struct {
 	info     *jobpb.Worker
 	track    *worker.Tracker
+	since    time.Duration // when this term has learned of it
 	sequence uint64
 	holding  bool
 	nextHold time.Duration
@@ -59,7 +60,7 @@
 }
 
 func (s *session) adopt(info *jobpb.Worker, earlier bool) *workerState {
-	w := &workerState{info: info, draining: info.Draining, runs: runSet{}, load: map[state.TaskKey]Run{}}
+	w := &workerState{info: info, since: s.now(), draining: info.Draining, runs: runSet{}, load: map[state.TaskKey]Run{}}
 	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
 	for w.track.Fence() < s.fences[info.Id] {
 		w.track.RaiseFence()
