--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -73,9 +73,9 @@
 }
 
 type simProposal struct {
-	data            []byte
-	decided, stands bool
-	result          []byte
+	data    []byte
+	decided bool
+	result  []byte
 }
 
 // draw returns a number below n that depends on the seed, the virtual time and
--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -28,7 +28,6 @@
 	number   uint32
 	worker   string
 	from, to time.Time // to is zero while it runs
-	deadline time.Time
 	how      jobpb.How
 	noted    bool // its end was taken note of
 	byOrder  bool // a stop, move or upkeep has ended it
@@ -52,7 +51,9 @@
 	highest  map[state.TaskKey]uint32
 }
 
-func (w *simWorker) clockMs() int64 { return int64(float64(time.Since(w.began).Milliseconds())*0.985) + 1 }
+func (w *simWorker) clockMs() int64 {
+	return int64(float64(time.Since(w.began).Milliseconds())*0.985) + 1
+}
 
 // at returns the time at which the worker's clock, which is slow, shows ms.
 func (w *simWorker) at(ms int64) time.Time {
