Put callers, workers and reports of the soak behind relays

Cause: the soak disturbed processes and orders only; delayed, reset, one-way cut and silent connections were left to the fault tests of the other daemons.

Change: the relay of tests/faults moves to standin/relay and can also delay; the soak has one before each worker, entry and control-plane interface and disturbs one every 0.1 to 0.8 s beside the signals. TestRelay guards the relay.

--- a/tests/faults/relay_test.go
+++ b/standin/relay/relay.go
@@ -1,21 +1,24 @@
-package faults
+// Package relay passes TCP connections on to a target, for tests: it delays them,
+// silences one or both directions, and breaks them.
+package relay
 
 import (
 	"net"
 	"sync"
-	"testing"
+	"time"
 )
 
-// relay passes TCP connections on to a target. A silent direction passes
-// nothing and resets nothing, as a partition does; what was held back arrives
-// once the direction is open again, as TCP sends it again.
-type relay struct {
+// Relay passes TCP connections on to a target. A silent direction passes nothing
+// and resets nothing, as a partition does; what was held back arrives once the
+// direction is open again, as TCP sends it again. It is safe for concurrent use.
+type Relay struct {
 	l      net.Listener
 	target string
 
 	mu     sync.Mutex
 	open   *sync.Cond
 	silent [2]bool // by direction: forward, back
+	delay  time.Duration
 	conns  map[net.Conn]bool
 	closed bool
 }
@@ -26,22 +29,22 @@
 	back
 )
 
-func newRelay(t *testing.T, target string) *relay {
-	t.Helper()
+// Open starts a relay on a loopback address.
+func Open(target string) (*Relay, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	r := &relay{l: l, target: target, conns: make(map[net.Conn]bool)}
+	r := &Relay{l: l, target: target, conns: make(map[net.Conn]bool)}
 	r.open = sync.NewCond(&r.mu)
-	t.Cleanup(r.close)
 	go r.accept()
-	return r
+	return r, nil
 }
 
-func (r *relay) address() string { return r.l.Addr().String() }
+// Address returns the address that leads to the target.
+func (r *Relay) Address() string { return r.l.Addr().String() }
 
-func (r *relay) accept() {
+func (r *Relay) accept() {
 	for {
 		in, err := r.l.Accept()
 		if err != nil {
@@ -51,7 +54,7 @@
 	}
 }
 
-func (r *relay) connect(in net.Conn) {
+func (r *Relay) connect(in net.Conn) {
 	out, err := net.Dial("tcp", r.target)
 	if err != nil {
 		_ = in.Close()
@@ -70,12 +73,16 @@
 	r.mu.Unlock()
 }
 
-func (r *relay) copy(dst, src net.Conn, direction int) {
+func (r *Relay) copy(dst, src net.Conn, direction int) {
 	defer func() { _, _ = dst.Close(), src.Close() }()
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buffer)
 		r.mu.Lock()
+		delay := r.delay
+		r.mu.Unlock()
+		time.Sleep(delay)
+		r.mu.Lock()
 		for r.silent[direction] && !r.closed {
 			r.open.Wait()
 		}
@@ -91,16 +98,23 @@
 	}
 }
 
-// silence closes or opens the directions.
-func (r *relay) silence(forwardSilent, backSilent bool) {
+// Silence closes or opens the directions.
+func (r *Relay) Silence(forwardSilent, backSilent bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.silent = [2]bool{forwardSilent, backSilent}
 	r.open.Broadcast()
 }
 
-// cut breaks every connection.
-func (r *relay) cut() {
+// Delay holds what is read from now on back for a time, 0 for none.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Cut breaks every connection.
+func (r *Relay) Cut() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
@@ -108,11 +122,12 @@
 	}
 }
 
-func (r *relay) close() {
+// Close refuses new connections and breaks the others.
+func (r *Relay) Close() {
 	_ = r.l.Close()
 	r.mu.Lock()
 	r.closed = true
 	r.open.Broadcast()
 	r.mu.Unlock()
-	r.cut()
+	r.Cut()
 }
--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// echo serves lines back on a loopback address.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for lines := bufio.NewScanner(c); lines.Scan(); {
+					if _, err := c.Write(append(lines.Bytes(), '\n')); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// Guards against a relay that loses what it holds back, or that passes on what it
+// should not.
+func TestRelay(t *testing.T) {
+	is := is.New(t)
+	r, err := Open(echo(t))
+	is.NoErr(err)
+	defer r.Close()
+	c, err := net.Dial("tcp", r.Address())
+	is.NoErr(err)
+	lines := make(chan string)
+	go func() {
+		defer close(lines)
+		for s := bufio.NewScanner(c); s.Scan(); {
+			lines <- s.Text()
+		}
+	}()
+	say := func(text string) {
+		_, err := c.Write([]byte(text + "\n"))
+		is.NoErr(err)
+	}
+	say("one")
+	is.Equal(<-lines, "one")
+	for _, silent := range [][2]bool{{true, false}, {false, true}} {
+		r.Silence(silent[0], silent[1])
+		say("held")
+		select {
+		case got := <-lines:
+			t.Errorf("%q passed a silent direction", got)
+		case <-time.After(50 * time.Millisecond):
+		}
+		r.Silence(false, false)
+		is.Equal(<-lines, "held")
+	}
+	r.Delay(10 * time.Millisecond)
+	say("late")
+	is.Equal(<-lines, "late")
+	r.Cut()
+	_, open := <-lines
+	is.True(!open)
+}
--- a/tests/faults/answers_test.go
+++ b/tests/faults/answers_test.go
@@ -22,7 +22,7 @@
 	entry := c.entries[0]
 	silence := func(silent bool) {
 		for _, s := range list {
-			s.link.silence(silent, silent)
+			s.link.Silence(silent, silent)
 		}
 	}
 	for _, fault := range []struct {
@@ -32,7 +32,7 @@
 	}{
 		{"connection cut", func() {
 			for _, s := range list {
-				s.link.cut()
+				s.link.Cut()
 			}
 		}, func() {}, 0},
 		{"backend server silent", func() { silence(true) }, func() { silence(false) }, 2 * time.Second},
@@ -92,7 +92,7 @@
 	list := newServers(c, "ledger", "l1", "l2")
 	list.waitServing(c)
 	for _, s := range list {
-		s.link.close()
+		s.link.Close()
 	}
 	inParallel(c.entries, func(e *daemon) {
 		for range 10 {
--- a/tests/faults/cluster_test.go
+++ b/tests/faults/cluster_test.go
@@ -16,6 +16,7 @@
 
 	api "marjoramtiller.example/marjoramtiller/process/platform"
 	"marjoramtiller.example/marjoramtiller/standin/platform"
+	"marjoramtiller.example/marjoramtiller/standin/relay"
 )
 
 const (
@@ -29,7 +30,7 @@
 	*process
 	peers, operators, observe, callers, announcements string
 	data                                              string
-	links                                             map[string]*relay // to control processes, by name
+	links                                             map[string]*relay.Relay // to control processes, by name
 }
 
 // cluster is 3 control and 6 entry processes. Every connection to a control
@@ -99,7 +100,7 @@
 	p := &process{t: c.t, name: name, program: program, done: done,
 		settings: filepath.Join(c.folder, name+".ini"), log: filepath.Join(c.folder, name+".log")}
 	c.t.Cleanup(p.cleanup)
-	return &daemon{process: p, observe: freeAddress(c.t), links: make(map[string]*relay)}
+	return &daemon{process: p, observe: freeAddress(c.t), links: make(map[string]*relay.Relay)}
 }
 
 func (c *cluster) all() []*daemon { return append(append([]*daemon(nil), c.controls...), c.entries...) }
@@ -122,7 +123,7 @@
 		if d.links[to.name] == nil {
 			d.links[to.name] = newRelay(c.t, to.peers)
 		}
-		fmt.Fprintf(&b, "%s = %s\n", to.name, d.links[to.name].address())
+		fmt.Fprintf(&b, "%s = %s\n", to.name, d.links[to.name].Address())
 	}
 	if d.operators != "" {
 		b.WriteString("[entries]\n")
@@ -143,11 +144,11 @@
 // control process also the links to it.
 func (c *cluster) isolate(d *daemon, silent bool) {
 	for _, r := range d.links {
-		r.silence(silent, silent)
+		r.Silence(silent, silent)
 	}
 	for _, other := range c.all() {
 		if r := other.links[d.name]; r != nil {
-			r.silence(silent, silent)
+			r.Silence(silent, silent)
 		}
 	}
 }
@@ -267,6 +268,17 @@
 	})
 }
 
+// newRelay opens a relay that is closed with the test.
+func newRelay(t *testing.T, target string) *relay.Relay {
+	t.Helper()
+	r, err := relay.Open(target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
 // groupNames returns the names of the ledger groups.
 func groupNames() []string {
 	var names []string
--- a/tests/faults/random_test.go
+++ b/tests/faults/random_test.go
@@ -41,13 +41,13 @@
 	case 3:
 		return fault{fmt.Sprintf("silence from %s %v, to it %v", d.name, forwardSilent, backSilent), func() {
 			for _, r := range d.links {
-				r.silence(forwardSilent, backSilent)
+				r.Silence(forwardSilent, backSilent)
 			}
 		}, func() { c.isolate(d, false) }}
 	case 4:
 		return fault{"stop " + d.name, func() { d.stop() }, d.start}
 	default:
-		return fault{"cut connections to " + s.name, s.link.cut, func() {}}
+		return fault{"cut connections to " + s.name, s.link.Cut, func() {}}
 	}
 }
 
--- a/tests/faults/server_test.go
+++ b/tests/faults/server_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"marjoramtiller.example/marjoramtiller/standin/backend"
+	"marjoramtiller.example/marjoramtiller/standin/relay"
 )
 
 // point is a point of a request's life at the backend server.
@@ -38,7 +39,7 @@
 	name string
 	host string
 	web  *httptest.Server
-	link *relay
+	link *relay.Relay
 	boot string
 
 	mu      sync.Mutex
@@ -69,7 +70,7 @@
 		cancel()
 		announcing.Wait()
 		s.releaseAll()
-		s.link.close()
+		s.link.Close()
 		s.web.CloseClientConnections()
 		s.web.Close()
 	})
@@ -81,7 +82,7 @@
 	quick := client(time.Second)
 	for i := 0; ctx.Err() == nil; i++ {
 		s.mu.Lock()
-		a := backend.Announcement{Name: s.name, Host: s.host, Service: s.service, Address: s.link.address(),
+		a := backend.Announcement{Name: s.name, Host: s.host, Service: s.service, Address: s.link.Address(),
 			Slots: 36, Connections: 64, BootID: s.boot, Leaving: s.leaving}
 		quiet := s.quiet
 		s.mu.Unlock()
--- a/tests/faults/stop_test.go
+++ b/tests/faults/stop_test.go
@@ -301,7 +301,7 @@
 	eventually(t, "the server that will leave gets work", func() bool { return time.Since(leaving.lastStart()) < time.Second })
 	c.isolate(cutOff, true)
 	for _, r := range unheard.links {
-		r.silence(true, false)
+		r.Silence(true, false)
 	}
 	frozen.freeze()
 	leaving.leave()
@@ -312,7 +312,7 @@
 	time.Sleep(time.Second)
 	c.isolate(cutOff, false)
 	for _, r := range unheard.links {
-		r.silence(false, false)
+		r.Silence(false, false)
 	}
 	eventually(t, "the server is told that it is drained", func() bool {
 		leaving.mu.Lock()
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -1,6 +1,7 @@
 // Package soak runs the platform's processes as separate processes on loopback,
-// disturbs them by signals and their workers by faults, and checks from what
-// callers and workers see that no accepted job is lost and no task runs twice.
+// disturbs them by signals, their workers by faults and the connections of callers,
+// workers and reports by relays, and checks from what callers and workers see that
+// no accepted job is lost and no task runs twice.
 package soak
 
 import (
@@ -21,6 +22,7 @@
 	"github.com/matryer/is"
 
 	"marjoramtiller.example/marjoramtiller/standin/executor"
+	"marjoramtiller.example/marjoramtiller/standin/relay"
 )
 
 const (
@@ -46,6 +48,8 @@
 	binary    string
 	processes []*process
 	executors []*executor.Executor
+	orders    map[string]*relay.Relay   // before each worker, by its id
+	doors     map[*process]*relay.Relay // before an entry's or a control process's interface
 	sequence  int
 	mu        sync.Mutex // guards faulty
 	faulty    bool
@@ -108,7 +112,8 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, seed)), dir: t.TempDir(), faulty: true}
+	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, seed)), dir: t.TempDir(), faulty: true,
+		orders: map[string]*relay.Relay{}, doors: map[*process]*relay.Relay{}}
 	s.binary = filepath.Join(s.dir, "platform")
 	if out, err := exec.Command("go", "build", "-o", s.binary, "../../cmd/marjoramtiller-platform").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
@@ -124,6 +129,11 @@
 		}
 		p.log = log
 		s.processes = append(s.processes, p)
+		door := p.address(portControlPlane)
+		if p.role == "entry" {
+			door = p.address(portCallers)
+		}
+		s.doors[p] = s.relay(door)
 		s.start(p, true)
 	}
 	for i := range workers {
@@ -143,11 +153,22 @@
 			return []executor.Fault{executor.LoseAnswer, executor.LoseOrder, executor.Late}[faults.IntN(3)]
 		}
 		s.executors = append(s.executors, e)
+		s.orders[e.ID] = s.relay(e.Address)
 	}
 	t.Cleanup(s.close)
 	return s
 }
 
+// relay opens a relay that is closed with the test.
+func (s *soak) relay(target string) *relay.Relay {
+	r, err := relay.Open(target)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(r.Close)
+	return r
+}
+
 func (s *soak) close() {
 	for _, p := range s.processes {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
@@ -191,7 +212,7 @@
 	for {
 		s.sequence++
 		var calls sync.WaitGroup
-		at := s.processes[s.sequence%controls].address(portControlPlane)
+		at := s.doors[s.processes[s.sequence%controls]].Address()
 		for _, e := range s.executors {
 			calls.Go(func() { s.report(at, e) })
 		}
@@ -206,12 +227,12 @@
 
 func (s *soak) report(at string, e *executor.Executor) {
 	body := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":8000,"mem-mb":1000},
-		"labels":["a","r-1"],"clock-ms":1,"born":%d,"sequence":%d}`, e.Address, e.BornMs, s.sequence)
+		"labels":["a","r-1"],"clock-ms":1,"born":%d,"sequence":%d}`, s.orders[e.ID].Address(), e.BornMs, s.sequence)
 	s.call(http.MethodPut, at, "", "/executors/"+e.ID, body)
 }
 
 func (s *soak) entry() string {
-	return s.processes[controls+s.rng.IntN(entries)].address(portCallers)
+	return s.doors[s.processes[controls+s.rng.IntN(entries)]].Address()
 }
 
 const configuration = `{"version":1,"routes":[{"name":"r","host":"a.example","path-prefix":"/q/","timeout-ms":3000,"target-latency-ms":600,
@@ -229,6 +250,27 @@
 	s.t.Fatalf("did not happen within %s: %s", waitLimit, what)
 }
 
+// disturbLink delays, resets or silences the connections to a worker or of a
+// process's interface for a while, in one direction or both.
+func (s *soak) disturbLink() {
+	r := s.orders[s.executors[s.rng.IntN(workers)].ID]
+	if s.rng.IntN(2) == 0 {
+		r = s.doors[s.processes[s.rng.IntN(len(s.processes))]]
+	}
+	lasts := time.Duration(s.rng.IntN(3000)) * time.Millisecond
+	switch s.rng.IntN(3) {
+	case 0:
+		r.Cut()
+	case 1:
+		r.Delay(time.Duration(1+s.rng.IntN(400)) * time.Millisecond)
+		time.AfterFunc(lasts, func() { r.Delay(0) })
+	case 2:
+		direction := s.rng.IntN(3) // forward, back or both
+		r.Silence(direction != 1, direction != 0)
+		time.AfterFunc(lasts, func() { r.Silence(false, false) })
+	}
+}
+
 // disturb hurts one process, mostly a control process, one at a time.
 func (s *soak) disturb() {
 	p := s.processes[s.rng.IntN(len(s.processes))]
@@ -261,7 +303,7 @@
 		close(done)
 		<-reported
 	}()
-	nextFault := time.Now()
+	nextFault, nextLink := time.Now(), time.Now()
 	for until := time.Now().Add(faultTime); time.Now().Before(until); {
 		id := fmt.Sprintf("%016x", s.rng.Uint64())
 		body := `{"spec":"x","steps":[{"count":3,"cpu":2000,"estimated-ms":150},{"count":2,"cpu":2000,"estimated-ms":150,"after":[0]}]}`
@@ -272,6 +314,10 @@
 			s.disturb()
 			nextFault = time.Now().Add(time.Duration(300+s.rng.IntN(1500)) * time.Millisecond)
 		}
+		if time.Now().After(nextLink) {
+			s.disturbLink()
+			nextLink = time.Now().Add(time.Duration(100+s.rng.IntN(700)) * time.Millisecond)
+		}
 	}
 	s.mu.Lock()
 	s.faulty = false
@@ -308,8 +354,8 @@
 }
 
 // Guards against accepted jobs that are lost and tasks that run twice while control
-// and entry processes are killed, stopped, paused and restarted, and orders to
-// workers are lost or late. MARJORAMTILLER_SOAK_SEEDS=N runs N fresh seeds.
+// and entry processes are killed, stopped, paused and restarted, orders to workers
+// are lost or late, and connections are delayed, reset, cut one way or silenced. MARJORAMTILLER_SOAK_SEEDS=N runs N fresh seeds.
 func TestSoak(t *testing.T) {
 	run := seeds
 	if n, err := strconv.Atoi(os.Getenv("MARJORAMTILLER_SOAK_SEEDS")); err == nil {
