--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -7,6 +7,13 @@
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
+// What counts as away, and for how long.
+const (
+	fullPercent    = 100
+	spreadInterval = 2500 * time.Millisecond // in which a stopped run is seen at work elsewhere
+	listLag        = time.Second             // by which a list may name a worker later than it registers
+)
+
 // workerKnown reports whether what runs on a machine is known. A worker can
 // register, and be given tasks, before a list names it, while the one before is
 // still listed. It may run on any machine whose listed worker does not answer or
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -20,9 +20,6 @@
 	upkeepCycle     = 3500 * time.Millisecond // from one upkeep's order to the next one's in its place
 	upkeepPatience  = 1500 * time.Millisecond // that a machine's short tasks are given to end
 	upkeepInterval  = 50 * time.Millisecond   // between looks at the waves
-	fullPercent     = 100
-	spreadInterval  = 2500 * time.Millisecond // in which a stopped run is seen at work elsewhere
-	listLag         = time.Second             // by which a list may name a worker later than it registers
 	upkeepLookahead = 1                       // machines that are emptied beyond those that may be out
 )
 
