--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -102,7 +102,7 @@
 	CauseKeyUnchecked:   {Unknown, http.StatusBadGateway, "This sending of the request did not run; whether an earlier one with its key did is not known", "Send the request again with the same key after the time in Retry-After."},
 	CauseKeyFinished:    {Unknown, http.StatusConflict, "The request has run; this sending of it did not", "Send the request again with the same key after the time in Retry-After to get its answer."},
 	CauseUnknownQueue:   {NotRun, http.StatusNotFound, "No such queue", "Name a queue of the configuration in the path."},
-	CauseUnknownJob:     {NotRun, http.StatusGone, "No such job", "Submit the job if it is still wanted."},
+	CauseUnknownJob:     {NotRun, http.StatusNotFound, "No such job", "Submit the job if it is still wanted."},
 	CauseJobUnconfirmed: {Unknown, http.StatusGatewayTimeout, "The request was not confirmed in time", "Send it again with the same id after the time in Retry-After: it remains one job."},
 	CauseNoRecord:       {NotRun, http.StatusNotFound, "There is no record of this key", "Send the request with this key if it is still wanted."},
 }
