Let the test of refused connections begin once they are refused

It was written to an idle connection to a backend server at the moment at which the test broke that connection, so that "not run" would be a guess: the answer is the right one.

Ruled out: a dial error taken for a written request (its detail names the dial).

Change: each entry is first asked with GETs until it answers "not run"; the 20 requests that follow must all be "not run", as before.

--- a/tests/faults/answers_test.go
+++ b/tests/faults/answers_test.go
@@ -95,6 +95,14 @@
 		s.link.Close()
 	}
 	inParallel(c.entries, func(e *daemon) {
+		// A request that is written to an idle connection at the moment at which it
+		// breaks may have run; from the first refused connection on there is none.
+		eventually(t, e.name+" notices that connections are refused", func() bool {
+			r := withDeadline(get("ledger"), 500)
+			a := c.send(e, r)
+			check(t, list, r, a)
+			return a.outcome == notRun
+		})
 		for range 10 {
 			for _, r := range []request{withDeadline(get("ledger"), 500), withDeadline(post("ledger"), 500)} {
 				a := c.send(e, r)
