--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -180,7 +180,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{group: simGroup{s, s.term.Load()}, store: s.store, ctx: ctx, cancel: cancel, metrics: newControlMetrics(),
-		log: zerolog.New(&s.logs).With().Timestamp().Logger(),
+		log: zerolog.New(zerolog.SyncWriter(&s.logs)).With().Timestamp().Logger(),
 		o: ControlOptions{Name: fmt.Sprint("c-", s.term.Load()), Workers: s, Machines: s, Clock: simClock{s.began},
 			Bounds: Bounds{Lease: worker.Timing{Lease: simLease, Max: 10 * time.Second}, ReportInterval: simReport,
 				StatusKept: time.Hour, HolderGap: simGap}}}
