Plan at least every 200 ms

Its machine was confirmed and usable, but the plan right after the commit saw it as still cordoned, and nothing was committed after that, so no other plan was made. Pauses after a refusal end in the same way. Ruled out: the task's placement (freed in the log), the worker (registered and looked at). Change: a plan is made after 200 ms also if nothing has changed in the log.

--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -21,6 +21,9 @@
 	eventQueue      = 8192
 	maxBatchEntries = 2048
 	forgetInterval  = 5 * time.Second
+	// replanInterval is the time after which a plan is made although nothing was
+	// committed: workers also become usable as time passes.
+	replanInterval = 200 * time.Millisecond
 )
 
 // session is the soft state of one term of the leader. All of it is owned by the
@@ -39,7 +42,8 @@
 	batch    []*jobpb.Entry
 	waiters  []func(applied bool, err error) // of batch, nil where nobody waits
 	inFlight bool
-	dirty    bool // something has changed since the last plan
+	dirty    bool          // something has changed since the last plan
+	planAt   time.Duration // of the next plan if nothing changes
 	workers  map[string]*workerState
 	fences   map[string]uint64 // highest fence used for a worker that was dropped
 	queues   map[string]*jobpb.Queue
@@ -126,7 +130,7 @@
 	s.upkeep.round(now)
 	s.moves.round(now)
 	// What a plan starts must be in the next entry: a later plan would not see it.
-	if s.dirty && len(s.batch)+schedule.MaxStartsPerPlan <= maxBatchEntries {
+	if (s.dirty || now >= s.planAt) && len(s.batch)+schedule.MaxStartsPerPlan <= maxBatchEntries {
 		s.plan(now)
 	}
 	s.commit()
@@ -220,7 +224,7 @@
 
 // plan asks the scheduler for starts and puts them into the next log entry.
 func (s *session) plan(now time.Duration) {
-	s.dirty = false
+	s.dirty, s.planAt = false, now+replanInterval
 	s.view(func(st *state.Store) {
 		s.refreshQueues(st)
 		in := schedule.Input{NowMs: s.nowMs(), Store: st, Queues: s.queues, Workers: s.usable(now, st),
