Share one guarded log among the sessions of a simulation

Cause: each term's session guarded the common buffer by a lock of its own, a data race in TestSimulation/3. Change: one writer.

--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"hash/fnv"
+	"io"
 	"math/rand/v2"
 	"os"
 	"strconv"
@@ -46,6 +47,7 @@
 	seed  uint64
 	began time.Time
 	logs  bytes.Buffer
+	out   io.Writer // guards logs, which the sessions of all terms share
 
 	mu       sync.Mutex // of the world
 	workers  map[string]*simWorker
@@ -180,7 +182,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{group: simGroup{s, s.term.Load()}, store: s.store, ctx: ctx, cancel: cancel, metrics: newControlMetrics(),
-		log: zerolog.New(zerolog.SyncWriter(&s.logs)).With().Timestamp().Logger(),
+		log: zerolog.New(s.out).With().Timestamp().Logger(),
 		o: ControlOptions{Name: fmt.Sprint("c-", s.term.Load()), Workers: s, Machines: s, Clock: simClock{s.began},
 			Bounds: Bounds{Lease: worker.Timing{Lease: simLease, Max: 10 * time.Second}, ReportInterval: simReport,
 				StatusKept: time.Hour, HolderGap: simGap}}}
@@ -257,6 +259,7 @@
 		store: storeOf(t, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: &jobpb.Configuration{Version: 1,
 			Queues: []*jobpb.Queue{{Name: "q", Host: simHost, Prefix: simPrefix, Pool: "pool", MaxAttempts: 3, Stretch: 2, TargetMs: 600}},
 			Pools:  []*jobpb.Pool{{Name: "pool"}}}}})}
+	s.out = zerolog.SyncWriter(&s.logs)
 	s.term.Store(1)
 	s.elect()
 	for i := range simWorkers {
