--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -157,7 +157,7 @@
 	is.Equal(len(f.s.batch), 1)
 	f.s.workers["w-0"].draining, f.s.workers["w-1"].draining = true, true
 	f.commit()
-	is.Equal(len(f.orders), 0)
+	is.True(!f.u.machine("m-0").ordering && !f.u.machine("m-1").ordering) // no order is on its way
 
 	f = newUpkeepFixture(t)
 	f.u.wave(time.Second, f.st, f.st.Waves()[1])
@@ -170,17 +170,27 @@
 func TestNoStopWhileAnUpkeepIsOnItsWay(t *testing.T) {
 	is := is.New(t)
 	f := newUpkeepFixture(t)
-	p := f.st.SortedPlacements("w-1")[0]
-	is.True(f.u.mayStop(p))
+	f.s.c.group = lapsedLog{} // a stop is decided, and not sent
+	w := f.s.workers["w-1"]
+	w.draining = true
+	stops := func() int {
+		f.s.stopEnded(time.Second, w, f.st.Placed("w-1"))
+		return len(w.runs)
+	}
 	f.u.machine("m-0").ordering = true
-	is.True(!f.u.mayStop(p))
+	is.Equal(stops(), 0)
 	f.u.machine("m-0").ordering = false
 	f.u.unconfirmed = map[string]bool{"m-0": true}
-	is.True(!f.u.mayStop(p))
-	p.Step.MaxUnavailable = 0
-	is.True(f.u.mayStop(p))
+	is.Equal(stops(), 0)
+	f.u.unconfirmed = nil
+	is.Equal(stops(), 1)
 }
 
+// lapsedLog is the log of a leader whose lease has ended.
+type lapsedLog struct{ fixedLog }
+
+func (lapsedLog) Status() replica.Status { return replica.Status{} }
+
 // Guards against an upkeep that counts on a task whose worker leaves: its run is
 // stopped at any moment.
 func TestTaskOnLeavingWorkerIsAway(t *testing.T) {
