Move the orders to workers into job/orders

Cause: orders are to be sent through other control processes; the sender, the relay and the platform's adapter then share these types, and process/jobs held them beside 3,700 lines of drivers. No behaviour changes.

--- a/process/jobs/orders.go
+++ b/job/orders/orders.go
@@ -1,4 +1,6 @@
-package jobs
+// Package orders holds the orders that the leader of jobs sends to workers, their
+// answers and the errors of those that fail. It contains no I/O.
+package orders
 
 import (
 	"context"
@@ -107,8 +109,8 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
-// neverCarriedOut reports whether a failed order is certain to have no effect.
-func neverCarriedOut(err error) bool {
+// NeverCarriedOut reports whether a failed order is certain to have no effect.
+func NeverCarriedOut(err error) bool {
 	var refused *RefusedError
 	var notSent *NotSentError
 	return errors.As(err, &refused) || errors.As(err, &notSent)
@@ -122,49 +124,3 @@
 	Pace(ctx context.Context, to Target, o RunOrder) (clockMs int64, err error)
 	Hold(ctx context.Context, to Target, o HoldOrder) (*RunList, error)
 }
-
-// Machine is a machine in the machine service's list.
-type Machine struct {
-	Name     string
-	Pool     string
-	Up       bool // not being moved, not out for upkeep and not down
-	Cores    float64
-	WorkerID string
-}
-
-// Machines is the platform's machine service.
-type Machines interface {
-	List(ctx context.Context) ([]Machine, error)
-	Move(ctx context.Context, machine, pool string, fence uint64) error
-	Upkeep(ctx context.Context, machine string, wave uint64, fence uint64) error
-}
-
-// Advisor decides on which workers a step may run. Advise returns a ticket for each
-// allowed worker, by worker id.
-type Advisor interface {
-	Advise(ctx context.Context, step string, workers []string) (tickets map[string]string, err error)
-}
-
-// Report is a worker's periodic report of its own state.
-type Report struct {
-	Worker   *jobpb.Worker
-	Sequence uint64
-	ClockMs  int64
-}
-
-// UnavailableError reports that this process can't handle a request now. The request
-// had no effect.
-type UnavailableError struct{ Reason string }
-
-// Error implements error.
-func (e *UnavailableError) Error() string {
-	return e.Reason + "; retry shortly, at this or another node"
-}
-
-// InvalidError reports a change that can't be accepted.
-type InvalidError struct{ Reason string }
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	return "invalid: " + e.Reason + "; correct it and send it again"
-}
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -11,6 +11,7 @@
 	"marjoramtiller.example/marjoramtiller/connection/wire"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 	"marjoramtiller.example/marjoramtiller/job/worker"
 	"marjoramtiller.example/marjoramtiller/process/consensus"
@@ -33,7 +34,7 @@
 	Cluster       string
 	Seed          uint64
 	Bounds        Bounds
-	Workers       Workers
+	Workers       orders.Workers
 	Machines      Machines // nil without a machine service
 	Advisor       Advisor  // nil without an advisor
 	Clock         replica.Clock
--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -9,6 +9,7 @@
 
 	"marjoramtiller.example/marjoramtiller/job/capacity"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
@@ -308,7 +309,7 @@
 	d.s.orderGate.recordOrder(now, m.Machine)
 	d.s.log.Info().Err(err).Str("machine", m.Machine).Str("worker", worker).Str("from", m.From).Str("to", m.To).Msg("move ordered")
 	d.s.c.metrics.order("move", err)
-	var refused *RefusedError
+	var refused *orders.RefusedError
 	switch {
 	case err == nil:
 		mv.expiresAt = now + moveTimeout
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"marjoramtiller.example/marjoramtiller/job/orders"
+
 	"github.com/pkg/errors"
 )
 
@@ -29,7 +31,7 @@
 // order counts an order by its kind and outcome.
 func (m *controlMetrics) order(kind string, err error) {
 	outcome := "confirmed"
-	var refused *RefusedError
+	var refused *orders.RefusedError
 	switch {
 	case errors.As(err, &refused):
 		outcome = "refused"
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 	"marjoramtiller.example/marjoramtiller/job/worker"
 )
@@ -14,7 +15,7 @@
 // sendHold sends a hold order: it requests the worker's list of runs and extends
 // their lease if there are any.
 func (s *session) sendHold(now time.Duration, w *workerState, running bool) {
-	o := HoldOrder{Fence: w.track.Fence(), LastSeen: w.track.LastLoggedEnd}
+	o := orders.HoldOrder{Fence: w.track.Fence(), LastSeen: w.track.LastLoggedEnd}
 	// The lease of a worker that did not answer is not extended: a grant would defer
 	// the time from which its runs are certain to have ended.
 	if running && !w.silent {
@@ -26,7 +27,7 @@
 		}
 	}
 	w.holding = true
-	to := Target{ID: w.info.Id, Address: w.info.Address}
+	to := orders.Target{ID: w.info.Id, Address: w.info.Address}
 	if !s.c.Leads() {
 		w.holding = false
 		return
@@ -40,7 +41,7 @@
 }
 
 // handleRunList handles the answer to a hold.
-func (s *session) handleRunList(w *workerState, sent time.Duration, o HoldOrder, list *RunList, err error) {
+func (s *session) handleRunList(w *workerState, sent time.Duration, o orders.HoldOrder, list *orders.RunList, err error) {
 	now := s.now()
 	w.holding = false
 	if s.workers[w.info.Id] != w {
@@ -71,16 +72,16 @@
 	})
 }
 
-func (s *session) handleHoldError(w *workerState, sent, now time.Duration, o HoldOrder, err error) {
-	var refused *RefusedError
+func (s *session) handleHoldError(w *workerState, sent, now time.Duration, o orders.HoldOrder, err error) {
+	var refused *orders.RefusedError
 	switch {
-	case errors.As(err, &refused) && refused.Reason == RefusedFence:
+	case errors.As(err, &refused) && refused.Reason == orders.RefusedFence:
 		s.raiseFence(w)
 		s.log.Warn().Str("worker", w.info.Id).Uint64("fence", w.track.Fence()).Msg("hold refused: the worker has seen a higher fence; raised the fence")
 	case errors.As(err, &refused):
 		s.log.Debug().Err(err).Str("worker", w.info.Id).Msg("hold refused by the worker")
 	default:
-		if o.DeadlineMs > 0 && !neverCarriedOut(err) {
+		if o.DeadlineMs > 0 && !orders.NeverCarriedOut(err) {
 			w.track.RecordUnanswered(sent)
 		}
 		if !w.silent {
@@ -92,7 +93,7 @@
 }
 
 // registerNewProcess registers the new process that answers under a worker's id.
-func (s *session) registerNewProcess(w *workerState, list *RunList) {
+func (s *session) registerNewProcess(w *workerState, list *orders.RunList) {
 	w.nextHold = s.now() + holdRetry
 	if list.StartedMs < w.info.BornMs || w.dropping {
 		return
@@ -105,7 +106,7 @@
 
 // recordEnds puts the ends that a worker lists into the log. LastSeen, which lets
 // the worker remove them from its list, is advanced only after the commit.
-func (s *session) recordEnds(w *workerState, list *RunList, st *state.Store) {
+func (s *session) recordEnds(w *workerState, list *orders.RunList, st *state.Store) {
 	last := w.track.LastLoggedEnd
 	for _, e := range list.Ended {
 		if e.Number <= w.track.LastLoggedEnd {
@@ -125,7 +126,7 @@
 	}
 }
 
-func (s *session) recordEnd(w *workerState, e EndedRun, st *state.Store) {
+func (s *session) recordEnd(w *workerState, e orders.EndedRun, st *state.Store) {
 	key := state.Key(e.Task)
 	p := st.Placements(w.info.Id)[key]
 	r := w.runs.remove(key, e.Run)
@@ -168,9 +169,9 @@
 // reconcileRuns compares the runs that the log places on a worker with the list that
 // was requested at sent. It frees placed runs that are definitely not running and
 // stops runs that the log does not place there.
-func (s *session) reconcileRuns(w *workerState, sent time.Duration, o HoldOrder, list *RunList, st *state.Store) {
+func (s *session) reconcileRuns(w *workerState, sent time.Duration, o orders.HoldOrder, list *orders.RunList, st *state.Store) {
 	placed := st.Placements(w.info.Id)
-	running := make(map[state.TaskKey]Run, len(list.Running))
+	running := make(map[state.TaskKey]orders.Run, len(list.Running))
 	for _, r := range list.Running {
 		key := state.Key(r.Task)
 		running[key] = r
@@ -202,7 +203,7 @@
 // definitelyNotRunning reports whether a placed run that is missing from a list is
 // not running and can't start any more: its order was superseded by a higher fence,
 // or its start or stop was confirmed before the list was requested.
-func (s *session) definitelyNotRunning(w *workerState, key state.TaskKey, p *state.Placement, sent time.Duration, o HoldOrder) bool {
+func (s *session) definitelyNotRunning(w *workerState, key state.TaskKey, p *state.Placement, sent time.Duration, o orders.HoldOrder) bool {
 	r := w.runs[key]
 	if r == nil || r.run != p.Task.Run {
 		// Ordered by an earlier leader, or by this one before the worker was dropped.
@@ -220,7 +221,7 @@
 }
 
 // stopUnknownRun stops a run that the log does not place on the worker.
-func (s *session) stopUnknownRun(w *workerState, r Run) {
+func (s *session) stopUnknownRun(w *workerState, r orders.Run) {
 	s.log.Warn().Str("request", r.Task.Job).Uint32("run", r.Run).Str("worker", w.info.Id).Msg("stopping a run that is not placed on this worker")
 	s.sendStop(w, r.Task, r.Run, func(bool) {})
 }
--- a/process/jobs/simulation_rules_test.go
+++ b/process/jobs/simulation_rules_test.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
 // checkStart checks that a run may start now and adds it to the history. The caller
 // holds s.mu.
-func (s *sim) checkStart(w *simWorker, r *simRun, o StartOrder) {
+func (s *sim) checkStart(w *simWorker, r *simRun, o orders.StartOrder) {
 	key, step := r.key, s.step(r.key)
 	for _, worker := range s.workers {
 		if !worker.exited {
--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
@@ -99,7 +100,7 @@
 
 // handleOrder carries out an order and answers it, unless an injected fault loses or
 // delays the order, or loses the answer.
-func (w *simWorker) handleOrder(ctx context.Context, kind string, fence uint64, do func() Reason) (int64, error) {
+func (w *simWorker) handleOrder(ctx context.Context, kind string, fence uint64, do func() orders.Reason) (int64, error) {
 	s := w.sim
 	time.Sleep(s.drawDuration(time.Millisecond, 4*time.Millisecond, kind, w.id, fence))
 	fault := s.draw(100, kind+"fate", w.id, fence)
@@ -107,7 +108,7 @@
 	switch {
 	case w.unreachable() && w.exited && fault%2 == 0:
 		s.mu.Unlock()
-		return 0, &NotSentError{Err: errors.New("connection refused")}
+		return 0, &orders.NotSentError{Err: errors.New("connection refused")}
 	case w.unreachable(), s.faultsActive() && fault < 2: // lost
 		s.mu.Unlock()
 		<-ctx.Done()
@@ -135,15 +136,15 @@
 		return 0, ctx.Err()
 	}
 	if reason != "" {
-		return 0, &RefusedError{Reason: reason, ClockMs: clock}
+		return 0, &orders.RefusedError{Reason: reason, ClockMs: clock}
 	}
 	return clock, nil
 }
 
-func (w *simWorker) execute(fence uint64, do func() Reason) Reason {
+func (w *simWorker) execute(fence uint64, do func() orders.Reason) orders.Reason {
 	w.advance()
 	if fence < w.fence {
-		return RefusedFence
+		return orders.RefusedFence
 	}
 	w.fence = fence
 	return do()
@@ -169,7 +170,7 @@
 	r.acknowledged = r.acknowledged || w.lapsedAt.Before(r.endedAt)
 }
 
-func (w *simWorker) start(o StartOrder) Reason {
+func (w *simWorker) start(o orders.StartOrder) orders.Reason {
 	key := state.Key(o.Task)
 	if r := w.runs[key]; r != nil && r.number == o.Run {
 		return ""
@@ -177,9 +178,9 @@
 	w.extendLease(o.DeadlineMs)
 	switch {
 	case o.Run <= w.highestRun[key]:
-		return RefusedStaleRun
+		return orders.RefusedStaleRun
 	case !w.wallTime(o.DeadlineMs).After(time.Now()):
-		return RefusedDeadline
+		return orders.RefusedDeadline
 	}
 	r := &simRun{key: key, ref: o.Task, number: o.Run, worker: w.id, startedAt: time.Now()}
 	w.highestRun[key] = o.Run
@@ -188,7 +189,7 @@
 	return ""
 }
 
-func (w *simWorker) stop(o RunOrder) Reason {
+func (w *simWorker) stop(o orders.RunOrder) orders.Reason {
 	key := state.Key(o.Task)
 	w.highestRun[key] = max(w.highestRun[key], o.Run)
 	if r := w.runs[key]; r != nil && r.number <= o.Run {
@@ -200,35 +201,35 @@
 }
 
 // Start implements Workers.
-func (s *sim) Start(ctx context.Context, to Target, o StartOrder) (int64, error) {
+func (s *sim) Start(ctx context.Context, to orders.Target, o orders.StartOrder) (int64, error) {
 	w := s.worker(to.ID)
 	if w == nil {
-		return 0, &NotSentError{Err: errors.New("no such worker")}
+		return 0, &orders.NotSentError{Err: errors.New("no such worker")}
 	}
-	return w.handleOrder(ctx, "start"+o.Task.Job, o.Fence, func() Reason { return w.start(o) })
+	return w.handleOrder(ctx, "start"+o.Task.Job, o.Fence, func() orders.Reason { return w.start(o) })
 }
 
 // Stop implements Workers.
-func (s *sim) Stop(ctx context.Context, to Target, o RunOrder) (int64, error) {
+func (s *sim) Stop(ctx context.Context, to orders.Target, o orders.RunOrder) (int64, error) {
 	w := s.worker(to.ID)
 	if w == nil {
-		return 0, &NotSentError{Err: errors.New("no such worker")}
+		return 0, &orders.NotSentError{Err: errors.New("no such worker")}
 	}
-	return w.handleOrder(ctx, "stop"+o.Task.Job, o.Fence, func() Reason { return w.stop(o) })
+	return w.handleOrder(ctx, "stop"+o.Task.Job, o.Fence, func() orders.Reason { return w.stop(o) })
 }
 
 // Pace implements Workers.
-func (s *sim) Pace(context.Context, Target, RunOrder) (int64, error) {
+func (s *sim) Pace(context.Context, orders.Target, orders.RunOrder) (int64, error) {
 	return 0, errors.New("no step of the simulation is paced")
 }
 
 // Hold implements Workers.
-func (s *sim) Hold(ctx context.Context, to Target, o HoldOrder) (*RunList, error) {
+func (s *sim) Hold(ctx context.Context, to orders.Target, o orders.HoldOrder) (*orders.RunList, error) {
 	w := s.worker(to.ID)
 	if w == nil {
-		return nil, &NotSentError{Err: errors.New("no such worker")}
+		return nil, &orders.NotSentError{Err: errors.New("no such worker")}
 	}
-	_, err := w.handleOrder(ctx, "hold", o.Fence, func() Reason {
+	_, err := w.handleOrder(ctx, "hold", o.Fence, func() orders.Reason {
 		w.extendLease(o.DeadlineMs)
 		for i := w.lastSeen; i < o.LastSeen && i < uint64(len(w.ended)); i++ {
 			w.acknowledge(w.ended[i])
@@ -256,18 +257,18 @@
 	}
 }
 
-func (w *simWorker) listRuns() *RunList {
-	list := &RunList{ClockMs: w.clockMs(), StartedMs: w.startedAt.UnixMilli()}
+func (w *simWorker) listRuns() *orders.RunList {
+	list := &orders.RunList{ClockMs: w.clockMs(), StartedMs: w.startedAt.UnixMilli()}
 	for _, r := range w.runs {
 		percent := 50
 		if w.sim.lasting(r.key) && time.Since(r.startedAt) > simStartupTime {
 			percent = fullPercent
 		}
-		list.Running = append(list.Running, Run{Task: r.ref, Run: r.number, Percent: percent})
+		list.Running = append(list.Running, orders.Run{Task: r.ref, Run: r.number, Percent: percent})
 	}
 	for i := w.lastSeen; i < uint64(len(w.ended)); i++ {
 		r := w.ended[i]
-		list.Ended = append(list.Ended, EndedRun{Number: i + 1, Task: r.ref, Run: r.number, How: r.how})
+		list.Ended = append(list.Ended, orders.EndedRun{Number: i + 1, Task: r.ref, Run: r.number, How: r.how})
 	}
 	return list
 }
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 )
 
 type simMachine struct {
@@ -65,7 +66,7 @@
 	case m.maintained:
 		return nil
 	case m.out || m.worker == nil || m.worker.exited:
-		return &RefusedError{Reason: RefusedMachineDown}
+		return &orders.RefusedError{Reason: orders.RefusedMachineDown}
 	}
 	s.startMaintenance(m)
 	if s.faultsActive() && fault < 25 {
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
@@ -41,8 +42,8 @@
 }
 
 func (s *session) sendStop(w *workerState, task *jobpb.TaskRef, run uint32, onAnswer func(ok bool)) {
-	to := Target{ID: w.info.Id, Address: w.info.Address}
-	o := RunOrder{Task: task, Run: run, Fence: w.track.Fence()}
+	to := orders.Target{ID: w.info.Id, Address: w.info.Address}
+	o := orders.RunOrder{Task: task, Run: run, Fence: w.track.Fence()}
 	if !s.c.Leads() {
 		return
 	}
@@ -71,7 +72,7 @@
 // sampleAnswerClock updates the estimate of the worker's clock from the answer to an
 // order.
 func (s *session) sampleAnswerClock(w *workerState, clockMs int64, err error) {
-	var refused *RefusedError
+	var refused *orders.RefusedError
 	if errors.As(err, &refused) {
 		clockMs = refused.ClockMs
 	}
@@ -106,9 +107,9 @@
 	}
 	r := &runState{run: start.Run, fence: w.track.Fence()}
 	w.runs[key] = r
-	o := StartOrder{Task: start.Task, Run: start.Run, Spec: spec, Checkpoint: checkpoint, DeadlineMs: deadline, Fence: r.fence,
+	o := orders.StartOrder{Task: start.Task, Run: start.Run, Spec: spec, Checkpoint: checkpoint, DeadlineMs: deadline, Fence: r.fence,
 		Ticket: s.advice.ticket(start)}
-	to := Target{ID: w.info.Id, Address: w.info.Address}
+	to := orders.Target{ID: w.info.Id, Address: w.info.Address}
 	sent := s.now()
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
@@ -138,13 +139,13 @@
 	s.sampleAnswerClock(w, clockMs, err)
 	s.logOrder("start", w, start.Task, start.Run, err)
 	s.c.metrics.startSeconds.Observe((now - sent).Seconds())
-	var refused *RefusedError
+	var refused *orders.RefusedError
 	switch {
 	case err == nil:
 		r.startConfirmed, r.startConfirmedAt = true, now
-	case neverCarriedOut(err):
+	case orders.NeverCarriedOut(err):
 		w.pausedUntil = now + refusedPause
-		if errors.As(err, &refused) && refused.Reason == RefusedFence {
+		if errors.As(err, &refused) && refused.Reason == orders.RefusedFence {
 			s.raiseFence(w)
 		}
 		s.addEnd(w, start.Task, start.Run, jobpb.How_NEVER_STARTED, "")
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
@@ -293,8 +294,8 @@
 	m.ordering = false
 	u.s.log.Info().Err(err).Uint64("wave", w.Number).Str("machine", machine).Str("worker", u.listed[machine].WorkerID).Msg("upkeep ordered")
 	u.s.c.metrics.order("upkeep", err)
-	var refused *RefusedError
-	settled := err == nil || errors.As(err, &refused) && (refused.Reason == RefusedNotInWave || refused.Reason == RefusedInvalid)
+	var refused *orders.RefusedError
+	settled := err == nil || errors.As(err, &refused) && (refused.Reason == orders.RefusedNotInWave || refused.Reason == orders.RefusedInvalid)
 	if !settled {
 		m.retryAt = now + upkeepRetryDelay
 		return
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 	"marjoramtiller.example/marjoramtiller/job/worker"
 	"marjoramtiller.example/marjoramtiller/process/replica"
@@ -42,7 +43,7 @@
 		entries = append(entries, &jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: info}},
 			&jobpb.Entry{Change: &jobpb.Entry_Start{Start: &jobpb.Start{Task: ref, Run: 1, Worker: id}}})
 		s.workers[id] = &workerState{info: info, runs: runSet{}, track: worker.New(worker.LeaseTiming{}, 1, 0, 0, false),
-			listedRuns: map[state.TaskKey]Run{state.Key(ref): {Task: ref, Run: 1, Percent: fullPercent}}}
+			listedRuns: map[state.TaskKey]orders.Run{state.Key(ref): {Task: ref, Run: 1, Percent: fullPercent}}}
 	}
 	st := storeOf(t, entries...)
 	s.c.store, s.c.group = st, fixedLog{}
@@ -216,6 +217,6 @@
 	is.Equal(f.driver.unavailableOnSameWorker(w, p), 1)
 	f.driver.spreadRun(time.Second, p)
 	is.Equal(len(w.runs), 0)
-	w.listedRuns[state.TaskKey{Job: "job", Index: 1}] = Run{Run: 1, Percent: fullPercent}
+	w.listedRuns[state.TaskKey{Job: "job", Index: 1}] = orders.Run{Run: 1, Percent: fullPercent}
 	is.Equal(f.driver.unavailableOnSameWorker(w, p), 0)
 }
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
 	"marjoramtiller.example/marjoramtiller/job/state"
 	"marjoramtiller.example/marjoramtiller/job/worker"
@@ -44,7 +45,7 @@
 	draining    bool // has announced that it is going to leave
 	dropping    bool
 	runs        runSet
-	listedRuns  map[state.TaskKey]Run // the runs in the worker's last list
+	listedRuns  map[state.TaskKey]orders.Run // the runs in the worker's last list
 	failures    []time.Duration
 	suspect     bool // too many of its runs are overdue
 	// suspectAt is when it was last suspect, 0 if never.
@@ -63,7 +64,7 @@
 // trackWorker starts tracking a worker's process. earlier reports that an earlier
 // leader may have granted it leases.
 func (s *session) trackWorker(info *jobpb.Worker, earlier bool) *workerState {
-	w := &workerState{info: info, knownSince: s.now(), draining: info.Draining, runs: runSet{}, listedRuns: map[state.TaskKey]Run{}}
+	w := &workerState{info: info, knownSince: s.now(), draining: info.Draining, runs: runSet{}, listedRuns: map[state.TaskKey]orders.Run{}}
 	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
 	for w.track.Fence() < s.fences[info.Id] {
 		w.track.RaiseFence()
