--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -25,7 +25,6 @@
 	var notProposed *replica.NotProposedError
 	var stopped *replica.StoppedError
 	var busy *consensus.BusyError
-	var full *storage.DiskFullError
 	var large *storage.TooLargeError
 	var unavailable *UnavailableError
 	var unknown *replica.OutcomeUnknownError
@@ -33,7 +32,7 @@
 		return false
 	}
 	return errors.As(err, &notLeader) || errors.As(err, &notProposed) || errors.As(err, &stopped) ||
-		errors.As(err, &busy) || errors.As(err, &full) || errors.As(err, &large) || errors.As(err, &unavailable)
+		errors.As(err, &busy) || storage.Retryable(err) || errors.As(err, &large) || errors.As(err, &unavailable)
 }
 
 // proposeChange puts a change into the log and waits for its outcome. After an error
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -36,7 +36,8 @@
 	pendingReads     map[uint64]*pendingRead // by read ID, until a quorum has confirmed them
 	confirmedReads   []*pendingRead          // waiting until their index is applied
 	lastReadID       uint64
-	stalledReady     *consensus.Ready     // could not be stored because the disk is full; nil otherwise
+	stalledReady     *consensus.Ready     // could not be stored yet; nil otherwise
+	stallError       error                // why stalledReady could not be stored
 	retryStore       bool                 // a tick has passed since the last attempt to store stalledReady
 	snapshot         *wirepb.RaftSnapshot // the latest stored snapshot
 	savingSnapshot   bool                 // a snapshot is being encoded and stored
@@ -149,8 +150,8 @@
 
 // Propose replicates a command and returns the state machine's result. The
 // errors NotLeaderError, NotProposedError, StoppedError, consensus.BusyError,
-// storage.DiskFullError and storage.TooLargeError mean that the command is never
-// applied; OutcomeUnknownError means that it may be applied.
+// storage.DiskFullError, storage.DescriptorsError and storage.TooLargeError mean that
+// the command is never applied; OutcomeUnknownError means that it may be applied.
 func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	if len(command) == 0 {
 		return nil, errors.New("replica: the command is empty")
@@ -227,7 +228,7 @@
 
 func (r *Replica) startRead(read *pendingRead) error {
 	if r.stalledReady != nil {
-		return &consensus.BusyError{Reason: "the disk is full"}
+		return &consensus.BusyError{Reason: "the log can't be written"}
 	}
 	r.lastReadID++
 	if err := r.core.ReadIndex(r.lastReadID); err != nil {
--- a/process/replica/run.go
+++ b/process/replica/run.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -86,7 +85,7 @@
 
 func (r *Replica) handleProposal(p *proposal) {
 	if r.stalledReady != nil {
-		p.result <- outcome{err: &storage.DiskFullError{File: r.options.Dir, Err: errors.New("an earlier write failed")}}
+		p.result <- outcome{err: r.stallError}
 		return
 	}
 	var err error
@@ -145,19 +144,19 @@
 }
 
 // persistReady writes and syncs the state that rd requires to be durable. If the disk
-// is full, it returns false and keeps rd in stalledReady for another attempt.
+// is full or the process lacks file descriptors, it returns false and keeps rd in
+// stalledReady for another attempt.
 func (r *Replica) persistReady(rd *consensus.Ready) (bool, error) {
 	err := r.storeReady(rd)
-	var full *storage.DiskFullError
-	if errors.As(err, &full) {
+	if storage.Retryable(err) {
 		if r.stalledReady == nil {
-			r.log.Error().Err(err).Msg("could not write to the log because the disk is full; proposals are rejected until space is freed")
-			r.stalledReady = rd
+			r.log.Error().Err(err).Msg("could not write to the log; proposals are rejected until a write succeeds")
+			r.stalledReady, r.stallError = rd, err
 		}
 		return false, nil
 	}
 	if err == nil && r.stalledReady != nil {
-		r.log.Info().Msg("the disk has free space again; proposals are accepted")
+		r.log.Info().Msg("the log can be written again; proposals are accepted")
 		r.stalledReady = nil
 	}
 	return err == nil, err
--- a/process/replica/snapshot.go
+++ b/process/replica/snapshot.go
@@ -1,7 +1,6 @@
 package replica
 
 import (
-	"errors"
 	"fmt"
 	"time"
 
@@ -60,13 +59,12 @@
 }
 
 // finishSnapshot removes the log entries that a durable snapshot covers. If the
-// snapshot could not be stored because the disk is full, it is retried after
+// snapshot could not be stored for lack of space or descriptors, it is retried after
 // snapshotRetryDelay.
 func (r *Replica) finishSnapshot(result snapshotResult) error {
 	r.savingSnapshot = false
-	var full *storage.DiskFullError
-	if errors.As(result.err, &full) {
-		r.log.Warn().Err(result.err).Msg("could not store a snapshot because the disk is full; retrying later")
+	if storage.Retryable(result.err) {
+		r.log.Warn().Err(result.err).Msg("could not store a snapshot; retrying later")
 		r.nextSnapshotAt = r.now() + snapshotRetryDelay
 		return nil
 	}
--- a/process/storage/errors.go
+++ b/process/storage/errors.go
@@ -1,6 +1,10 @@
 package storage
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
 
 const replaceReplicaRemedy = "replace this replica: start it as a learner with an empty data folder and a new replica name, promote the learner and remove the old replica"
 
@@ -58,6 +62,50 @@
 // Unwrap returns the cause.
 func (e *DiskFullError) Unwrap() error { return e.Err }
 
+// DescriptorsError reports that a file could not be opened because the process has too
+// many files and connections open. Nothing was written and the operation may be retried.
+type DescriptorsError struct {
+	File string
+	Err  error
+}
+
+// Error implements error.
+func (e *DescriptorsError) Error() string {
+	return fmt.Sprintf("storage: cannot open %s: %v; raise the limit of file descriptors or reduce the connections, after which writes succeed again", e.File, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *DescriptorsError) Unwrap() error { return e.Err }
+
+// Retryable reports whether a failed operation has left the stored data as it was and
+// may be repeated.
+func Retryable(err error) bool {
+	var full *DiskFullError
+	var descriptors *DescriptorsError
+	return errors.As(err, &full) || errors.As(err, &descriptors)
+}
+
+func lacksDescriptors(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// writeError returns the error of a failed write or of a file that can't be created.
+func writeError(file string, err error) error {
+	if lacksDescriptors(err) {
+		return &DescriptorsError{File: file, Err: err}
+	}
+	return &DiskFullError{File: file, Err: err}
+}
+
+// syncDirError returns the error of a failed sync of a folder. Without a descriptor the
+// sync was not attempted.
+func syncDirError(dir string, err error) error {
+	if lacksDescriptors(err) {
+		return &DescriptorsError{File: dir, Err: err}
+	}
+	return &SyncError{File: dir, Err: err}
+}
+
 // TooLargeError reports an entry or a record that exceeds its maximum size.
 type TooLargeError struct{ Size, Limit int }
 
--- a/process/storage/fakefs_test.go
+++ b/process/storage/fakefs_test.go
@@ -19,6 +19,7 @@
 	files      map[string]*memFile
 	spaceBytes int // bytes that can still be written, unlimited if negative
 	failSync   bool
+	syncDirErr error // of the next SyncDir
 	syncs      int
 	before     func() // called before each change of a file or folder
 }
@@ -97,7 +98,9 @@
 
 func (m *memFS) SyncDir(string) error {
 	m.change()
-	return nil
+	err := m.syncDirErr
+	m.syncDirErr = nil
+	return err
 }
 
 // crash discards the unsynced data of each file except for its first keep bytes.
--- a/process/storage/load.go
+++ b/process/storage/load.go
@@ -25,7 +25,7 @@
 	tmp := s.path(name)
 	f, err := s.fs.Create(tmp)
 	if err != nil {
-		return &DiskFullError{File: tmp, Err: err}
+		return writeError(tmp, err)
 	}
 	header := binary.LittleEndian.AppendUint32(nil, uint32(len(data)))
 	header = binary.LittleEndian.AppendUint32(header, checksum(header, data))
@@ -36,7 +36,7 @@
 	if err != nil {
 		_ = f.Close()
 		_ = s.fs.Remove(tmp)
-		return &DiskFullError{File: tmp, Err: err}
+		return writeError(tmp, err)
 	}
 	syncErr := f.Sync()
 	closeErr := f.Close()
@@ -53,7 +53,7 @@
 		return &SyncError{File: s.path(tmp), Err: err}
 	}
 	if err := s.fs.SyncDir(s.dir); err != nil {
-		return &SyncError{File: s.dir, Err: err}
+		return syncDirError(s.dir, err)
 	}
 	return nil
 }
@@ -103,7 +103,7 @@
 	name := s.path(segmentName(number))
 	file, err := s.fs.Create(name)
 	if err != nil {
-		return nil, 0, &DiskFullError{File: name, Err: err}
+		return nil, 0, writeError(name, err)
 	}
 	var data []byte
 	if s.hardState != nil {
@@ -115,7 +115,7 @@
 		if _, err := file.Write(data); err != nil {
 			_ = file.Close()
 			_ = s.fs.Remove(name)
-			return nil, 0, &DiskFullError{File: name, Err: err}
+			return nil, 0, writeError(name, err)
 		}
 	}
 	if err := file.Sync(); err != nil {
@@ -124,7 +124,7 @@
 	}
 	if err := s.fs.SyncDir(s.dir); err != nil {
 		_ = file.Close()
-		return nil, 0, s.stop(&SyncError{File: s.dir, Err: err})
+		return nil, 0, s.stopOnSyncError(syncDirError(s.dir, err))
 	}
 	return file, int64(len(data)), nil
 }
--- a/process/storage/store_test.go
+++ b/process/storage/store_test.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"errors"
+	"io/fs"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -267,3 +269,27 @@
 		}
 	})
 }
+
+// Guards against a replica that stops for good because its process had no file
+// descriptor left when a log segment was full: nothing was synced, so the append can be
+// repeated.
+func TestLackOfDescriptorsIsRetried(t *testing.T) {
+	is := is.New(t)
+	fsys := newMemFS()
+	store, _ := open(t, fsys)
+	fill(t, store, 1)
+	var err error
+	last := uint64(1)
+	for err == nil && last < 20 {
+		last++
+		fsys.syncDirErr = &fs.PathError{Op: "open", Path: testDir, Err: syscall.EMFILE}
+		err = store.Append(testEntries(last, last, 1), nil)
+	}
+	var descriptors *DescriptorsError
+	is.True(errors.As(err, &descriptors))
+	is.True(Retryable(err))
+	fsys.syncDirErr = nil
+	is.NoErr(store.Append(testEntries(last, last, 1), nil))
+	_, state := open(t, fsys)
+	is.True(equalEntries(state.Entries, testEntries(1, last, 1)))
+}
