Send orders through the other control processes and confirm reports at each

The holds to one worker were 660 ms apart. The eight other control processes were idle. Ruled out: entries as senders (their links have 2 Mbit/s); several groups of control processes (more state to agree on, not needed for this load). A relay sends no order of an ended term, none that was on its way or waited at it for longer than its timeout, and says so. A lost relay is not held against the worker. Control processes that do not lead confirm reports without a change and tell the leader of them four times a second; others are forwarded. A worker without runs that has not reported is asked before it is dropped. Holds share the rate of all senders.

--- a/connection/wire/pool.go
+++ b/connection/wire/pool.go
@@ -32,8 +32,9 @@
 	address      string
 	dialLock     chan struct{} // has capacity 1; filled while a session is being dialled
 	callSlots    chan struct{} // one element per call in progress; its capacity is the limit
-	messageQueue *raftQueue
-	chunkQueue   *raftQueue // for chunks of consensus snapshots
+	messageQueue *sendQueue    // for consensus messages
+	chunkQueue   *sendQueue    // for chunks of consensus snapshots
+	relayQueue   *sendQueue    // for messages between the leader of jobs and its relays
 
 	mu      sync.Mutex
 	session *yamux.Session
@@ -66,8 +67,9 @@
 		name: name, address: address,
 		dialLock:     make(chan struct{}, 1),
 		callSlots:    make(chan struct{}, maxStreams),
-		messageQueue: newRaftQueue(streamRaft, raftQueueBytes, raftWriteTimeout),
-		chunkQueue:   newRaftQueue(streamSnapshot, chunkQueueBytes, chunkWriteTimeout),
+		messageQueue: newSendQueue(streamRaft, raftQueueBytes, raftWriteTimeout),
+		chunkQueue:   newSendQueue(streamSnapshot, chunkQueueBytes, chunkWriteTimeout),
+		relayQueue:   newSendQueue(streamRelay, relayQueueBytes, relayWriteTimeout),
 	}
 	p.peers[name] = added
 	return added, nil
--- a/connection/wire/raft.go
+++ b/connection/wire/raft.go
@@ -9,14 +9,14 @@
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
 
-// raftQueue holds the consensus messages that are to be sent to a peer. When it is
-// full it drops the oldest ones: the sender repeats a lost consensus message, and
-// a newer message makes it obsolete.
-type raftQueue struct {
+// sendQueue holds the one-way messages that are to be sent to a peer. When it is full
+// it drops the oldest ones: senders repeat lost messages, or act on a missing answer.
+type sendQueue struct {
 	mu       sync.Mutex
-	messages []*wirepb.RaftMessage
+	messages []proto.Message
 	bytes    int
 	dropped  uint64
 	started  bool
@@ -27,23 +27,23 @@
 	writeTimeout time.Duration // of one message
 }
 
-func newRaftQueue(kind byte, maxBytes int, writeTimeout time.Duration) *raftQueue {
-	return &raftQueue{ready: make(chan struct{}, 1), kind: kind, maxBytes: maxBytes, writeTimeout: writeTimeout}
+func newSendQueue(kind byte, maxBytes int, writeTimeout time.Duration) *sendQueue {
+	return &sendQueue{ready: make(chan struct{}, 1), kind: kind, maxBytes: maxBytes, writeTimeout: writeTimeout}
 }
 
 // push adds a message and reports whether it is the first one of the queue's
 // lifetime.
-func (q *raftQueue) push(raftMessage *wirepb.RaftMessage) (first bool) {
-	size := proto.Size(raftMessage)
+func (q *sendQueue) push(message proto.Message) (first bool) {
+	size := proto.Size(message)
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for len(q.messages) > 0 && (len(q.messages) >= raftQueueMessages || q.bytes+size > q.maxBytes) {
+	for len(q.messages) > 0 && (len(q.messages) >= queueMessages || q.bytes+size > q.maxBytes) {
 		q.bytes -= proto.Size(q.messages[0])
 		q.messages[0] = nil
 		q.messages = q.messages[1:]
 		q.dropped++
 	}
-	q.messages = append(q.messages, raftMessage)
+	q.messages = append(q.messages, message)
 	q.bytes += size
 	select {
 	case q.ready <- struct{}{}:
@@ -55,7 +55,7 @@
 }
 
 // takeAll empties the queue and returns its messages.
-func (q *raftQueue) takeAll() []*wirepb.RaftMessage {
+func (q *sendQueue) takeAll() []proto.Message {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	taken := q.messages
@@ -67,16 +67,37 @@
 // a peer that can't be reached are dropped. Chunks of snapshots have a separate
 // queue and stream, so that they don't delay heartbeats.
 func (p *Pool) SendRaft(name string, raftMessage *wirepb.RaftMessage) {
-	remote, err := p.peer(name)
-	if err != nil {
-		p.options.Logger.Debug().Err(err).Str("peer", name).Msg("consensus message dropped: the peer is unknown or the pool is closed")
+	remote := p.messagePeer(name)
+	if remote == nil {
 		return
 	}
 	queue := remote.messageQueue
 	if raftMessage.Type == wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK {
 		queue = remote.chunkQueue
 	}
-	if queue.push(raftMessage) {
+	p.enqueue(remote, queue, raftMessage)
+}
+
+// SendRelay queues a message between the leader of jobs and its relays. It never blocks.
+// Messages to a peer that can't be reached are dropped.
+func (p *Pool) SendRelay(name string, message *jobpb.RelayMessage) {
+	if remote := p.messagePeer(name); remote != nil {
+		p.enqueue(remote, remote.relayQueue, message)
+	}
+}
+
+// messagePeer returns the peer to send one-way messages to, nil if there is none.
+func (p *Pool) messagePeer(name string) *peer {
+	remote, err := p.peer(name)
+	if err != nil {
+		p.options.Logger.Debug().Err(err).Str("peer", name).Msg("message dropped: the peer is unknown or the pool is closed")
+		return nil
+	}
+	return remote
+}
+
+func (p *Pool) enqueue(remote *peer, queue *sendQueue, message proto.Message) {
+	if queue.push(message) {
 		p.startLoop(func() { p.sendLoop(remote, queue) })
 	}
 }
@@ -98,7 +119,7 @@
 // sendLoop writes the messages of one queue of a peer to a long-lived stream. If
 // the stream fails, it drops the queued messages and opens a new stream after
 // redialDelay.
-func (p *Pool) sendLoop(remote *peer, queue *raftQueue) {
+func (p *Pool) sendLoop(remote *peer, queue *sendQueue) {
 	var stream *yamux.Stream
 	for {
 		select {
@@ -116,7 +137,7 @@
 		if err == nil {
 			continue
 		}
-		p.options.Logger.Debug().Err(err).Str("peer", remote.name).Msg("consensus messages dropped: the stream to the peer failed")
+		p.options.Logger.Debug().Err(err).Str("peer", remote.name).Msg("queued messages dropped: the stream to the peer failed")
 		if stream != nil {
 			_ = stream.Close()
 			stream = nil
@@ -148,11 +169,11 @@
 	return stream, nil
 }
 
-func (p *Pool) writeQueue(remote *peer, queue *raftQueue, stream *yamux.Stream) error {
-	for _, raftMessage := range queue.takeAll() {
-		data, err := encodeFrame(0, raftMessage)
+func (p *Pool) writeQueue(remote *peer, queue *sendQueue, stream *yamux.Stream) error {
+	for _, message := range queue.takeAll() {
+		data, err := encodeFrame(0, message)
 		if err != nil {
-			p.options.Logger.Error().Err(err).Str("peer", remote.name).Msg("consensus message dropped: it can't be encoded")
+			p.options.Logger.Error().Err(err).Str("peer", remote.name).Msg("message dropped: it can't be encoded")
 			continue
 		}
 		if err := writeWithTimeout(stream, data, queue.writeTimeout); err != nil {
--- a/connection/wire/server.go
+++ b/connection/wire/server.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/yamux"
 
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
 
 // Handler handles the calls and consensus messages of peers. Its methods are called concurrently.
@@ -23,6 +24,13 @@
 	HandleRaft(peer string, m *wirepb.RaftMessage)
 }
 
+// RelayHandler is implemented by a Handler that also handles the messages between the
+// leader of jobs and its relays.
+type RelayHandler interface {
+	// HandleRelay handles one message. It must not block.
+	HandleRelay(peer string, m *jobpb.RelayMessage)
+}
+
 // Server accepts sessions from the configured peers.
 type Server struct {
 	options       Options
@@ -220,6 +228,20 @@
 		if stream.SetReadDeadline(time.Time{}) == nil {
 			s.serveRaft(peer, reader)
 		}
+	case streamRelay:
+		if handler, ok := s.handler.(RelayHandler); ok && stream.SetReadDeadline(time.Time{}) == nil {
+			serveRelay(handler, peer, reader)
+		}
+	}
+}
+
+func serveRelay(handler RelayHandler, peer string, reader *bufio.Reader) {
+	for {
+		m := &jobpb.RelayMessage{}
+		if err := readMessage(reader, MaxFrameBytes, m); err != nil {
+			return
+		}
+		handler.HandleRelay(peer, m)
 	}
 }
 
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -2,9 +2,9 @@
 // length-delimited protobuf messages in yamux sessions over TCP.
 //
 // A session begins with a Hello in each direction. Each stream begins with one
-// byte for its kind: a call (one Request, one Response), consensus messages, or
-// chunks of consensus snapshots. Streams of the last two kinds carry many messages
-// and can last as long as the session.
+// byte for its kind: a call (one Request, one Response), consensus messages, chunks of
+// consensus snapshots, or messages between the leader of jobs and its relays. Streams of
+// the last three kinds carry many messages and can last as long as the session.
 package wire
 
 import (
@@ -35,14 +35,16 @@
 	maxSessionsPerPeer   = 4
 	maxCallsPerPeer      = 128 // in progress, in all sessions of the peer
 	maxPendingHellos     = 32
-	raftQueueMessages    = 4096
+	queueMessages        = 4096 // one-way messages that wait for one peer
 	raftQueueBytes       = 32 << 20
 	chunkQueueBytes      = 8 << 20
+	relayQueueBytes      = 8 << 20
 	helloTimeout         = time.Second
 	dialTimeout          = time.Second
 	redialDelay          = 200 * time.Millisecond
 	raftWriteTimeout     = 2 * time.Second
 	chunkWriteTimeout    = 10 * time.Second
+	relayWriteTimeout    = time.Second
 	requestReadTimeout   = 10 * time.Second
 	responseWriteTimeout = 10 * time.Second
 	responseReadTimeout  = 2 * time.Second
@@ -57,6 +59,7 @@
 	streamCall     = 'C'
 	streamRaft     = 'R'
 	streamSnapshot = 'S'
+	streamRelay    = 'O'
 )
 
 // Options are the parameters of a Server or a Pool.
--- a/connection/wire/wire_test.go
+++ b/connection/wire/wire_test.go
@@ -345,13 +345,13 @@
 // keeps old ones.
 func TestRaftQueueDropsOldest(t *testing.T) {
 	is := is.New(t)
-	queue := newRaftQueue(streamRaft, raftQueueBytes, raftWriteTimeout)
-	for i := range uint64(raftQueueMessages + 10) {
+	queue := newSendQueue(streamRaft, raftQueueBytes, raftWriteTimeout)
+	for i := range uint64(queueMessages + 10) {
 		queue.push(&wirepb.RaftMessage{Index: i})
 	}
 	got := queue.takeAll()
-	is.Equal(len(got), raftQueueMessages)
-	is.Equal(got[0].Index, uint64(10))
+	is.Equal(len(got), queueMessages)
+	is.Equal(got[0].(*wirepb.RaftMessage).Index, uint64(10))
 	is.Equal(queue.dropped, uint64(10))
 	for range 20 {
 		queue.push(&wirepb.RaftMessage{Entries: []*wirepb.RaftEntry{{Data: make([]byte, 3<<20)}}})
--- a/job/orders/orders.go
+++ b/job/orders/orders.go
@@ -124,3 +124,18 @@
 	Pace(ctx context.Context, to Target, o RunOrder) (clockMs int64, err error)
 	Hold(ctx context.Context, to Target, o HoldOrder) (*RunList, error)
 }
+
+// RelayError reports that the control process which was to send an order did not say
+// what became of it. The order may be carried out. It says nothing about the worker.
+type RelayError struct {
+	Relay string
+	Err   error
+}
+
+// Error implements error.
+func (e *RelayError) Error() string {
+	return fmt.Sprintf("no outcome from the relay %s: %v; ask the worker for its runs through another one", e.Relay, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *RelayError) Unwrap() error { return e.Err }
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -80,6 +80,8 @@
 	group   replicatedLog // the replica, for sessions
 	pool    *wire.Pool
 	server  *wire.Server
+	relay   *orderRelay
+	reports *reportCollector
 	metrics *controlMetrics
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -122,6 +124,8 @@
 		return nil, err
 	}
 	c.replica, c.group = r, r
+	c.relay = newOrderRelay(ctx, o.Workers, c.pool.SendRelay, func() uint64 { return r.Status().Term }, o.Clock, o.Logger)
+	c.reports = newReportCollector()
 	c.server, err = wire.Listen(net, c)
 	if err != nil {
 		cancel()
@@ -132,6 +136,7 @@
 	c.start(c.watchRole)
 	c.start(c.join)
 	c.start(c.maintainMembership)
+	c.start(c.forwardContacts)
 	return c, nil
 }
 
@@ -175,6 +180,11 @@
 // known.
 func (c *Control) LeaderHost() string { return members.Host(c.replica.Status().Leader) }
 
+// viewStore calls fn with the applied state; no entry is applied meanwhile.
+func (c *Control) viewStore(fn func(st *state.Store)) {
+	c.group.View(func(replica.StateMachine) { fn(c.store) })
+}
+
 // watchRole starts a session when this process becomes leader, and ends it when
 // the term ends or the session has failed.
 func (c *Control) watchRole() {
@@ -207,10 +217,12 @@
 		return
 	}
 	s := newSession(c, term)
+	s.useRelays(newRelayedSender(term, c.o.Workers, c.pool.SendRelay, c.otherVoters, c.o.Clock, s.log))
 	c.mu.Lock()
 	c.session = s
 	c.mu.Unlock()
 	c.start(s.run)
+	c.start(func() { s.relays.run(s.ctx) })
 	c.log.Info().Uint64("term", term).Msg("leading: orders begin")
 }
 
@@ -243,6 +255,35 @@
 	return s, nil
 }
 
+// otherVoters returns the names of the other voters, which may serve as relays.
+func (c *Control) otherVoters() []string {
+	var names []string
+	for _, name := range c.group.Status().Voters {
+		if name != c.o.Name {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// HandleRelay implements wire.RelayHandler.
+func (c *Control) HandleRelay(peer string, m *jobpb.RelayMessage) {
+	if m.Number > 0 {
+		c.relay.handle(peer, m)
+		return
+	}
+	s := c.currentSession()
+	if s == nil {
+		return
+	}
+	if m.Term == s.term {
+		s.relays.handle(peer, m)
+	}
+	if len(m.Contacts) > 0 {
+		s.post(func() { s.recordContacts(m.Contacts) })
+	}
+}
+
 // HandleRaft implements wire.Handler.
 func (c *Control) HandleRaft(_ string, m *wirepb.RaftMessage) { c.replica.Deliver(m) }
 
@@ -280,6 +321,8 @@
 		return c.jobState(r)
 	case jobpb.Request_CANCEL:
 		return s.cancelJob(ctx, r)
+	case jobpb.Request_REPORT:
+		return s.handleForwardedReport(ctx, r.Report)
 	}
 	return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "unknown kind of request from " + peer}
 }
--- a/process/jobs/registry.go
+++ b/process/jobs/registry.go
@@ -9,12 +9,17 @@
 
 // Report handles a worker's report. For a worker that is new or has changed, for
 // example that is draining now, it returns nil only after that is in the log, so
-// that a later leader has it too.
+// that a later leader has it too. A process that does not lead confirms reports
+// without a change itself and forwards the others to the leader.
 func (c *Control) Report(ctx context.Context, r Report) error {
 	s, err := c.leaderSession()
 	if err != nil {
-		return err
+		return c.reportToLeader(ctx, r)
 	}
+	return s.handleReport(ctx, r)
+}
+
+func (s *session) handleReport(ctx context.Context, r Report) error {
 	result := make(chan error, 1)
 	s.post(func() { s.report(r, result) })
 	select {
--- /dev/null
+++ b/process/jobs/relay_test.go
@@ -0,0 +1,203 @@
+package jobs
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
+	"marjoramtiller.example/marjoramtiller/process/replica"
+)
+
+// recordingWorkers answers orders and counts them by the worker's id.
+type recordingWorkers struct {
+	mu     sync.Mutex
+	starts map[string]int
+	holds  int
+	err    error
+	panics bool
+}
+
+func (w *recordingWorkers) Start(_ context.Context, to orders.Target, o orders.StartOrder) (int64, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.panics {
+		panic("start failed")
+	}
+	if w.starts == nil {
+		w.starts = map[string]int{}
+	}
+	w.starts[to.ID]++
+	return o.DeadlineMs, w.err
+}
+
+func (w *recordingWorkers) Stop(context.Context, orders.Target, orders.RunOrder) (int64, error) {
+	return 2, nil
+}
+
+func (w *recordingWorkers) Pace(_ context.Context, _ orders.Target, o orders.RunOrder) (int64, error) {
+	return int64(o.Percent), nil
+}
+
+func (w *recordingWorkers) Hold(ctx context.Context, _ orders.Target, o orders.HoldOrder) (*orders.RunList, error) {
+	w.mu.Lock()
+	w.holds++
+	w.mu.Unlock()
+	select {
+	case <-time.After(time.Duration(o.WaitMs) * time.Millisecond):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	task := &jobpb.TaskRef{Job: "j"}
+	return &orders.RunList{ClockMs: 5, StartedMs: 7, Running: []orders.Run{{Task: task, Run: 3, Percent: 40}},
+		Ended: []orders.EndedRun{{Number: 9, Task: task, Run: 2, How: jobpb.How_FAILED, Checkpoint: "c"}}}, nil
+}
+
+func (w *recordingWorkers) started() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, count := range w.starts {
+		n += count
+	}
+	return n
+}
+
+// relayPair is a leader's sender with one relay, joined without a network.
+type relayPair struct {
+	sender *relayedSender
+	relay  *orderRelay
+	direct recordingWorkers // called by the leader itself
+	remote recordingWorkers // called by the relay
+	term   atomic.Uint64    // newest term that the relay knows
+	cut    atomic.Bool      // messages of both directions are lost
+	delay  atomic.Int64     // of messages to the relay, in ns
+}
+
+func newRelayPair(ctx context.Context) *relayPair {
+	p := &relayPair{}
+	p.term.Store(1)
+	clock := replica.SystemClock()
+	toRelay := func(_ string, m *jobpb.RelayMessage) {
+		if !p.cut.Load() {
+			time.AfterFunc(time.Duration(p.delay.Load())+time.Millisecond, func() { p.relay.handle("leader", m) })
+		}
+	}
+	toLeader := func(_ string, m *jobpb.RelayMessage) {
+		if !p.cut.Load() {
+			time.AfterFunc(time.Millisecond, func() { p.sender.handle("relay", m) })
+		}
+	}
+	p.relay = newOrderRelay(ctx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
+	p.sender = newRelayedSender(1, &p.direct, toRelay, func() []string { return []string{"relay"} }, clock, zerolog.Nop())
+	go p.sender.run(ctx)
+	return p
+}
+
+func runRelayTest(t *testing.T, test func(ctx context.Context, is *is.I, p *relayPair)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		p := newRelayPair(ctx)
+		time.Sleep(100 * time.Millisecond) // for the first probe
+		test(ctx, is.New(t), p)
+		cancel()
+		time.Sleep(5 * time.Second) // until all delayed messages have arrived
+	})
+}
+
+func (p *relayPair) start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	_, err := p.sender.Start(ctx, orders.Target{ID: "w", Address: "a"}, orders.StartOrder{Task: &jobpb.TaskRef{Job: "j"}, Run: 1, DeadlineMs: 77, Fence: 4})
+	return err
+}
+
+// Guards against orders and answers that change on their way through a relay.
+func TestOrdersGoThroughTheRelay(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		is.NoErr(p.start(ctx))
+		is.Equal(p.remote.started(), 1)
+		is.Equal(p.direct.started(), 0)
+		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		defer cancel()
+		to := orders.Target{ID: "w", Address: "a"}
+		list, err := p.sender.Hold(callCtx, to, orders.HoldOrder{WaitMs: 500, Fence: 4})
+		is.NoErr(err)
+		want, _ := p.remote.Hold(callCtx, to, orders.HoldOrder{})
+		is.Equal(list, want)
+		clockMs, err := p.sender.Pace(callCtx, to, orders.RunOrder{Task: &jobpb.TaskRef{Job: "j"}, Percent: 30})
+		is.NoErr(err)
+		is.Equal(clockMs, int64(30))
+		p.remote.err = &orders.RefusedError{Reason: orders.RefusedFence, ClockMs: 12}
+		var refused *orders.RefusedError
+		is.True(errors.As(p.start(ctx), &refused))
+		is.Equal(*refused, orders.RefusedError{Reason: orders.RefusedFence, ClockMs: 12})
+		p.remote.err = &orders.NotSentError{Err: errors.New("no connection")}
+		is.True(orders.NeverCarriedOut(p.start(ctx)))
+	})
+}
+
+// Guards against an order with a lost outcome that counts as never carried out, against
+// a worker that is held silent because of its relay, and against orders that wait while
+// a relay is lost.
+func TestLostRelay(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		p.cut.Store(true)
+		var lost *orders.RelayError
+		err := p.start(ctx)
+		is.True(errors.As(err, &lost))
+		is.True(!orders.NeverCarriedOut(err))
+		is.NoErr(p.start(ctx)) // the leader sends it itself
+		is.Equal(p.direct.started(), 1)
+		p.cut.Store(false)
+		time.Sleep(2 * time.Second)
+		is.NoErr(p.start(ctx))
+		is.Equal(p.direct.started(), 1)
+	})
+}
+
+// Guards against a relay that was suspended, or cut off from the leader, and then sends
+// orders that the leader has given up.
+func TestDelayedOrderIsNotRelayed(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		p.delay.Store(int64(3 * time.Second))
+		is.True(p.start(ctx) != nil)
+		time.Sleep(5 * time.Second)
+		is.Equal(p.remote.started(), 0)
+	})
+}
+
+// Guards against orders of two leaders at the same time: a process that knows a newer
+// term sends none of an older one.
+func TestRelayRejectsAnEndedTerm(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		p.term.Store(2)
+		is.True(p.start(ctx) != nil)
+		is.Equal(p.remote.started(), 0)
+	})
+}
+
+// Guards against a message or an order that ends the process of the relay or of the leader.
+func TestRelaySurvivesMalformedMessages(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		p.relay.handle("leader", &jobpb.RelayMessage{Term: 1, Number: 2, Orders: []*jobpb.WorkerOrder{{}, nil, {Kind: 17, Worker: "w", Address: "a", Task: &jobpb.TaskRef{}, TimeoutMs: 100}}})
+		p.sender.handle("relay", &jobpb.RelayMessage{Term: 1, Outcomes: []*jobpb.OrderOutcome{nil, {Number: 99}}})
+		p.sender.handle("nobody", &jobpb.RelayMessage{Term: 1, Received: 5})
+		is.Equal(decodeRunList(&jobpb.RunList{Running: []*jobpb.ListedRun{{}}}), (*orders.RunList)(nil))
+		p.remote.panics = true
+		err := p.start(ctx)
+		is.True(err != nil)
+		is.True(!orders.NeverCarriedOut(err))
+		p.remote.panics = false
+		is.NoErr(p.start(ctx))
+	})
+}
--- /dev/null
+++ b/process/jobs/report_forwarding.go
@@ -0,0 +1,126 @@
+package jobs
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"marjoramtiller.example/marjoramtiller/connection/wire"
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+)
+
+// contactInterval is the time between two messages with which a process tells the leader
+// which workers have reported to it.
+const contactInterval = 250 * time.Millisecond
+
+// reportCollector holds the latest reports without a change that this process has
+// confirmed and the leader has not been told of.
+type reportCollector struct {
+	mu       sync.Mutex
+	contacts map[string]*jobpb.WorkerContact // by worker id
+}
+
+func newReportCollector() *reportCollector {
+	return &reportCollector{contacts: map[string]*jobpb.WorkerContact{}}
+}
+
+func (c *reportCollector) add(contact *jobpb.WorkerContact) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.contacts[contact.Id]
+	if known == nil || contact.BornMs > known.BornMs || contact.BornMs == known.BornMs && contact.Sequence >= known.Sequence {
+		c.contacts[contact.Id] = contact
+	}
+}
+
+// take empties the collector.
+func (c *reportCollector) take() []*jobpb.WorkerContact {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]*jobpb.WorkerContact, 0, len(c.contacts))
+	for _, contact := range c.contacts {
+		list = append(list, contact)
+	}
+	clear(c.contacts)
+	return list
+}
+
+// reportToLeader handles a report at a process that does not lead. Without a leader it
+// confirms nothing: the worker then reports to another process.
+func (c *Control) reportToLeader(ctx context.Context, r Report) error {
+	leader := c.group.Status().Leader
+	if leader == "" || leader == c.o.Name {
+		return &UnavailableError{Reason: "no leader is known"}
+	}
+	if c.reportsNoChange(r) {
+		c.reports.add(&jobpb.WorkerContact{Id: r.Worker.Id, BornMs: r.Worker.BornMs, Sequence: r.Sequence, ClockMs: r.ClockMs})
+		return nil
+	}
+	request := &jobpb.Request{Kind: jobpb.Request_REPORT, Report: &jobpb.WorkerReport{Worker: r.Worker, Sequence: r.Sequence, ClockMs: r.ClockMs}}
+	resp, err := callJobs(ctx, c.pool, leader, request)
+	var notSent *wire.NotSentError
+	switch {
+	case errors.As(err, &notSent):
+		return &UnavailableError{Reason: "the leader cannot be reached"}
+	case err != nil:
+		return &UnavailableError{Reason: "the leader did not confirm the report"}
+	case resp.Outcome != jobpb.Response_OK:
+		return &UnavailableError{Reason: "the leader did not accept the report: " + resp.Reason}
+	}
+	return nil
+}
+
+// reportsNoChange reports whether the applied state has a worker as it reports itself.
+func (c *Control) reportsNoChange(r Report) (same bool) {
+	c.viewStore(func(st *state.Store) {
+		known := st.Workers()[r.Worker.Id]
+		same = known != nil && known.BornMs == r.Worker.BornMs && sameWorker(known, r.Worker)
+	})
+	return same
+}
+
+// forwardContacts tells the leader which workers have reported to this process.
+func (c *Control) forwardContacts() {
+	ticks, stop := c.o.Clock.Ticks(contactInterval)
+	defer stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-ticks:
+		}
+		contacts := c.reports.take()
+		status := c.group.Status()
+		if len(contacts) == 0 || status.Leader == "" || status.Leader == c.o.Name {
+			continue // the leader will learn of later reports
+		}
+		c.pool.SendRelay(status.Leader, &jobpb.RelayMessage{Term: status.Term, Contacts: contacts})
+	}
+}
+
+// recordContacts records the reports that other processes have confirmed.
+func (s *session) recordContacts(contacts []*jobpb.WorkerContact) {
+	now := s.now()
+	for _, contact := range contacts {
+		w := s.workers[contact.GetId()]
+		if w == nil || w.info.BornMs != contact.BornMs || contact.Sequence < w.sequence {
+			continue
+		}
+		w.sequence = contact.Sequence
+		w.track.SampleClock(now, contact.ClockMs)
+	}
+}
+
+// handleForwardedReport handles a report that another process has received.
+func (s *session) handleForwardedReport(ctx context.Context, r *jobpb.WorkerReport) *jobpb.Response {
+	if r.GetWorker().GetId() == "" {
+		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "the report names no worker"}
+	}
+	if err := s.handleReport(ctx, Report{Worker: r.Worker, Sequence: r.Sequence, ClockMs: r.ClockMs}); err != nil {
+		return &jobpb.Response{Outcome: jobpb.Response_NOT_READY, Reason: err.Error()}
+	}
+	return &jobpb.Response{}
+}
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -34,7 +34,7 @@
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout+time.Duration(o.WaitMs)*time.Millisecond)
-		list, err := s.c.o.Workers.Hold(ctx, to, o)
+		list, err := s.sender.Hold(ctx, to, o)
 		cancel()
 		s.post(func() { s.handleRunList(w, now, o, list, err) })
 	}()
@@ -74,7 +74,16 @@
 
 func (s *session) handleHoldError(w *workerState, sent, now time.Duration, o orders.HoldOrder, err error) {
 	var refused *orders.RefusedError
+	var lost *orders.RelayError
 	switch {
+	case errors.As(err, &lost):
+		// The worker may be sound. It is asked again at once, through another relay.
+		if o.DeadlineMs > 0 {
+			w.track.RecordUnanswered(sent)
+		}
+		s.log.Debug().Err(err).Str("worker", w.info.Id).Msg("hold without an outcome from its relay")
+		w.nextHold = now
+		return
 	case errors.As(err, &refused) && refused.Reason == orders.RefusedFence:
 		s.raiseFence(w)
 		s.log.Warn().Str("worker", w.info.Id).Uint64("fence", w.track.Fence()).Msg("hold refused: the worker has seen a higher fence; raised the fence")
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -9,9 +9,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
 	"marjoramtiller.example/marjoramtiller/job/state"
-	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
 // Timings and limits of a session.
@@ -38,6 +38,8 @@
 	events chan func()
 	broken atomic.Bool
 
+	sender          orders.Workers // of all orders to workers
+	relays          *relayedSender // nil if this process sends all orders itself
 	began           time.Duration
 	batch           []*jobpb.Entry
 	waiters         []func(applied bool, err error) // callbacks of batch's entries; an element may be nil
@@ -67,6 +69,7 @@
 		began: c.o.Clock.Now(), workers: map[string]*workerState{}, fences: map[string]uint64{},
 		queues: map[string]*jobpb.Queue{}, pendingStarts: startSet{}, estimate: schedule.NewEstimates(), dirty: true,
 	}
+	s.sender = c.o.Workers
 	s.upkeep = newUpkeepDriver(s)
 	s.moves = newMoveDriver(s)
 	s.advice = newAdviceDriver(s)
@@ -74,6 +77,17 @@
 	return s
 }
 
+// useRelays makes the session send its orders through relays.
+func (s *session) useRelays(r *relayedSender) { s.relays, s.sender = r, r }
+
+// senders returns the number of processes that share the orders to workers.
+func (s *session) senders() int {
+	if s.relays == nil {
+		return 1
+	}
+	return max(1, s.relays.healthy())
+}
+
 func (s *session) failed() bool { return s.broken.Load() }
 
 func (s *session) now() time.Duration { return s.c.o.Clock.Now() }
@@ -211,9 +225,7 @@
 }
 
 // view calls fn with the applied state; no entry is applied meanwhile.
-func (s *session) view(fn func(st *state.Store)) {
-	s.c.group.View(func(replica.StateMachine) { fn(s.c.store) })
-}
+func (s *session) view(fn func(st *state.Store)) { s.c.viewStore(fn) }
 
 func (s *session) refreshQueues(st *state.Store) {
 	conf := st.Configuration()
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -49,7 +49,7 @@
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-		clockMs, err := s.c.o.Workers.Stop(ctx, to, o)
+		clockMs, err := s.sender.Stop(ctx, to, o)
 		cancel()
 		s.post(func() {
 			s.sampleAnswerClock(w, clockMs, err)
@@ -113,7 +113,7 @@
 	sent := s.now()
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
-		clockMs, err := s.c.o.Workers.Start(ctx, to, o)
+		clockMs, err := s.sender.Start(ctx, to, o)
 		cancel()
 		s.post(func() { s.handleStartAnswer(w, start, r, sent, clockMs, err) })
 	}()
@@ -150,8 +150,9 @@
 		}
 		s.addEnd(w, start.Task, start.Run, jobpb.How_NEVER_STARTED, "")
 	default:
+		var lost *orders.RelayError
 		w.track.RecordUnanswered(sent)
-		w.silent = true
+		w.silent = w.silent || !errors.As(err, &lost)
 		s.raiseFence(w)
 	}
 }
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -19,10 +19,11 @@
 	holdRetry    = 200 * time.Millisecond // after a hold that failed
 	stopInterval = 60 * time.Millisecond  // between checks for runs to stop
 	// holdIntervalPerWorker times the number of workers with runs is the interval between
-	// the holds to one worker. It limits the rate of all holds to what one process
-	// can send.
+	// the holds to one worker, divided by the number of processes that send them. It limits
+	// the rate of all holds to what these can send.
 	holdIntervalPerWorker = 600 * time.Microsecond
 	stopRetry             = 400 * time.Millisecond // between stops of the same run
+	probeAfterReports     = 2                      // report intervals without contact after which a worker without runs is asked for its list
 	excludeAfterReports   = 3                      // report intervals without contact after which a worker gets no new tasks
 	dropAfterReports      = 3                      // report intervals without contact after which a worker is dropped, once its leases have expired
 	leaveGrace            = time.Second            // from a worker's announcement that it exits until it is dropped
@@ -103,11 +104,12 @@
 			if len(placed) > 0 {
 				active++
 			}
-			if !w.holding && w.pendingEnds == 0 && now >= w.nextHold && (len(placed) > 0 || !w.track.RunsListed) {
+			ask := len(placed) > 0 || !w.track.RunsListed || s.timeSinceContact(now, w) > probeAfterReports*s.c.o.Bounds.ReportInterval
+			if ask && !w.holding && w.pendingEnds == 0 && now >= w.nextHold {
 				s.sendHold(now, w, len(placed) > 0)
 			}
 		}
-		s.holdInterval = time.Duration(active) * holdIntervalPerWorker
+		s.holdInterval = time.Duration(active) * holdIntervalPerWorker / time.Duration(s.senders())
 	})
 }
 
