Check the leader's lease again before a batch of orders is sent

Cause: orders wait up to a millisecond for others to the same relay; a leader that is suspended in between would send them after its lease. Change: flush checks the lease; without it the orders are NotSentErrors. Result: TestOrderIsNotSentAfterTheLeaseExpired fails without the check.

--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -217,7 +217,7 @@
 		return
 	}
 	s := newSession(c, term)
-	s.useRelays(newRelayedSender(term, c.o.Workers, c.pool.SendRelay, c.otherVoters, c.o.Clock, s.log))
+	s.useRelays(newRelayedSender(term, c.o.Workers, c.pool.SendRelay, c.otherVoters, c.Leads, c.o.Clock, s.log))
 	c.mu.Lock()
 	c.session = s
 	c.mu.Unlock()
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -78,6 +78,7 @@
 	direct recordingWorkers // called by the leader itself
 	remote recordingWorkers // called by the relay
 	term   atomic.Uint64    // newest term that the relay knows
+	paused atomic.Bool      // the leader's lease has expired
 	cut    atomic.Bool      // messages of both directions are lost
 	delay  atomic.Int64     // of messages to the relay, in ns
 }
@@ -97,7 +98,8 @@
 		}
 	}
 	p.relay = newOrderRelay(ctx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
-	p.sender = newRelayedSender(1, &p.direct, toRelay, func() []string { return []string{"relay"} }, clock, zerolog.Nop())
+	p.sender = newRelayedSender(1, &p.direct, toRelay, func() []string { return []string{"relay"} },
+		func() bool { return !p.paused.Load() }, clock, zerolog.Nop())
 	go p.sender.run(ctx)
 	return p
 }
@@ -176,6 +178,17 @@
 	})
 }
 
+// Guards against a leader that was suspended between the decision and the sending of an
+// order, and sends it although its lease has expired.
+func TestOrderIsNotSentAfterTheLeaseExpired(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		p.paused.Store(true)
+		is.True(orders.NeverCarriedOut(p.start(ctx)))
+		is.Equal(p.remote.started(), 0)
+		is.Equal(p.direct.started(), 0)
+	})
+}
+
 // Guards against orders of two leaders at the same time: a process that knows a newer
 // term sends none of an older one.
 func TestRelayRejectsAnEndedTerm(t *testing.T) {
--- a/process/jobs/relayed_sender.go
+++ b/process/jobs/relayed_sender.go
@@ -29,6 +29,7 @@
 	direct orders.Workers
 	send   func(relay string, m *jobpb.RelayMessage)
 	names  func() []string // processes that may serve as relays
+	leads  func() bool     // whether this process leads under a valid lease
 	clock  replica.Clock
 	log    zerolog.Logger
 
@@ -45,8 +46,8 @@
 	outcome chan *jobpb.OrderOutcome // has capacity 1
 }
 
-func newRelayedSender(term uint64, direct orders.Workers, send func(string, *jobpb.RelayMessage), names func() []string, clock replica.Clock, log zerolog.Logger) *relayedSender {
-	return &relayedSender{term: term, direct: direct, send: send, names: names, clock: clock, log: log, relays: dispatch.New(),
+func newRelayedSender(term uint64, direct orders.Workers, send func(string, *jobpb.RelayMessage), names func() []string, leads func() bool, clock replica.Clock, log zerolog.Logger) *relayedSender {
+	return &relayedSender{term: term, direct: direct, send: send, names: names, leads: leads, clock: clock, log: log, relays: dispatch.New(),
 		pending: map[uint64]*relayedOrder{}, outgoing: map[string][]*jobpb.WorkerOrder{}}
 }
 
@@ -130,11 +131,24 @@
 	return order
 }
 
-// flush sends the collected orders of a relay. Called with mu held.
+// flush sends the collected orders of a relay. The lease is checked once more: this
+// process may have been suspended since the orders were queued. Called with mu held.
 func (r *relayedSender) flush(relay string) {
-	if list := r.outgoing[relay]; len(list) > 0 {
-		delete(r.outgoing, relay)
+	list := r.outgoing[relay]
+	if len(list) == 0 {
+		return
+	}
+	delete(r.outgoing, relay)
+	if r.leads() {
 		r.sendMessage(relay, list)
+		return
+	}
+	notSent := &orders.NotSentError{Err: errors.New("this process no longer leads")}
+	for _, o := range list {
+		if order := r.pending[o.Number]; order != nil {
+			delete(r.pending, o.Number)
+			order.outcome <- encodeOutcome(o.Number, 0, nil, notSent)
+		}
 	}
 }
 
