Play relays of orders in the simulation of the leader

Cause: orders go through other control processes, which can be cut off, suspended between their last check and the sending, or behind the leader's term.

--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -128,7 +128,9 @@
 		<-ctx.Done()
 		return 0, ctx.Err()
 	}
+	s.orderDelayed = ctx.Value(delayedOrder{}) != nil
 	reason := w.execute(fence, do)
+	s.orderDelayed = false
 	clock := w.clockMs()
 	s.mu.Unlock()
 	if s.faultsActive() && fault < 7 { // the answer is lost
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -103,6 +103,9 @@
 	for n := 0; s.faultsActive(); n++ {
 		time.Sleep(s.drawDuration(200*time.Millisecond, 3*time.Second, "trouble", n))
 		m := s.machines[fmt.Sprint("m-", s.draw(simWorkers, "whom", n))]
+		if len(s.relays) > 0 && s.draw(3, "relay", n) == 0 {
+			s.relays[s.draw(simRelays, "which", n)].fail(n)
+		}
 		switch s.draw(5, "what", n) {
 		case 4: // several workers drain at once
 			for k := range 1 + s.draw(4, "leaving", n) {
@@ -198,6 +201,9 @@
 		return
 	}
 	time.Sleep(time.Duration(random.Int64N(int64(time.Second))))
+	s.mu.Lock()
+	s.cancelSent[id] = true
+	s.mu.Unlock()
 	s.request(&jobpb.Request{Kind: jobpb.Request_CANCEL, Queue: "q", Id: id})
 	s.mu.Lock()
 	s.cancelledAt[id] = time.Now()
