Let machines with unanswered upkeep orders not wait for each other; retry campaigns early

Change: such an order counts for 15 s after its last sending. A campaign without a result is repeated after a third to five sixths of the least election timeout.

--- a/process/consensus/core.go
+++ b/process/consensus/core.go
@@ -128,8 +128,20 @@
 func (c *Core) advanceClock(now time.Duration) { c.now = max(c.now, now) }
 
 func (c *Core) resetElectionDeadline() {
-	spread := int64(c.cfg.ElectionTimeoutMax - c.cfg.ElectionTimeoutMin)
-	c.electionDeadline = c.now + c.cfg.ElectionTimeoutMin + time.Duration(c.cfg.Rand(spread))
+	c.electionDeadline = c.now + c.between(c.cfg.ElectionTimeoutMin, c.cfg.ElectionTimeoutMax)
+}
+
+// setCampaignDeadline sets the time at which a campaign without a result is started
+// again. It is earlier than a follower's deadline: there is no leader to wait for, and
+// candidates that have divided the votes would otherwise leave the group without one for
+// another election timeout.
+func (c *Core) setCampaignDeadline() {
+	c.electionDeadline = c.now + c.between(c.cfg.ElectionTimeoutMin/3, c.cfg.ElectionTimeoutMin*5/6)
+}
+
+// between returns a random duration from least up to most.
+func (c *Core) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(c.cfg.Rand(int64(most-least)))
 }
 
 // fail stops the core. It discards the messages that were queued since the last
--- a/process/consensus/election.go
+++ b/process/consensus/election.go
@@ -165,7 +165,7 @@
 	if role == PreCandidate {
 		c.preVoteIncarnations = map[string]uint64{c.cfg.ID: c.cfg.Incarnation}
 	}
-	c.resetElectionDeadline()
+	c.setCampaignDeadline()
 	var context uint64
 	if transfer {
 		context = transferVote
--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -156,11 +156,16 @@
 }
 
 // upkeepPending reports whether the upkeep of a worker's machine is or may be in
-// progress without the list of machines showing it yet.
+// progress without the list of machines showing it yet. An order without an answer
+// counts until it is certain not to be carried out any more: otherwise two machines with
+// such orders and tasks of one step would wait for each other forever.
 func (u *upkeepDriver) upkeepPending(worker string) bool {
 	name := u.byWorker[worker]
 	m := u.machines[name]
-	return m != nil && (m.ordering || u.upkeepNotListed(m)) || u.unconfirmed[name]
+	if m != nil && (m.ordering || u.upkeepNotListed(m)) {
+		return true
+	}
+	return u.unconfirmed[name] && u.s.now() < u.machine(name).attemptedAt+lateUpkeepLimit
 }
 
 // upkeepNotListed reports whether an upkeep was confirmed after the last list of
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -247,6 +248,12 @@
 	}()
 }
 
+// simRegressionSeeds are seeds that have failed.
+var simRegressionSeeds = []uint64{
+	258,  // a new leader stops the runs of a job whose cancellation was not confirmed
+	1159, // two machines with unanswered upkeep orders waited for each other
+}
+
 // TestSimulation guards against violated rules that occur only if a leader changes, an
 // order is lost, late or repeated, a relay is cut off or suspended, or a worker becomes silent or exits at a critical
 // moment: two simultaneous runs of a task; a start before the steps it depends on are
@@ -263,8 +270,11 @@
 	if n, err := strconv.ParseUint(os.Getenv("MARJORAMTILLER_SEED"), 10, 64); err == nil {
 		first = n
 	}
+	list := slices.Clone(simRegressionSeeds)
 	for i := range seeds {
-		seed := first + uint64(i)
+		list = append(list, first+uint64(i))
+	}
+	for _, seed := range list {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { simulate(t, seed) })
 		})
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -24,12 +24,16 @@
 	shortTaskGrace  = 1500 * time.Millisecond // for the short tasks of a cordoned machine to end
 	upkeepInterval  = 50 * time.Millisecond   // between two rounds over the waves
 	upkeepLookahead = 1                       // machines cordoned in advance, beyond those that may be out
+	// lateUpkeepLimit is the time after which an order without an answer is no longer
+	// carried out.
+	lateUpkeepLimit = 15 * time.Second
 )
 
 // machineState is this term's state of one machine of a wave.
 type machineState struct {
 	ordering    bool          // a log entry or an order for it is in flight
 	retryAt     time.Duration // earliest next order after a failed one
+	attemptedAt time.Duration // when the last order was sent; the start of the term if none was
 	confirmedAt time.Duration // when the platform confirmed the upkeep; the start of the term if it has not
 	blockLogged bool          // the log line about a blocking step was written
 	cordonedAt  time.Duration // since when it gets no new tasks, 0 if it does
@@ -58,7 +62,7 @@
 func (u *upkeepDriver) machine(name string) *machineState {
 	m := u.machines[name]
 	if m == nil {
-		m = &machineState{confirmedAt: u.s.began}
+		m = &machineState{confirmedAt: u.s.began, attemptedAt: u.s.began}
 		u.machines[name] = m
 	}
 	return m
@@ -280,7 +284,7 @@
 	if m.ordering || now < m.retryAt || !u.s.c.Leads() {
 		return
 	}
-	m.ordering = true
+	m.ordering, m.attemptedAt = true, now
 	go func() {
 		ctx, cancel := context.WithTimeout(u.s.ctx, machineCallTimeout)
 		err := u.s.c.o.Machines.Upkeep(ctx, machine, w.Number, u.s.term)
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -220,3 +220,19 @@
 	w.listedRuns[state.TaskKey{Job: "job", Index: 1}] = orders.Run{Run: 1, Percent: fullPercent}
 	is.Equal(f.driver.unavailableOnSameWorker(w, p), 0)
 }
+
+// Guards against two machines that wait for each other forever: each has an upkeep order
+// without an answer and a task of the same lasting step.
+func TestUnansweredUpkeepsDoNotBlockEachOther(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	now := f.session.now()
+	f.driver.unconfirmed = map[string]bool{"m-0": true, "m-1": true}
+	f.driver.machine("m-0").attemptedAt = now
+	f.driver.machine("m-1").attemptedAt = now
+	is.True(f.driver.blockingRun(f.store, "w-0") != nil)
+	is.True(f.driver.blockingRun(f.store, "w-1") != nil)
+	f.driver.machine("m-0").attemptedAt = now - lateUpkeepLimit
+	is.Equal(f.driver.blockingRun(f.store, "w-1"), nil) // the order for m-0 is no longer carried out
+	is.True(f.driver.blockingRun(f.store, "w-0") != nil)
+}
