End the reads of a session's streams when it closes; send orders directly in small fleets

Traced by a stack of the busy thread. The streams of relays made it likely; consensus streams have the same fault. On sites with 50 workers a relay only adds latency and a way to fail. Change: wire wraps session, connection and streams; closing the connection ends all reads first.

--- a/connection/wire/call.go
+++ b/connection/wire/call.go
@@ -8,8 +8,6 @@
 	"io"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 )
 
@@ -23,7 +21,7 @@
 
 // serveCall serves one call. The call is counted before its request is read, so
 // that the limit of calls also bounds the memory for the requests of a peer.
-func (s *Server) serveCall(ctx context.Context, peer string, stream *yamux.Stream, reader *bufio.Reader) {
+func (s *Server) serveCall(ctx context.Context, peer string, stream *muxStream, reader *bufio.Reader) {
 	refused := s.beginCall(peer)
 	if refused != "" {
 		// The caller writes its whole request before it reads the response.
@@ -41,7 +39,7 @@
 // answerCall reads and handles a request and writes its response. It reports
 // whether the response was written. Until then the call counts towards the limit
 // of its peer.
-func (s *Server) answerCall(ctx context.Context, peer string, stream *yamux.Stream, reader *bufio.Reader) bool {
+func (s *Server) answerCall(ctx context.Context, peer string, stream *muxStream, reader *bufio.Reader) bool {
 	defer s.endCall(peer)
 	req := &wirepb.Request{}
 	if err := readMessage(reader, MaxFrameBytes, req); err != nil {
@@ -53,7 +51,7 @@
 
 // handle runs the handler of a call. It cancels the handler's context at the
 // deadline of the call or when the caller closes the stream.
-func (s *Server) handle(ctx context.Context, peer string, stream *yamux.Stream, reader *bufio.Reader, req *wirepb.Request) *wirepb.Response {
+func (s *Server) handle(ctx context.Context, peer string, stream *muxStream, reader *bufio.Reader, req *wirepb.Request) *wirepb.Response {
 	limit := callHandlingTimeout
 	if req.DeadlineMs > 0 {
 		limit = min(limit, time.Duration(req.DeadlineMs)*time.Millisecond)
@@ -70,13 +68,13 @@
 		cancel()
 	}()
 	resp := s.handler.HandleCall(ctx, peer, req)
-	_ = stream.SetReadDeadline(time.Unix(1, 0))
+	_ = stream.SetReadDeadline(expired)
 	<-watched
 	return resp
 }
 
 // respond writes the response and reports whether this succeeded.
-func (s *Server) respond(peer string, stream *yamux.Stream, resp *wirepb.Response) bool {
+func (s *Server) respond(peer string, stream *muxStream, resp *wirepb.Response) bool {
 	data, err := encodeFrame(0, resp)
 	if err != nil {
 		s.options.Logger.Error().Err(err).Str("peer", peer).Msg("call has no response: the response can't be encoded")
@@ -92,8 +90,8 @@
 // awaitClose waits until the caller closes its side of the stream, which it does
 // after it has read the response. If the session were closed earlier, a response
 // that was written could be lost.
-func awaitClose(stream *yamux.Stream, reader *bufio.Reader) {
-	if stream.Close() == nil && stream.SetReadDeadline(time.Now().Add(responseReadTimeout)) == nil {
+func awaitClose(stream *muxStream, reader *bufio.Reader) {
+	if stream.closeWrite() == nil && stream.SetReadDeadline(time.Now().Add(responseReadTimeout)) == nil {
 		_, _ = io.Copy(io.Discard, reader)
 	}
 }
--- a/connection/wire/pool.go
+++ b/connection/wire/pool.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 )
 
@@ -37,7 +35,7 @@
 	relayQueue   *sendQueue    // for messages between the leader of jobs and its relays
 
 	mu      sync.Mutex
-	session *yamux.Session
+	session *muxSession
 	bootID  string
 }
 
@@ -76,7 +74,7 @@
 }
 
 // openSession returns the session, or nil if there is none or it is closed.
-func (c *peer) openSession() *yamux.Session {
+func (c *peer) openSession() *muxSession {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.session == nil || c.session.IsClosed() {
@@ -86,7 +84,7 @@
 }
 
 // session returns the open session to a peer or dials one.
-func (p *Pool) session(ctx context.Context, remote *peer) (*yamux.Session, error) {
+func (p *Pool) session(ctx context.Context, remote *peer) (*muxSession, error) {
 	if s := remote.openSession(); s != nil {
 		return s, nil
 	}
@@ -104,7 +102,7 @@
 	return p.dial(ctx, remote)
 }
 
-func (p *Pool) dial(ctx context.Context, remote *peer) (*yamux.Session, error) {
+func (p *Pool) dial(ctx context.Context, remote *peer) (*muxSession, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	if p.options.LocalIP != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(p.options.LocalIP)}
@@ -118,7 +116,7 @@
 		_ = conn.Close()
 		return nil, err
 	}
-	session, err := yamux.Client(conn, yamuxConfig())
+	session, err := newMuxSession(conn, startClient)
 	if err != nil {
 		_ = conn.Close()
 		return nil, err
@@ -215,8 +213,8 @@
 
 // exchange writes an encoded request and reads its response. When ctx ends, it
 // returns the error of ctx.
-func exchange(ctx context.Context, stream *yamux.Stream, data []byte) (*wirepb.Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
+func exchange(ctx context.Context, stream *muxStream, data []byte) (*wirepb.Response, error) {
+	stop := context.AfterFunc(ctx, func() { _ = stream.SetDeadline(expired) })
 	defer stop()
 	_, err := stream.Write(data)
 	resp := &wirepb.Response{}
@@ -234,7 +232,7 @@
 func (p *Pool) Close() error {
 	p.cancel()
 	p.mu.Lock()
-	var sessions []*yamux.Session
+	var sessions []*muxSession
 	for _, c := range p.peers {
 		if s := c.openSession(); s != nil {
 			sessions = append(sessions, s)
--- a/connection/wire/raft.go
+++ b/connection/wire/raft.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
@@ -120,7 +119,7 @@
 // the stream fails, it drops the queued messages and opens a new stream after
 // redialDelay.
 func (p *Pool) sendLoop(remote *peer, queue *sendQueue) {
-	var stream *yamux.Stream
+	var stream *muxStream
 	for {
 		select {
 		case <-p.ctx.Done():
@@ -151,7 +150,7 @@
 	}
 }
 
-func (p *Pool) openStream(remote *peer, kind byte) (*yamux.Stream, error) {
+func (p *Pool) openStream(remote *peer, kind byte) (*muxStream, error) {
 	ctx, cancel := context.WithTimeout(p.ctx, dialTimeout+helloTimeout)
 	defer cancel()
 	session, err := p.session(ctx, remote)
@@ -169,7 +168,7 @@
 	return stream, nil
 }
 
-func (p *Pool) writeQueue(remote *peer, queue *sendQueue, stream *yamux.Stream) error {
+func (p *Pool) writeQueue(remote *peer, queue *sendQueue, stream *muxStream) error {
 	for _, message := range queue.takeAll() {
 		data, err := encodeFrame(0, message)
 		if err != nil {
@@ -183,7 +182,7 @@
 	return nil
 }
 
-func writeWithTimeout(stream *yamux.Stream, data []byte, limit time.Duration) error {
+func writeWithTimeout(stream *muxStream, data []byte, limit time.Duration) error {
 	if err := stream.SetWriteDeadline(time.Now().Add(limit)); err != nil {
 		return err
 	}
--- a/connection/wire/server.go
+++ b/connection/wire/server.go
@@ -8,8 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
-
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
@@ -45,7 +43,7 @@
 	mu              sync.Mutex
 	closing         bool
 	conns           map[net.Conn]struct{} // all open connections
-	sessions        map[string][]*yamux.Session
+	sessions        map[string][]*muxSession
 	callsInProgress map[string]int // number of calls in progress, by peer
 }
 
@@ -63,7 +61,7 @@
 		options: options, handler: handler, listener: l, ctx: ctx, cancel: cancel,
 		pendingHellos:   make(chan struct{}, maxPendingHellos),
 		conns:           map[net.Conn]struct{}{},
-		sessions:        map[string][]*yamux.Session{},
+		sessions:        map[string][]*muxSession{},
 		callsInProgress: map[string]int{},
 	}
 	s.goroutines.Add(1)
@@ -127,7 +125,7 @@
 		s.options.Logger.Warn().Err(err).Stringer("source", conn.RemoteAddr()).Msg("connection refused")
 		return
 	}
-	session, err := yamux.Server(conn, yamuxConfig())
+	session, err := newMuxSession(conn, startServer)
 	if err != nil {
 		return
 	}
@@ -157,7 +155,7 @@
 // addSession registers a session and reports whether the server is still open. If
 // the peer has too many sessions, it closes the oldest one, which remains from a
 // connection that the peer no longer uses.
-func (s *Server) addSession(peer string, session *yamux.Session) bool {
+func (s *Server) addSession(peer string, session *muxSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing {
@@ -165,18 +163,18 @@
 	}
 	list := s.sessions[peer]
 	if len(list) >= maxSessionsPerPeer {
-		go func(old *yamux.Session) { _ = old.Close() }(list[0])
+		go func(old *muxSession) { _ = old.Close() }(list[0])
 		list = list[1:]
 	}
 	s.sessions[peer] = append(list[:len(list):len(list)], session)
 	return true
 }
 
-func (s *Server) removeSession(peer string, session *yamux.Session) {
+func (s *Server) removeSession(peer string, session *muxSession) {
 	_ = session.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var kept []*yamux.Session
+	var kept []*muxSession
 	for _, other := range s.sessions[peer] {
 		if other != session {
 			kept = append(kept, other)
@@ -185,12 +183,12 @@
 	s.sessions[peer] = kept
 }
 
-func (s *Server) serveSession(peer string, session *yamux.Session) {
+func (s *Server) serveSession(peer string, session *muxSession) {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	// The streams for consensus messages and for snapshots count towards the same
-	// limit as the calls.
-	slots := make(chan struct{}, maxStreams+2)
+	// The streams for consensus messages, for snapshots and for relays count towards the
+	// same limit as the calls.
+	slots := make(chan struct{}, maxStreams+3)
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
@@ -212,7 +210,7 @@
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, peer string, stream *yamux.Stream) {
+func (s *Server) serveStream(ctx context.Context, peer string, stream *muxStream) {
 	if err := stream.SetReadDeadline(time.Now().Add(requestReadTimeout)); err != nil {
 		return
 	}
@@ -281,7 +279,7 @@
 func (s *Server) closeSessions() {
 	s.cancel()
 	s.mu.Lock()
-	var open []*yamux.Session
+	var open []*muxSession
 	for _, list := range s.sessions {
 		open = append(open, list...)
 	}
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -47,6 +47,9 @@
 	ReportInterval time.Duration
 	JobRetention   time.Duration // how long an ended job stays in the state
 	OrderGap       time.Duration // between a leader's last order for a machine and its successor's first
+	// RelayWorkers is the number of workers from which orders go through the other control
+	// processes. A leader with fewer sends them itself: a relay can fail as well.
+	RelayWorkers int
 	// OrdersPerSecond limits the orders to the machine service; 0 means no limit.
 	OrdersPerSecond float64
 }
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -100,6 +100,7 @@
 	p.relay = newOrderRelay(ctx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
 	p.sender = newRelayedSender(1, &p.direct, toRelay, func() []string { return []string{"relay"} },
 		func() bool { return !p.paused.Load() }, clock, zerolog.Nop())
+	p.sender.enable(true)
 	go p.sender.run(ctx)
 	return p
 }
@@ -189,6 +190,17 @@
 	})
 }
 
+// Guards against relays in a fleet that the leader can serve itself.
+func TestSmallFleetHasNoRelays(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		p.sender.enable(false)
+		is.NoErr(p.start(ctx))
+		is.Equal(p.direct.started(), 1)
+		is.Equal(p.remote.started(), 0)
+		is.Equal(p.sender.senders(), 1)
+	})
+}
+
 // Guards against orders of two leaders at the same time: a process that knows a newer
 // term sends none of an older one.
 func TestRelayRejectsAnEndedTerm(t *testing.T) {
--- a/process/jobs/relayed_sender.go
+++ b/process/jobs/relayed_sender.go
@@ -34,6 +34,7 @@
 	log    zerolog.Logger
 
 	mu         sync.Mutex
+	enabled    bool // the fleet is large enough for relays
 	relays     *dispatch.Relays
 	lastNumber uint64
 	pending    map[uint64]*relayedOrder        // by number
@@ -51,11 +52,21 @@
 		pending: map[uint64]*relayedOrder{}, outgoing: map[string][]*jobpb.WorkerOrder{}}
 }
 
-// healthy returns the number of healthy relays.
-func (r *relayedSender) healthy() int {
+// enable sets whether orders go through relays.
+func (r *relayedSender) enable(enabled bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.relays.Healthy()
+	r.enabled = enabled
+}
+
+// senders returns the number of processes that share the orders.
+func (r *relayedSender) senders() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.enabled {
+		return 1
+	}
+	return max(1, r.relays.Healthy())
 }
 
 // run maintains the relays until ctx ends.
@@ -105,10 +116,13 @@
 	r.send(relay, &jobpb.RelayMessage{Term: r.term, Number: r.relays.Send(now, relay), SentUs: now.Microseconds(), Orders: list})
 }
 
-// add queues an order for a worker's relay. It returns nil if no relay is healthy.
+// add queues an order for a worker's relay. It returns nil if the leader has to send it.
 func (r *relayedSender) add(o *jobpb.WorkerOrder) *relayedOrder {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.enabled {
+		return nil
+	}
 	name, ok := r.relays.Choose(o.Worker)
 	if !ok {
 		return nil
@@ -170,7 +184,7 @@
 }
 
 // exchange sends an order through a relay and waits for its outcome. relayed is false
-// if no relay is healthy.
+// if the leader has to send it.
 func (r *relayedSender) exchange(ctx context.Context, o *jobpb.WorkerOrder) (outcome *jobpb.OrderOutcome, relayed bool, err error) {
 	if deadline, ok := ctx.Deadline(); ok {
 		o.TimeoutMs = uint32(max(1, (time.Until(deadline) - relayAnswerReserve).Milliseconds()))
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -85,7 +85,7 @@
 	if s.relays == nil {
 		return 1
 	}
-	return max(1, s.relays.healthy())
+	return s.relays.senders()
 }
 
 func (s *session) failed() bool { return s.broken.Load() }
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -185,6 +185,7 @@
 	is.Equal(stops(), 0)
 	f.driver.machine("m-0").ordering = false
 	f.driver.unconfirmed = map[string]bool{"m-0": true}
+	f.driver.machine("m-0").attemptedAt = f.session.now()
 	is.Equal(stops(), 0)
 	f.driver.unconfirmed = nil
 	is.Equal(stops(), 1)
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -90,6 +90,9 @@
 	if stops {
 		s.nextStopCheck = now + stopInterval
 	}
+	if s.relays != nil {
+		s.relays.enable(len(s.workers) >= s.c.o.Bounds.RelayWorkers)
+	}
 	s.view(func(st *state.Store) {
 		active := 0
 		for id, w := range s.workers {
