Start lasting tasks on workers that are not due for upkeep

Cause: a lasting task that had to leave a machine of a wave started on the fullest worker, often one that was due itself; each further move makes a task of its step unavailable and the wave takes longer than its time. Change: the planner prefers workers whose machine has no upkeep ahead for such tasks.

--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -45,6 +45,8 @@
 	// Penalty is higher for workers that fail or are slow. Workers with a lower one are
 	// preferred.
 	Penalty int
+	// UpkeepDue reports that an upkeep will end everything that runs on the worker.
+	UpkeepDue bool
 	// Serving is the number of tasks with a latency target, Fill the number of filling tasks.
 	Serving, Fill int
 	// Steps is the number of tasks of each step on this worker before the plan. The map
@@ -439,6 +441,9 @@
 	if a.Penalty != b.Penalty {
 		return a.Penalty < b.Penalty
 	}
+	if step.Lasting && a.UpkeepDue != b.UpkeepDue {
+		return b.UpkeepDue // there the task would soon have to move again
+	}
 	if step.DataRack != "" && (a.Rack == step.DataRack) != (b.Rack == step.DataRack) {
 		return a.Rack == step.DataRack
 	}
--- a/job/schedule/schedule_test.go
+++ b/job/schedule/schedule_test.go
@@ -225,3 +225,26 @@
 	is.True(proportional > 80*time.Millisecond && proportional < 160*time.Millisecond)
 	is.Equal(e.RunTime("unknown", &jobpb.Step{EstimatedMs: 50}), 50*time.Millisecond)
 }
+
+// Guards against a wave that moves the tasks of a lasting step from one machine that is
+// due for upkeep to the next: each move makes a task unavailable, and the wave then takes
+// longer than its time.
+func TestLastingTaskAvoidsWorkersDueForUpkeep(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t, job("a", 0, &jobpb.Step{Count: 2, CpuMillis: 1000, Lasting: true, MaxUnavailable: 1}))
+	list := workers(4, 4000)
+	list[0].CPU = 1000 // otherwise the first choice, as the fullest
+	for _, w := range list[:2] {
+		w.UpkeepDue = true
+	}
+	starts := plan(s, 0, list)
+	is.Equal(len(starts), 2)
+	for _, start := range starts {
+		is.True(start.Worker == "w2" || start.Worker == "w3")
+	}
+	for _, w := range list {
+		w.UpkeepDue = true
+	}
+	s = newStore(t, job("b", 0, &jobpb.Step{Count: 1, CpuMillis: 1000, Lasting: true}))
+	is.Equal(len(plan(s, 0, list)), 1) // without a choice it starts all the same
+}
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -48,8 +48,9 @@
 	// unconfirmed holds the machines whose upkeep was ordered by this leader or an
 	// earlier one without a confirmation; it may be carried out at any time.
 	unconfirmed  map[string]bool
-	listedAt     time.Duration // when the last list was requested
-	listing      bool          // a request for the list is in flight
+	dueMachines  map[string]bool // of open waves, whose upkeep has not begun
+	listedAt     time.Duration   // when the last list was requested
+	listing      bool            // a request for the list is in flight
 	nextListAt   time.Duration
 	nextRoundAt  time.Duration
 	nextSpreadAt time.Duration // before which no run is stopped to spread its step
@@ -76,6 +77,9 @@
 	return m != nil && m.cordonedAt > 0 || u.unconfirmed[name]
 }
 
+// due reports whether a worker's machine has its upkeep ahead.
+func (u *upkeepDriver) due(worker string) bool { return u.dueMachines[u.byWorker[worker]] }
+
 // round refreshes the list of machines and processes the open waves in the order
 // of their due times.
 func (u *upkeepDriver) round(now time.Duration) {
@@ -86,13 +90,18 @@
 	u.s.view(func(st *state.Store) {
 		var open []*jobpb.Wave
 		u.unconfirmed = map[string]bool{}
+		u.dueMachines = map[string]bool{}
 		for _, w := range st.Waves() {
 			if state.WaveCompleted(w) {
 				continue
 			}
 			open = append(open, w)
 			for _, wm := range w.Machines {
-				if wm.Ordered && !wm.Begun {
+				if wm.Begun {
+					continue
+				}
+				u.dueMachines[wm.Machine] = true
+				if wm.Ordered {
 					u.unconfirmed[wm.Machine] = true
 				}
 			}
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -156,7 +156,7 @@
 		}
 		sw := &schedule.Worker{ID: id, StartedMs: w.info.BornMs, Pool: w.info.Pool, Labels: w.info.Labels, Rack: rackOf(w.info.Labels),
 			CPU: int64(w.info.CpuMillis), Memory: int64(w.info.MemoryMb), GPUs: int64(w.info.Gpus),
-			Penalty: w.penalty(now)}
+			Penalty: w.penalty(now), UpkeepDue: s.upkeep.due(id)}
 		sw.AddLoad(st.Load(id))
 		list = append(list, sw)
 	}
