--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
@@ -226,3 +227,36 @@
 		is.NoErr(p.start(ctx))
 	})
 }
+
+// Guards against a message between our own processes that ends one of them.
+func FuzzRelayMessage(f *testing.F) {
+	order := &jobpb.WorkerOrder{Number: 1, Worker: "w", Address: "a", TimeoutMs: 1, Task: &jobpb.TaskRef{Job: "j"}}
+	for _, m := range []*jobpb.RelayMessage{
+		{Term: 1, Number: 1, Orders: []*jobpb.WorkerOrder{order, {}}},
+		{Term: 1, Received: 1, Outcomes: []*jobpb.OrderOutcome{{Number: 1, List: &jobpb.RunList{Running: []*jobpb.ListedRun{{}}}}}},
+		{Contacts: []*jobpb.WorkerContact{{Id: "w"}, {}}},
+	} {
+		data, err := proto.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		m := &jobpb.RelayMessage{}
+		if proto.Unmarshal(data, m) != nil {
+			return
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		p := newRelayPair(ctx)
+		p.relay.handle("leader", m)
+		p.sender.handle("relay", m)
+		for _, outcome := range m.Outcomes {
+			_ = outcomeError(outcome)
+			_ = decodeRunList(outcome.GetList())
+		}
+		s := &session{workers: map[string]*workerState{}, c: &Control{o: ControlOptions{Clock: replica.SystemClock()}}}
+		s.recordContacts(m.Contacts)
+	})
+}
