--- a/cmd/marjoramtiller/daemons_test.go
+++ b/cmd/marjoramtiller/daemons_test.go
@@ -171,6 +171,10 @@
 		body, _ := io.ReadAll(response.Body)
 		return strings.Contains(string(body), `"accepted":true`)
 	})
+	eventually(t, func() bool { // an entry is healthy from its first grant of slots on
+		response, err := http.Get("http://" + addresses[5] + "/healthz")
+		return err == nil && response.Body.Close() == nil && response.StatusCode == http.StatusOK
+	})
 	for _, url := range []string{addresses[2] + "/metrics", addresses[2] + "/dump", addresses[5] + "/metrics", addresses[5] + "/dump", addresses[5] + "/healthz"} {
 		response, err := http.Get("http://" + url)
 		is.NoErr(err)
--- a/process/control/sync_test.go
+++ b/process/control/sync_test.go
@@ -42,6 +42,14 @@
 		_, err := s.proposeFleet(ctx, &fleetpb.Command{RequestId: "r", Actor: "o", Body: &fleetpb.Command_Configure{Configure: &fleetpb.Configure{Changes: changes}}})
 		return err
 	})
+	c.eventually("lead the ledger groups", func(ctx context.Context) error {
+		for _, group := range s.ledgers {
+			if err := group.ReadBarrier(ctx); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
 	server := &fleetpb.BackendServer{Name: "s", Host: "h", Service: "p", Address: "127.0.0.1:1", Slots: 8, Connections: 64, BootId: "1"}
 	_, err := s.proposeFleet(t.Context(), &fleetpb.Command{Body: &fleetpb.Command_Register{Register: &fleetpb.Register{Server: server}}})
 	if err != nil {
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -1,11 +1,10 @@
 package jobs
 
 import (
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"marjoramtiller.example/marjoramtiller/job/orders"
-
-	"github.com/pkg/errors"
 )
 
 // controlMetrics are the metrics of a control process.
