--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -20,9 +20,12 @@
 
 // configure sends the configuration until it is acknowledged.
 func (r *rig) configure() error {
-	body, err := json.Marshal(map[string]any{"version": 1,
-		"routes": []map[string]any{{"name": "r-1", "host": queueHost, "path-prefix": queuePrefix, "kind": "non_idempotent", "timeout-ms": 3000,
-			"target-latency-ms": 600, "priority": 0, "service": serviceName, "max-attempts": 3, "stretch-factor": 1.6}},
+	route := map[string]any{"name": "r-1", "host": queueHost, "path-prefix": queuePrefix, "kind": "non_idempotent", "timeout-ms": 3000,
+		"target-latency-ms": 600, "priority": 0, "service": serviceName, "max-attempts": 3, "stretch-factor": 1.6}
+	if r.allowed != "" {
+		route["advisor"] = map[string]any{"decision-ms": decisionTime.Milliseconds(), "per-worker-ms": 1, "validity-ms": ticketValidity.Milliseconds()}
+	}
+	body, err := json.Marshal(map[string]any{"version": 1, "routes": []map[string]any{route},
 		"services": []map[string]any{{"name": serviceName, "health-path": "/health", "max-connections": 64, "protocol": "h1", "tls": false,
 			"admission-check": false, "standby": false}},
 		"limits": map[string]int{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}})
--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -167,6 +167,7 @@
 	Fence      uint64 `json:"fencing-token"`
 	LastSeen   uint64 `json:"last-seen"`
 	WaitMs     int64  `json:"wait-ms"`
+	Ticket     string `json:"ticket"`
 }
 
 // readOrder decodes an order and checks the intended boot.
@@ -220,7 +221,11 @@
 	if !ok {
 		return
 	}
-	e.answerReason(w, e.start(o))
+	reason := e.start(o)
+	if reason != "" {
+		e.rig.record.add("%s refuses to start %s run %d: %s", e.id, o.Task, o.Run, reason)
+	}
+	e.answerReason(w, reason)
 }
 
 func (e *executor) start(o order) (reason string) {
@@ -238,6 +243,8 @@
 		return "old"
 	case o.DeadlineMs <= e.clock():
 		return "late"
+	case e.rig.allowed != "" && !e.ticketValid(o.Task, o.Ticket):
+		return "ticket"
 	}
 	e.takeDeadline(o.DeadlineMs)
 	t := &taskRun{executor: e, task: o.Task, number: o.Run, from: time.Now()}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -63,9 +63,9 @@
 		record.add("the case could not be played: %v", err)
 		return exitFailed
 	}
-	broken := record.twice()
+	broken := append(r.broken, record.twice()...)
 	for _, line := range broken {
-		record.add("TWICE: %s", line)
+		record.add("%s", line)
 	}
 	record.add("result: the rule was broken %d times", len(broken))
 	if len(broken) > 0 {
--- a/review/rig/record.go
+++ b/review/rig/record.go
@@ -111,12 +111,12 @@
 		for j, later := range runs {
 			for _, earlier := range runs[:j] {
 				if earlier.to.IsZero() || later.from.Before(earlier.to) {
-					broken = append(broken, fmt.Sprintf("%s runs at %s (run %d) and at %s (run %d) at the same time, for %s",
+					broken = append(broken, fmt.Sprintf("TWICE: %s runs at %s (run %d) and at %s (run %d) at the same time, for %s",
 						task, earlier.executor.id, earlier.number, later.executor.id, later.number, overlap(earlier, later)))
 					continue
 				}
 				if earlier.how == "done" && !earlier.notedAt.IsZero() && !r.lapsedBetween(earlier.executor, earlier.to, earlier.notedAt) {
-					broken = append(broken, fmt.Sprintf("%s ended done at %s (run %d), was taken note of %s later, and starts again at %s (run %d) %s after its end",
+					broken = append(broken, fmt.Sprintf("TWICE: %s ended done at %s (run %d), was taken note of %s later, and starts again at %s (run %d) %s after its end",
 						task, earlier.executor.id, earlier.number, earlier.notedAt.Sub(earlier.to).Round(time.Millisecond),
 						later.executor.id, later.number, later.from.Sub(earlier.to).Round(time.Millisecond)))
 				}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -59,6 +60,11 @@
 	executors []*executor
 	machines  *machines
 	proxies   map[string]*proxy // in front of the control plane, by real address
+	broken    []string          // breaks of rules other than TWICE
+	advisor   string            // address of the advisor
+	allowed   string            // the executor on which it allows steps; empty if no queue has a policy
+	ticketMu  sync.Mutex
+	tickets   map[string]time.Time // when they expire
 }
 
 func openRig(record *record, trouble bool) (*rig, error) {
@@ -66,13 +72,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &rig{record: record, trouble: trouble, dir: dir, proxies: map[string]*proxy{}}
+	r := &rig{record: record, trouble: trouble, dir: dir, proxies: map[string]*proxy{}, tickets: map[string]time.Time{}}
 	if err := r.chooseAddresses(); err != nil {
 		return nil, err
 	}
 	if r.machines, err = r.openMachines(); err != nil {
 		return nil, err
 	}
+	if err := r.openAdvisor(); err != nil {
+		return nil, err
+	}
 	return r, r.startProcesses()
 }
 
@@ -191,7 +200,7 @@
 			"max-hold-ms": maxHold.Milliseconds(), "stop-timeout-ms": 400, "gang-timeout-ms": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
 			"status_s": statusRetention, "remote-factor": 3.0, "checkpoint-interval-s": 1, "restore-ms": 100, "notice-ms": 4500, "migration-s": 1.5, "maintenance-s": 2,
 			"fencing-enforced": false, "lease-duration-ms": 3000, "thaw-slack-ms": 300, "pacing-ms": 100, "impact-ms": 4000},
-		"config_mode": "highest", "commands": "push", "advisor": nil,
+		"config_mode": "highest", "commands": "push", "advisor": r.advisor,
 		"cloud": map[string]any{"address": r.machines.address, "rate-per-s": 64.0, "duties": []string{}, "duty-per-s": 64.0},
 	})
 }
