--- a/review/rig/beats.go
+++ b/review/rig/beats.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -49,6 +50,9 @@
 		}
 		status, answer, err := c.rig.send(method, "http://"+node+path, body, callTimeout, redirects)
 		if err == nil && status < http.StatusInternalServerError && status != http.StatusRequestTimeout && status != http.StatusTooManyRequests {
+			if status != http.StatusOK || !strings.HasPrefix(path, "/executors/") || method == http.MethodDelete {
+				c.rig.record.add("%s: %s %s at %s: status %d", c.name, method, path, node, status)
+			}
 			return status, answer, nil
 		}
 		c.rig.record.add("%s: %s %s at %s: status %d, error %v; the next node is called in %s", c.name, method, path, node, status, err, backoff)
