--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -7,9 +7,12 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -52,10 +55,14 @@
 		return exitFailed
 	}
 	record.add("case %s, trouble %t", flag.Arg(0), r.trouble)
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	done := make(chan error, 1)
 	go func() { done <- play(r) }()
 	select {
 	case err = <-done:
+	case <-interrupted:
+		err = errors.New("it was interrupted")
 	case <-time.After(playLimit):
 		err = fmt.Errorf("it did not end within %s", playLimit)
 	}
