Give each session of a term its own fences and order numbers, and fail unstorable changes alone

Cause, two faults that need each other. A report that can't be encoded was put into the batch of changes; the whole batch was dropped and the session ended. The next session of the same term numbered the orders that it sends through relays from 1 again and used the same fences again. A relay's outcome of an earlier session's order was taken for the outcome of a later one with the same number, so the list of one executor counted as that of another.

Change: the numbers of orders and messages come from a counter of the process (dispatch.Numbers), and the fences that a session used are handed to the next session of the term (fenceRecord). A list proves something about the orders that this tracker did not send only under a fence that none of them can have (Tracker.FirstFence).

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/binary"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,11 +21,20 @@
 	probeInterval  = 500 * time.Millisecond // between probes of a relay that is not healthy
 )
 
-// Relays is the leader's view of its relays in one term. A relay gets orders only after
+// Numbers issues the numbers of the messages and orders that a process sends through
+// relays. It outlives the process's sessions: a number of an earlier session is never
+// issued again, so an answer to it can't be taken for one to a later order.
+type Numbers struct{ last atomic.Uint64 }
+
+// Next returns a number that is higher than all that were issued before.
+func (n *Numbers) Next() uint64 { return n.last.Add(1) }
+
+// Relays is the leader's view of its relays in one session. A relay gets orders only after
 // it has confirmed a probe, and no longer once a message stays unconfirmed.
 type Relays struct {
-	names  []string // sorted
-	relays map[string]*relay
+	numbers *Numbers
+	names   []string // sorted
+	relays  map[string]*relay
 }
 
 type relay struct {
@@ -40,8 +50,11 @@
 	sentAt time.Duration
 }
 
-// New returns the view of a leader that knows no relays yet.
-func New() *Relays { return &Relays{relays: map[string]*relay{}} }
+// New returns the view of a leader that knows no relays yet. Its messages get their
+// numbers from numbers.
+func New(numbers *Numbers) *Relays {
+	return &Relays{numbers: numbers, relays: map[string]*relay{}}
+}
 
 // SetNames sets the processes that may serve as relays. It returns those that were
 // healthy and are no longer in the list.
@@ -105,7 +118,7 @@
 	if known == nil {
 		return 0
 	}
-	known.lastNumber++
+	known.lastNumber = r.numbers.Next()
 	known.unconfirmed = append(known.unconfirmed, sentMessage{known.lastNumber, now})
 	return known.lastNumber
 }
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -9,7 +9,7 @@
 )
 
 func healthyRelays(names ...string) *Relays {
-	r := New()
+	r := New(&Numbers{})
 	r.SetNames(names)
 	for _, name := range names {
 		r.Confirm(name, r.Send(0, name))
@@ -31,7 +31,7 @@
 // Guards against orders through a process that has confirmed nothing yet.
 func TestRelayGetsOrdersAfterItsProbe(t *testing.T) {
 	is := is.New(t)
-	r := New()
+	r := New(&Numbers{})
 	r.SetNames([]string{"a"})
 	_, probes := r.Check(0)
 	is.Equal(probes, []string{"a"})
--- a/job/worker/worker.go
+++ b/job/worker/worker.go
@@ -28,6 +28,8 @@
 	term      uint64
 	StartedMs int64
 	fence     uint64
+	// firstFence is the fence with which the tracker began.
+	firstFence uint64
 	// LastLoggedEnd is the highest number of an ended run of this process that is in
 	// the log.
 	LastLoggedEnd uint64
@@ -50,7 +52,7 @@
 // New returns the tracker of a process that the leader of the given term tracks from
 // now on. earlierLeases reports that an earlier leader may have granted it leases.
 func New(timing LeaseTiming, term uint64, startedMs int64, now time.Duration, earlierLeases bool) *Tracker {
-	w := &Tracker{timing: timing, term: term, StartedMs: startedMs, fence: term * FencesPerTerm, trackedSince: now, LastContact: now}
+	w := &Tracker{timing: timing, term: term, StartedMs: startedMs, fence: term * FencesPerTerm, firstFence: term * FencesPerTerm, trackedSince: now, LastContact: now}
 	if earlierLeases {
 		w.inheritedLeases = 2 * timing.Lease
 	}
@@ -67,6 +69,20 @@
 	w.RunsListed = false
 }
 
+// RaiseFenceTo raises the fence to a given one, unless it is higher already. Nothing was
+// ordered under the fences below.
+func (w *Tracker) RaiseFenceTo(fence uint64) {
+	if fence > w.fence {
+		w.fence = fence
+		w.RunsListed = false
+	}
+	w.firstFence = w.fence
+}
+
+// FirstFence returns the lowest fence of this tracker's orders. Orders to the worker that
+// this tracker did not record have lower ones.
+func (w *Tracker) FirstFence() uint64 { return w.firstFence }
+
 // SampleClock records the worker's clock from a message received at now. A sample
 // below the known lower bound is ignored: its message was delayed, and proves contact
 // only for the time at which it was sent.
--- /dev/null
+++ b/process/jobs/commit_test.go
@@ -0,0 +1,139 @@
+package jobs
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/process/storage"
+)
+
+// proposalLog is a log that accepts every entry and keeps it.
+type proposalLog struct {
+	fixedLog
+	entries chan []byte
+}
+
+func (l proposalLog) Propose(_ context.Context, data []byte) ([]byte, error) {
+	if len(data) > storage.MaxEntryBytes {
+		return nil, &storage.TooLargeError{Size: len(data), Limit: storage.MaxEntryBytes}
+	}
+	command := &jobpb.Command{}
+	if err := proto.Unmarshal(data, command); err != nil {
+		return nil, err
+	}
+	l.entries <- data
+	return proto.Marshal(&jobpb.Result{Applied: make([]bool, len(command.Entries))})
+}
+
+var _ replicatedLog = proposalLog{}
+
+// forgetJob is a change that the log can hold and whose effect does not matter.
+func forgetJob(id string) *jobpb.Entry {
+	return &jobpb.Entry{Change: &jobpb.Entry_Forget{Forget: id}}
+}
+
+// commitAll commits the batch of a session, and returns the changes that reached the log
+// and the errors of those in results.
+func commitAll(t *testing.T, s *session, results int, changes ...*jobpb.Entry) (logged []string, failed map[string]error) {
+	t.Helper()
+	log := proposalLog{entries: make(chan []byte, len(changes)+1)}
+	s.c.group = log
+	failed = map[string]error{}
+	for _, change := range changes {
+		s.add(change, func(_ bool, err error) {
+			results--
+			if err != nil {
+				failed[change.GetForget()] = err
+			}
+		})
+	}
+	for deadline := time.Now().Add(time.Minute); results > 0 && time.Now().Before(deadline); {
+		if !s.inFlight {
+			s.commit()
+		}
+		if results > 0 {
+			(<-s.events)()
+		}
+	}
+	for len(log.entries) > 0 {
+		command := &jobpb.Command{}
+		if err := proto.Unmarshal(<-log.entries, command); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range command.Entries {
+			logged = append(logged, e.GetForget())
+		}
+	}
+	return logged, failed
+}
+
+// Guards against one change that the log can't hold, because it can't be encoded or is too
+// large, that fails the changes of others and ends the leader's session.
+func TestUnstorableChangeFailsAlone(t *testing.T) {
+	is := is.New(t)
+	s := newUpkeepFixture(t).session
+	unreadable, tooLarge := "\xff\xfe", strings.Repeat("x", storage.MaxEntryBytes+1)
+	logged, failed := commitAll(t, s, 4, forgetJob("a"), forgetJob(unreadable), forgetJob(tooLarge), forgetJob("b"))
+	is.True(!s.failed())
+	is.Equal(logged, []string{"a", "b"})
+	is.Equal(len(failed), 2)
+	var unstorable *UnstorableError
+	is.True(errors.As(failed[unreadable], &unstorable))
+	is.True(neverApplied(failed[unreadable]))
+	var large *storage.TooLargeError
+	is.True(errors.As(failed[tooLarge], &large))
+	is.True(strings.Contains(failed[tooLarge].Error(), "3145728")) // names the limit
+}
+
+// Guards against changes that fit into an entry of the log one by one but not together, and
+// then end the leader's session.
+func TestLargeBatchIsSplit(t *testing.T) {
+	is := is.New(t)
+	s := newUpkeepFixture(t).session
+	var changes []*jobpb.Entry
+	var want []string
+	for _, letter := range []string{"a", "b", "c", "d"} {
+		id := strings.Repeat(letter, storage.MaxEntryBytes/2)
+		changes = append(changes, forgetJob(id))
+		want = append(want, id)
+	}
+	logged, failed := commitAll(t, s, len(changes), changes...)
+	is.True(!s.failed())
+	is.Equal(len(failed), 0)
+	is.Equal(logged, want)
+	is.True(s.batchHoldsPlan())
+	s.add(changes[0], nil)
+	s.add(changes[1], nil)
+	is.True(!s.batchHoldsPlan())
+}
+
+// Guards against a later session of one term that uses the fences of an earlier one again:
+// its lists of runs would count as proof against late orders of the earlier session.
+func TestSessionsOfATermShareNoFence(t *testing.T) {
+	is := is.New(t)
+	c := newUpkeepFixture(t).session.c
+	c.ctx = t.Context()
+	first := newSession(c, 3, nil)
+	known := first.trackWorker(&jobpb.Worker{Id: "w"}, false)
+	first.raiseFence(known)
+	dropped := first.trackWorker(&jobpb.Worker{Id: "dropped"}, false)
+	first.fences.use("dropped", dropped.track.Fence())
+	delete(first.workers, "dropped")
+	second := newSession(c, 3, first.endFences())
+	for id, used := range map[string]uint64{"w": known.track.Fence(), "dropped": dropped.track.Fence()} {
+		w := second.trackWorker(&jobpb.Worker{Id: id}, true)
+		is.True(w.track.FirstFence() > used)
+		is.Equal(w.track.Fence(), w.track.FirstFence())
+	}
+	is.Equal(second.fences.session, uint64(2))
+	next := newSession(c, 4, second.endFences())
+	is.Equal(len(next.fences.next), 0)
+	is.True(next.trackWorker(&jobpb.Worker{Id: "w"}, true).track.Fence() > second.workers["w"].track.Fence())
+}
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -10,6 +10,7 @@
 
 	"marjoramtiller.example/marjoramtiller/connection/wire"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/job/dispatch"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
@@ -90,6 +91,10 @@
 	cancel  context.CancelFunc
 	loops   sync.WaitGroup
 
+	// numbers and usedFences outlive a session: a term may have several sessions.
+	numbers    dispatch.Numbers
+	usedFences *fenceRecord // of the last session, nil before the first
+
 	mu      sync.Mutex
 	session *session // nil unless this process leads
 	joining map[string]time.Duration
@@ -219,8 +224,8 @@
 		c.log.Debug().Err(err).Uint64("term", term).Msg("session not started: the read barrier of the new term failed")
 		return
 	}
-	s := newSession(c, term)
-	s.useRelays(newRelayedSender(term, c.o.Workers, c.pool.SendRelay, c.otherVoters, c.Leads, c.o.Clock, s.log))
+	s := newSession(c, term, c.usedFences)
+	s.useRelays(newRelayedSender(term, &c.numbers, c.o.Workers, c.pool.SendRelay, c.otherVoters, c.Leads, c.o.Clock, s.log))
 	c.mu.Lock()
 	c.session = s
 	c.mu.Unlock()
@@ -242,6 +247,7 @@
 	}
 	s.cancel()
 	<-s.done
+	c.usedFences = s.endFences()
 	c.log.Info().Uint64("term", s.term).Msg("no longer leading: orders end")
 }
 
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -15,6 +15,8 @@
 	workersEnded  *prometheus.CounterVec
 	runsLost      *prometheus.CounterVec
 	tasksGivenUp  prometheus.Counter
+	// changesRejected counts the changes that the log can't hold.
+	changesRejected prometheus.Counter
 }
 
 func newControlMetrics() *controlMetrics {
@@ -33,6 +35,8 @@
 			Name: "marjoramtiller_jobs_runs_lost_total", Help: "Runs that were lost with their worker, by the cause of its end."}, []string{"cause"}),
 		tasksGivenUp: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "marjoramtiller_jobs_tasks_given_up_total", Help: "Tasks that were given up because they crash the workers that start them."}),
+		changesRejected: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marjoramtiller_jobs_changes_rejected_total", Help: "Changes that were rejected because the log can't hold them."}),
 	}
 }
 
@@ -51,5 +55,6 @@
 
 // Collectors returns the metrics of a control process.
 func (c *Control) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{c.metrics.orders, c.metrics.commitSeconds, c.metrics.startSeconds, c.metrics.workersEnded, c.metrics.runsLost, c.metrics.tasksGivenUp}
+	return []prometheus.Collector{c.metrics.orders, c.metrics.commitSeconds, c.metrics.startSeconds, c.metrics.workersEnded, c.metrics.runsLost, c.metrics.tasksGivenUp,
+		c.metrics.changesRejected}
 }
--- a/process/jobs/registry.go
+++ b/process/jobs/registry.go
@@ -82,7 +82,7 @@
 		w := s.workers[info.Id]
 		if w == nil || w.info.BornMs != info.BornMs {
 			if w != nil {
-				s.fences[info.Id] = w.track.Fence() + 1
+				s.fences.use(info.Id, w.track.Fence())
 			}
 			w = s.trackWorker(info, false)
 		}
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
+	"marjoramtiller.example/marjoramtiller/job/dispatch"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/process/replica"
@@ -25,6 +26,8 @@
 	holds  int
 	err    error
 	panics bool
+	// beforeHold, if not nil, is called before a hold is answered.
+	beforeHold func(worker string)
 }
 
 func (w *recordingWorkers) Start(_ context.Context, to orders.Target, o orders.StartOrder) (int64, error) {
@@ -48,10 +51,13 @@
 	return int64(o.Percent), nil
 }
 
-func (w *recordingWorkers) Hold(ctx context.Context, _ orders.Target, o orders.HoldOrder) (*orders.RunList, error) {
+func (w *recordingWorkers) Hold(ctx context.Context, to orders.Target, o orders.HoldOrder) (*orders.RunList, error) {
 	w.mu.Lock()
 	w.holds++
 	w.mu.Unlock()
+	if before := w.beforeHold; before != nil {
+		before(to.ID)
+	}
 	select {
 	case <-time.After(time.Duration(o.WaitMs) * time.Millisecond):
 	case <-ctx.Done():
@@ -59,7 +65,7 @@
 	}
 	task := &jobpb.TaskRef{Job: "j"}
 	return &orders.RunList{ClockMs: 5, StartedMs: 7, Running: []orders.Run{{Task: task, Run: 3, Percent: 40}},
-		Ended: []orders.EndedRun{{Number: 9, Task: task, Run: 2, How: jobpb.How_FAILED, Checkpoint: "c"}}}, nil
+		Ended: []orders.EndedRun{{Number: 9, Task: task, Run: 2, How: jobpb.How_FAILED, Checkpoint: to.ID}}}, nil
 }
 
 func (w *recordingWorkers) started() int {
@@ -74,38 +80,45 @@
 
 // relayPair is a leader's sender with one relay, joined without a network.
 type relayPair struct {
-	sender *relayedSender
-	relay  *orderRelay
-	direct recordingWorkers // called by the leader itself
-	remote recordingWorkers // called by the relay
-	term   atomic.Uint64    // newest term that the relay knows
-	paused atomic.Bool      // the leader's lease has expired
-	cut    atomic.Bool      // messages of both directions are lost
-	delay  atomic.Int64     // of messages to the relay, in ns
+	sender  *relayedSender
+	relay   *orderRelay
+	numbers dispatch.Numbers
+	direct  recordingWorkers // called by the leader itself
+	remote  recordingWorkers // called by the relay
+	term    atomic.Uint64    // newest term that the relay knows
+	paused  atomic.Bool      // the leader's lease has expired
+	cut     atomic.Bool      // messages of both directions are lost
+	delay   atomic.Int64     // of messages to the relay, in ns
 }
 
 func newRelayPair(ctx context.Context) *relayPair {
 	p := &relayPair{}
 	p.term.Store(1)
 	clock := replica.SystemClock()
-	toRelay := func(_ string, m *jobpb.RelayMessage) {
-		if !p.cut.Load() {
-			time.AfterFunc(time.Duration(p.delay.Load())+time.Millisecond, func() { p.relay.handle("leader", m) })
-		}
-	}
 	toLeader := func(_ string, m *jobpb.RelayMessage) {
 		if !p.cut.Load() {
 			time.AfterFunc(time.Millisecond, func() { p.sender.handle("relay", m) })
 		}
 	}
 	p.relay = newOrderRelay(ctx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
-	p.sender = newRelayedSender(1, &p.direct, toRelay, func() []string { return []string{"relay"} },
-		func() bool { return !p.paused.Load() }, clock, zerolog.Nop())
-	p.sender.enable(true)
+	p.sender = p.newSender()
 	go p.sender.run(ctx)
 	return p
 }
 
+// newSender returns the sender of a new session of the leader.
+func (p *relayPair) newSender() *relayedSender {
+	toRelay := func(_ string, m *jobpb.RelayMessage) {
+		if !p.cut.Load() {
+			time.AfterFunc(time.Duration(p.delay.Load())+time.Millisecond, func() { p.relay.handle("leader", m) })
+		}
+	}
+	sender := newRelayedSender(1, &p.numbers, &p.direct, toRelay, func() []string { return []string{"relay"} },
+		func() bool { return !p.paused.Load() }, replica.SystemClock(), zerolog.Nop())
+	sender.enable(true)
+	return sender
+}
+
 func runRelayTest(t *testing.T, test func(ctx context.Context, is *is.I, p *relayPair)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -212,6 +225,41 @@
 	})
 }
 
+// Guards against an outcome of an order of an earlier session of the same term that counts
+// as the outcome of a later session's order: the list of one worker as that of another.
+func TestOutcomesOfAnEarlierSessionAreIgnored(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		earlier, later := p.sender, p.newSender()
+		lateAnswer := make(chan struct{})
+		p.remote.beforeHold = func(worker string) {
+			if worker == "earlier" {
+				<-lateAnswer
+			}
+		}
+		earlierCtx, endEarlier := context.WithTimeout(ctx, 2*orderTimeout)
+		go func() {
+			_, _ = earlier.Hold(earlierCtx, orders.Target{ID: "earlier", Address: "a"}, orders.HoldOrder{})
+		}()
+		time.Sleep(10 * time.Millisecond)
+		endEarlier()
+		p.sender = later
+		go later.run(ctx)
+		time.Sleep(100 * time.Millisecond) // for the first probe
+		listed := make(chan *orders.RunList)
+		go func() {
+			laterCtx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+			defer cancel()
+			list, _ := later.Hold(laterCtx, orders.Target{ID: "later", Address: "a"}, orders.HoldOrder{WaitMs: 500})
+			listed <- list
+		}()
+		time.Sleep(10 * time.Millisecond)
+		close(lateAnswer)
+		list := <-listed
+		is.True(list != nil)
+		is.Equal(list.Ended[0].Checkpoint, "later") // the worker that listed it
+	})
+}
+
 // Guards against a message or an order that ends the process of the relay or of the leader.
 func TestRelaySurvivesMalformedMessages(t *testing.T) {
 	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
--- a/process/jobs/relayed_sender.go
+++ b/process/jobs/relayed_sender.go
@@ -25,20 +25,20 @@
 // relayedSender sends the leader's orders through the other control processes, as far
 // as they are healthy, and sends the rest itself. It lasts as long as a session.
 type relayedSender struct {
-	term   uint64
-	direct orders.Workers
-	send   func(relay string, m *jobpb.RelayMessage)
-	names  func() []string // processes that may serve as relays
-	leads  func() bool     // whether this process leads under a valid lease
-	clock  replica.Clock
-	log    zerolog.Logger
-
-	mu         sync.Mutex
-	enabled    bool // the fleet is large enough for relays
-	relays     *dispatch.Relays
-	lastNumber uint64
-	pending    map[uint64]*relayedOrder        // by number
-	outgoing   map[string][]*jobpb.WorkerOrder // by relay, not sent yet
+	term    uint64
+	numbers *dispatch.Numbers // shared by all sessions of this process
+	direct  orders.Workers
+	send    func(relay string, m *jobpb.RelayMessage)
+	names   func() []string // processes that may serve as relays
+	leads   func() bool     // whether this process leads under a valid lease
+	clock   replica.Clock
+	log     zerolog.Logger
+
+	mu       sync.Mutex
+	enabled  bool // the fleet is large enough for relays
+	relays   *dispatch.Relays
+	pending  map[uint64]*relayedOrder        // by number
+	outgoing map[string][]*jobpb.WorkerOrder // by relay, not sent yet
 }
 
 // relayedOrder is an order whose outcome is not known.
@@ -47,8 +47,8 @@
 	outcome chan *jobpb.OrderOutcome // has capacity 1
 }
 
-func newRelayedSender(term uint64, direct orders.Workers, send func(string, *jobpb.RelayMessage), names func() []string, leads func() bool, clock replica.Clock, log zerolog.Logger) *relayedSender {
-	return &relayedSender{term: term, direct: direct, send: send, names: names, leads: leads, clock: clock, log: log, relays: dispatch.New(),
+func newRelayedSender(term uint64, numbers *dispatch.Numbers, direct orders.Workers, send func(string, *jobpb.RelayMessage), names func() []string, leads func() bool, clock replica.Clock, log zerolog.Logger) *relayedSender {
+	return &relayedSender{term: term, numbers: numbers, direct: direct, send: send, names: names, leads: leads, clock: clock, log: log, relays: dispatch.New(numbers),
 		pending: map[uint64]*relayedOrder{}, outgoing: map[string][]*jobpb.WorkerOrder{}}
 }
 
@@ -127,8 +127,7 @@
 	if !ok {
 		return nil
 	}
-	r.lastNumber++
-	o.Number = r.lastNumber
+	o.Number = r.numbers.Next()
 	order := &relayedOrder{relay: name, outcome: make(chan *jobpb.OrderOutcome, 1)}
 	r.pending[o.Number] = order
 	r.outgoing[name] = append(r.outgoing[name], o)
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -10,7 +10,6 @@
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
 	"marjoramtiller.example/marjoramtiller/job/state"
-	"marjoramtiller.example/marjoramtiller/job/worker"
 )
 
 // sendHold sends a hold order: it requests the worker's list of runs and extends
@@ -230,8 +229,8 @@
 func (s *session) definitelyNotRunning(w *workerState, key state.TaskKey, p *state.Placement, sent time.Duration, o orders.HoldOrder) bool {
 	r := w.runs[key]
 	if r == nil || r.run != p.Task.Run {
-		// Ordered by an earlier leader, or by this one before the worker was dropped.
-		return o.Fence >= s.term*worker.FencesPerTerm
+		// Ordered by an earlier leader or session, or by this one before the worker was dropped.
+		return o.Fence >= w.track.FirstFence()
 	}
 	switch {
 	case o.Fence > r.fence:
--- a/process/jobs/services.go
+++ b/process/jobs/services.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
@@ -44,6 +45,18 @@
 	return e.Reason + "; retry shortly, at this or another node"
 }
 
+// UnstorableError reports a change that the log can't hold. It changed nothing, and would
+// be rejected again.
+type UnstorableError struct{ Err error }
+
+// Error implements error.
+func (e *UnstorableError) Error() string {
+	return fmt.Sprintf("the change can't be stored: %v; send a smaller or well-formed one", e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *UnstorableError) Unwrap() error { return e.Err }
+
 // InvalidError reports a change that can't be accepted.
 type InvalidError struct{ Reason string }
 
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
@@ -17,9 +16,7 @@
 // Timings and limits of a session.
 const (
 	roundInterval     = 8 * time.Millisecond // between rounds
-	commitTimeout     = 4 * time.Second      // after which the outcome of a commit counts as unknown
 	eventQueue        = 8192
-	maxBatchEntries   = 2048
 	jobExpiryInterval = 5 * time.Second
 	// replanInterval is the time after which the leader plans again even if nothing
 	// was committed: workers also become usable as time passes.
@@ -42,12 +39,13 @@
 	relays          *relayedSender // nil if this process sends all orders itself
 	began           time.Duration
 	batch           []*jobpb.Entry
+	batchBytes      int                             // encoded size of batch
 	waiters         []func(applied bool, err error) // callbacks of batch's entries; an element may be nil
 	inFlight        bool
 	dirty           bool          // the state may have changed since the last plan
 	nextPlanAt      time.Duration // time of the next plan if nothing changes
 	workers         map[string]*workerState
-	fences          map[string]uint64 // lowest fence to use for a worker, by id, if it registers again
+	fences          *fenceRecord
 	queues          map[string]*jobpb.Queue
 	queuesVersion   uint64 // configuration version that queues was built from
 	pendingStarts   startSet
@@ -61,12 +59,14 @@
 	holdInterval    time.Duration // between two hold orders to one worker
 }
 
-func newSession(c *Control, term uint64) *session {
+// newSession returns a session of a term. earlier holds the fences of this process's
+// last session, nil if there was none.
+func newSession(c *Control, term uint64, earlier *fenceRecord) *session {
 	ctx, cancel := context.WithCancel(c.ctx)
 	s := &session{
 		c: c, term: term, ctx: ctx, cancel: cancel, log: c.log.With().Uint64("term", term).Logger(),
 		done: make(chan struct{}), events: make(chan func(), eventQueue),
-		began: c.o.Clock.Now(), workers: map[string]*workerState{}, fences: map[string]uint64{},
+		began: c.o.Clock.Now(), workers: map[string]*workerState{}, fences: continueFences(earlier, term),
 		queues: map[string]*jobpb.Queue{}, pendingStarts: startSet{}, estimate: schedule.NewEstimates(), dirty: true,
 	}
 	s.sender = c.o.Workers
@@ -74,6 +74,7 @@
 	s.moves = newMoveDriver(s)
 	s.advice = newAdviceDriver(s)
 	s.view(func(st *state.Store) { s.orderGate = newOrderGate(st, s.began, c.o.Bounds.OrderGap, s.nowMs()) })
+	s.log.Info().Uint64("session", s.fences.session).Int("workers_with_fences", len(s.fences.next)).Msg("session begins")
 	return s
 }
 
@@ -146,67 +147,12 @@
 	s.removeExpiredJobs(now)
 	s.upkeep.round(now)
 	s.moves.round(now)
-	// All starts of a plan must fit into the next entry: a later plan would not see
-	// those left over.
-	if (s.dirty || now >= s.nextPlanAt) && len(s.batch)+schedule.MaxStartsPerPlan <= maxBatchEntries {
+	if (s.dirty || now >= s.nextPlanAt) && s.batchHoldsPlan() {
 		s.plan(now)
 	}
 	s.commit()
 }
 
-// add puts a change into the next log entry. onResult is called on the session's
-// goroutine once the outcome is known; it may be nil.
-func (s *session) add(e *jobpb.Entry, onResult func(applied bool, err error)) {
-	s.batch = append(s.batch, e)
-	s.waiters = append(s.waiters, onResult)
-}
-
-func (s *session) commit() {
-	if len(s.batch) == 0 {
-		return
-	}
-	n := min(len(s.batch), maxBatchEntries)
-	entries, waiters := s.batch[:n:n], s.waiters[:n:n]
-	s.batch, s.waiters = s.batch[n:], s.waiters[n:]
-	data, err := proto.Marshal(&jobpb.Command{Entries: entries})
-	if err != nil {
-		s.log.Error().Err(err).Msg("changes cannot be encoded: they are dropped")
-		s.notifyWaiters(waiters, nil, err)
-		return
-	}
-	s.inFlight = true
-	sent := s.now()
-	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, commitTimeout)
-		defer cancel()
-		result, err := s.c.group.Propose(ctx, data)
-		s.post(func() {
-			s.inFlight, s.dirty = false, true
-			s.c.metrics.commitSeconds.Observe((s.now() - sent).Seconds())
-			s.notifyWaiters(waiters, result, err)
-		})
-	}()
-}
-
-// notifyWaiters calls the callbacks of a log entry with its outcome. After an error
-// the session ends, since the entry may still be applied; the next session reads
-// from the log whether it was.
-func (s *session) notifyWaiters(waiters []func(bool, error), result []byte, err error) {
-	r := &jobpb.Result{}
-	if err == nil {
-		err = proto.Unmarshal(result, r)
-	}
-	if err != nil {
-		s.log.Warn().Err(err).Int("changes", len(waiters)).Msg("commit was not confirmed: the session ends")
-		s.broken.Store(true)
-	}
-	for i, onResult := range waiters {
-		if onResult != nil {
-			onResult(err == nil && i < len(r.Applied) && r.Applied[i], err)
-		}
-	}
-}
-
 // failWaiters reports an error to all waiters that remain when the session ends.
 func (s *session) failWaiters() {
 	err := &UnavailableError{Reason: "this process no longer leads"}
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -201,12 +201,12 @@
 		o: ControlOptions{Name: fmt.Sprint("c-", s.term.Load()), Workers: s, Machines: s, Clock: simClock{s.began},
 			Bounds: Bounds{Lease: worker.LeaseTiming{Lease: simLease, MaxLease: 10 * time.Second}, ReportInterval: simReportInterval,
 				JobRetention: time.Hour, OrderGap: simLeaderGap}}}
-	c.session = newSession(c, s.term.Load())
+	c.session = newSession(c, s.term.Load(), nil)
 	var names []string
 	for _, r := range s.relays {
 		names = append(names, r.name)
 	}
-	c.session.useRelays(newRelayedSender(c.session.term, s, s.sendToRelay, func() []string { return names }, c.Leads, c.o.Clock, c.log))
+	c.session.useRelays(newRelayedSender(c.session.term, &c.numbers, s, s.sendToRelay, func() []string { return names }, c.Leads, c.o.Clock, c.log))
 	go c.session.relays.run(c.session.ctx)
 	go c.session.run()
 	s.mu.Lock()
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -27,12 +27,14 @@
 	var busy *consensus.BusyError
 	var large *storage.TooLargeError
 	var unavailable *UnavailableError
+	var unstorable *UnstorableError
 	var unknown *replica.OutcomeUnknownError
 	if errors.As(err, &unknown) {
 		return false
 	}
 	return errors.As(err, &notLeader) || errors.As(err, &notProposed) || errors.As(err, &stopped) ||
-		errors.As(err, &busy) || storage.Retryable(err) || errors.As(err, &large) || errors.As(err, &unavailable)
+		errors.As(err, &busy) || storage.Retryable(err) || errors.As(err, &large) || errors.As(err, &unavailable) ||
+		errors.As(err, &unstorable)
 }
 
 // proposeChange puts a change into the log and waits for its outcome. After an error
@@ -125,9 +127,13 @@
 	return &jobpb.Response{}
 }
 
-// failureResponse answers a change that failed: refused if it is never applied, else
-// with an unknown outcome.
+// failureResponse answers a change that failed: invalid if it can never be stored, refused
+// if it is never applied, else with an unknown outcome.
 func failureResponse(err error) *jobpb.Response {
+	var unstorable *UnstorableError
+	if errors.As(err, &unstorable) {
+		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: err.Error()}
+	}
 	if neverApplied(err) {
 		return &jobpb.Response{Outcome: jobpb.Response_REFUSED, Reason: err.Error(), RetryAfterMs: retryAfterMs}
 	}
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -36,7 +36,7 @@
 	}
 	machines := &recordingMachines{orders: make(chan string, 8)}
 	s := &session{sender: &recordingWorkers{}, c: &Control{o: ControlOptions{Clock: replica.BootClock(), Machines: machines}, metrics: newControlMetrics()},
-		ctx: t.Context(), events: make(chan func(), 8), log: zerolog.Nop(), workers: map[string]*workerState{}}
+		ctx: t.Context(), events: make(chan func(), 8), log: zerolog.Nop(), workers: map[string]*workerState{}, fences: continueFences(nil, 1)}
 	for i, id := range []string{"w-0", "w-1"} {
 		ref := &jobpb.TaskRef{Job: "job", Index: uint32(i)}
 		info := &jobpb.Worker{Id: id, Pool: "pool"}
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -80,9 +80,7 @@
 func (s *session) trackWorker(info *jobpb.Worker, earlier bool) *workerState {
 	w := &workerState{info: info, inherited: earlier, sequence: info.Sequence, knownSince: s.now(), draining: info.Draining, runs: runSet{}, listedRuns: map[state.TaskKey]orders.Run{}}
 	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
-	for w.track.Fence() < s.fences[info.Id] {
-		w.track.RaiseFence()
-	}
+	w.track.RaiseFenceTo(s.fences.next[info.Id])
 	s.workers[info.Id] = w
 	return w
 }
@@ -92,7 +90,7 @@
 // at once.
 func (s *session) raiseFence(w *workerState) {
 	w.track.RaiseFence()
-	s.fences[w.info.Id] = w.track.Fence()
+	s.fences.use(w.info.Id, w.track.Fence())
 	w.nextHold = 0
 }
 
@@ -153,7 +151,7 @@
 	id, born := w.info.Id, w.info.BornMs
 	s.add(&jobpb.Entry{Change: &jobpb.Entry_Gone{Gone: &jobpb.WorkerGone{Id: id, BornMs: born, AtMs: s.nowMs()}}}, func(bool, error) {
 		if s.workers[id] == w {
-			s.fences[id] = w.track.Fence() + 1
+			s.fences.use(id, w.track.Fence())
 			delete(s.workers, id)
 		}
 	})
