Free the runs of a leaving worker only once its end is proved

One second after the DELETE its tasks started on another executor while they still ran on it.

Cause: Leave recorded the time of the announcement, and dropIfExpired dropped the worker a second later. An announcement proves no end: the executor goes only when it is confirmed, or some seconds later.

Change: the package job/evidence says what proves that a run is not at work and can't begin any more; lists of runs and the end of a process are judged there and nowhere else, and the log names the proof. After its announcement a worker gets no more leases, and its runs are stopped if it is draining. It is dropped when its leases have lapsed, when the machine service lists its machine without it, or when two calls in a row find no process of its id at its address (connection refused or another instance), which is soon after a confirmed exit. A later report of the same process that it is ready withdraws the announcement: that was an earlier process's, since a DELETE names no process.

The simulation's workers serve on for up to 4 s after half of their announcements.

--- /dev/null
+++ b/job/evidence/evidence_test.go
@@ -0,0 +1,72 @@
+package evidence
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a run that is taken for ended because a list lacks it, although the list
+// may be cut off, older than the run, or overtaken by the run's order.
+func TestAbsenceFromAListProvesTooLittle(t *testing.T) {
+	whole := List{Complete: true, Fence: 12, FirstFence: 10, RequestedAt: 5 * time.Second}
+	for name, c := range map[string]struct {
+		order Order
+		list  func(*List)
+		want  Kind
+	}{
+		"ordered before the process was tracked": {want: Superseded},
+		"the same, with a list of an earlier fence": {
+			list: func(l *List) { l.Fence = 9 }},
+		"order under a lower fence":          {order: Order{Tracked: true, Fence: 11}, want: Superseded},
+		"order under the same fence":         {order: Order{Tracked: true, Fence: 12}},
+		"order under a later fence":          {order: Order{Tracked: true, Fence: 13}},
+		"start confirmed before the request": {order: Order{Tracked: true, Fence: 12, StartConfirmedAt: 4 * time.Second}, want: StartSettled},
+		"start confirmed after the request":  {order: Order{Tracked: true, Fence: 12, StartConfirmedAt: 6 * time.Second}},
+		"stop confirmed before the request":  {order: Order{Tracked: true, Fence: 12, StopConfirmedAt: 4 * time.Second}, want: StopSettled},
+		"stop confirmed after the request":   {order: Order{Tracked: true, Fence: 12, StopConfirmedAt: 6 * time.Second}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := whole
+			if c.list != nil {
+				c.list(&l)
+			}
+			is.Equal(FromList(c.order, l), c.want)
+			l.Complete = false
+			is.Equal(FromList(c.order, l), None) // the rest of the list may name the run
+		})
+	}
+}
+
+// Guards against a process that is taken for ended because it said that it would exit, or
+// because it is silent, while its runs may be at work; and against waiting for ever.
+func TestAnnouncementAndSilenceProveNoEnd(t *testing.T) {
+	const now = 20 * time.Second
+	running := Process{Placed: 3, LeasesExpireBy: now + time.Second, MaxSilence: 4 * time.Second, AnnouncedFor: 10 * time.Second}
+	for name, c := range map[string]struct {
+		change func(*Process)
+		want   Kind
+	}{
+		"nothing happened":         {change: func(*Process) {}},
+		"announced":                {change: func(p *Process) { p.ExitAnnounced = true }},
+		"announced, one reset":     {change: func(p *Process) { p.ExitAnnounced, p.ClosedPortSeen = true, 1 }},
+		"announced, closed port":   {change: func(p *Process) { p.ExitAnnounced, p.ClosedPortSeen = true, 2 }, want: PortClosed},
+		"closed port alone":        {change: func(p *Process) { p.ClosedPortSeen = 9 }},
+		"announced and lapsed":     {change: func(p *Process) { p.ExitAnnounced, p.LeasesExpireBy = true, now-1 }, want: LeasesLapsed},
+		"announced without runs":   {change: func(p *Process) { p.ExitAnnounced, p.Placed = true, 0 }, want: NoRuns},
+		"silent":                   {change: func(p *Process) { p.SilentFor = time.Minute }},
+		"silent and lapsed":        {change: func(p *Process) { p.SilentFor, p.LeasesExpireBy = time.Minute, now-1 }, want: LeasesLapsed},
+		"lapsed but in contact":    {change: func(p *Process) { p.LeasesExpireBy = now - 1 }},
+		"listed as ended":          {change: func(p *Process) { p.ListedAsEnded = true }, want: MachineEnded},
+		"just announced, no runs":  {change: func(p *Process) { p.ExitAnnounced, p.Placed, p.AnnouncedFor = true, 0, time.Millisecond }},
+		"without runs, not silent": {change: func(p *Process) { p.Placed = 0 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := running
+			c.change(&p)
+			is.New(t).Equal(FromProcess(p, now), c.want)
+		})
+	}
+}
--- a/job/orders/orders.go
+++ b/job/orders/orders.go
@@ -99,7 +99,11 @@
 
 // NotSentError reports an order that was not sent, since no connection could be
 // opened. It is never carried out.
-type NotSentError struct{ Err error }
+type NotSentError struct {
+	Err error
+	// ClosedPort reports that no process listens at the worker's address.
+	ClosedPort bool
+}
 
 // Error implements error.
 func (e *NotSentError) Error() string {
@@ -116,6 +120,14 @@
 	return errors.As(err, &refused) || errors.As(err, &notSent)
 }
 
+// NoProcess reports whether a failed order shows that the worker's process does not listen
+// at its address: nothing does, or another process.
+func NoProcess(err error) bool {
+	var refused *RefusedError
+	var notSent *NotSentError
+	return errors.As(err, &refused) && refused.Reason == RefusedOtherProcess || errors.As(err, &notSent) && notSent.ClosedPort
+}
+
 // Workers sends orders to workers. After a RefusedError or a NotSentError the order
 // is never carried out; after any other error it may be, also at a later time.
 type Workers interface {
--- a/process/jobs/registry.go
+++ b/process/jobs/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/state"
@@ -48,6 +49,7 @@
 		w.sequence = r.Sequence
 		w.setReported(now, r.ClockMs)
 		w.track.SampleClock(now, r.ClockMs)
+		s.withdrawExit(w, now, r)
 		if w.draining {
 			r.Worker.Draining = true
 		}
@@ -97,17 +99,33 @@
 	})
 }
 
-// Leave handles a worker's announcement that its process exits now.
+// Leave handles a worker's announcement that its process exits. The process may serve on
+// for a while, for example if the confirmation is lost, so that this proves no end of its
+// runs: they get no more leases, and are stopped if the worker is draining.
 func (c *Control) Leave(ctx context.Context, id string) error {
 	s, err := c.leaderSession()
 	if err != nil {
 		return err
 	}
 	s.post(func() {
-		if w := s.workers[id]; w != nil {
-			w.leftAt, w.announcedExit = s.now(), true
-			s.log.Info().Str("worker", id).Msg("worker announced that its process exits")
+		if w := s.workers[id]; w != nil && !w.announcedExit {
+			w.announcedExit = true
+			if w.leftAt == 0 {
+				w.leftAt = s.now()
+			}
+			s.log.Info().Str("worker", id).Int64("born_ms", w.info.BornMs).Bool("draining", w.draining).Msg("worker announced that its process exits")
 		}
 	})
 	return nil
 }
+
+// withdrawExit forgets an announced exit if the process reports later that it is ready:
+// the announcement was that of an earlier process with the same id.
+func (s *session) withdrawExit(w *workerState, now time.Duration, r Report) {
+	if !w.announcedExit || w.listedAsEnded || w.draining || r.Worker.Draining || w.track.SentBy(now, r.ClockMs) <= w.leftAt {
+		return
+	}
+	w.announcedExit, w.leftAt = false, 0
+	s.log.Warn().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Uint64("sequence", r.Sequence).
+		Msg("announced exit withdrawn: the worker reports later that it is ready")
+}
--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -5,10 +5,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
+	"marjoramtiller.example/marjoramtiller/job/worker"
 )
 
 // newReportFixture returns the session of a new leader; an earlier one has registered a
@@ -87,3 +90,91 @@
 	s.report(Report{Worker: info, Sequence: 10, ClockMs: 9000}, make(chan error, 1))
 	is.True(s.isUsable("w"))
 }
+
+// newLeavingFixture returns the session of a leader, one of its workers, which runs a task
+// under a lease of 4 s, and the time at which the worker has announced its exit.
+func newLeavingFixture(t *testing.T, draining bool) (*session, *workerState, time.Duration) {
+	t.Helper()
+	s := newUpkeepFixture(t).session
+	s.c.session = s
+	s.c.o.Bounds.ReportInterval = time.Second
+	w := s.workers["w-0"]
+	now := s.now()
+	w.draining = draining
+	w.track = worker.New(worker.LeaseTiming{Lease: 4 * time.Second, MaxLease: 10 * time.Second}, 1, 0, now, false)
+	w.track.SampleClock(now, 1000)
+	w.track.Grant(now)
+	if err := s.c.Leave(t.Context(), "w-0"); err != nil {
+		t.Fatal(err)
+	}
+	(<-s.events)()
+	return s, w, now
+}
+
+// dropped reports whether the leader drops a worker, and so frees its runs, at a time.
+func (s *session) dropped(w *workerState, now time.Duration) (dropped bool) {
+	s.view(func(*state.Store) {
+		dropped = s.dropIfEnded(now, w, s.c.store.Placements(w.info.Id))
+	})
+	return dropped
+}
+
+// Guards against the tasks of a worker that start elsewhere because it has announced its
+// exit: the confirmation may be lost, and it serves on for seconds.
+func TestAnnouncedExitFreesNoRuns(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newLeavingFixture(t, true)
+	w.track.SampleClock(now+2*time.Second, 3000) // it still answers
+	is.True(!s.dropped(w, now+2*time.Second))
+	is.True(!s.dropped(w, now+4*time.Second))
+	is.True(s.dropped(w, now+4200*time.Millisecond)) // no lease was granted since
+}
+
+// Guards against waiting for the leases of a worker that has exited as it announced, and
+// against an end that one closed port proves.
+func TestExitedWorkerIsDroppedOnceItsPortIsClosed(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newLeavingFixture(t, true)
+	refused := &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
+	w.countClosedPort(refused)
+	is.True(!s.dropped(w, now+time.Second))
+	w.countClosedPort(nil) // it answers
+	w.countClosedPort(refused)
+	is.True(!s.dropped(w, now+time.Second))
+	w.countClosedPort(&orders.RefusedError{Reason: orders.RefusedOtherProcess})
+	is.True(s.dropped(w, now+time.Second))
+}
+
+// Guards against runs that go on at a draining worker whose announced exit was not
+// confirmed, and against stops at a worker that may not have sent the announcement.
+func TestRunsOfALeavingWorkerAreStopped(t *testing.T) {
+	for _, draining := range []bool{true, false} {
+		is := is.New(t)
+		s, w, now := newLeavingFixture(t, draining)
+		s.view(func(st *state.Store) { s.stopEnded(now, w, st.Placements("w-0")) })
+		is.Equal(len(w.runs) == 1, draining)
+		s.sendHold(now+2*time.Second, w, true)
+		is.True(w.track.LeasesExpireBy() < now+4200*time.Millisecond) // no lease is granted
+	}
+}
+
+// Guards against a worker that is taken out of use by the late announcement of the process
+// that had its id before.
+func TestExitOfAnEarlierProcessIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newLeavingFixture(t, false)
+	report := func(clockMs int64) {
+		info := proto.Clone(w.info).(*jobpb.Worker)
+		s.report(Report{Worker: info, Sequence: w.sequence + 1, ClockMs: clockMs}, make(chan error, 1))
+	}
+	report(900) // sent before the announcement arrived
+	is.True(w.announcedExit)
+	w.leftAt = now - time.Second
+	report(1000)
+	is.True(!w.announcedExit)
+	is.Equal(w.leftAt, time.Duration(0))
+	leaving, other, _ := newLeavingFixture(t, true)
+	other.leftAt -= time.Second
+	leaving.report(Report{Worker: proto.Clone(other.info).(*jobpb.Worker), Sequence: 7, ClockMs: 1000}, make(chan error, 1))
+	is.True(other.announcedExit) // it was draining
+}
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"marjoramtiller.example/marjoramtiller/job/evidence"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
@@ -18,7 +19,7 @@
 	o := orders.HoldOrder{Fence: w.track.Fence(), LastSeen: w.track.LastLoggedEnd}
 	// The lease of a worker that did not answer is not extended: a grant would defer
 	// the time from which its runs are certain to have ended.
-	if running && !w.silent {
+	if running && !w.silent && !w.announcedExit {
 		if deadline, known := w.track.Grant(now); known {
 			o.DeadlineMs = deadline
 		}
@@ -47,6 +48,7 @@
 func (s *session) handleRunList(w *workerState, sent time.Duration, o orders.HoldOrder, list *orders.RunList, err error) {
 	now := s.now()
 	w.holding = false
+	w.countClosedPort(err)
 	if s.workers[w.info.Id] != w {
 		return
 	}
@@ -190,7 +192,7 @@
 }
 
 // reconcileRuns compares the runs that the log places on a worker with the list that
-// was requested at sent. It frees placed runs that are definitely not running and
+// was requested at sent. It frees placed runs that are proved not to run and
 // stops runs that the log does not place there.
 func (s *session) reconcileRuns(w *workerState, sent time.Duration, o orders.HoldOrder, list *orders.RunList, st *state.Store) {
 	placed := st.Placements(w.info.Id)
@@ -214,33 +216,23 @@
 		if listed[key] || s.pendingStarts.contains(key) {
 			continue
 		}
-		if s.definitelyNotRunning(w, key, p, sent, o) {
+		proof := evidence.FromList(w.orderOf(key, p), evidence.List{Complete: true, Fence: o.Fence, FirstFence: w.track.FirstFence(), RequestedAt: sent})
+		if proof != evidence.None {
 			s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Uint32("task", key.Index).Uint32("run", p.Task.Run).
-				Str("worker", w.info.Id).Uint64("fence", o.Fence).Msg("run is not at its worker and cannot begin there: it is free again")
+				Str("worker", w.info.Id).Uint64("fence", o.Fence).Str("proof", string(proof)).Msg("run is not at its worker and cannot begin there: it is free again")
 			w.runs.remove(key, p.Task.Run)
 			s.addNeverStarted(w.info.Id, p.Ref, p.Task.Run)
 		}
 	}
 }
 
-// definitelyNotRunning reports whether a placed run that is missing from a list is
-// not running and can't start any more: its order was superseded by a higher fence,
-// or its start or stop was confirmed before the list was requested.
-func (s *session) definitelyNotRunning(w *workerState, key state.TaskKey, p *state.Placement, sent time.Duration, o orders.HoldOrder) bool {
+// orderOf returns what is known of the orders for a placed run.
+func (w *workerState) orderOf(key state.TaskKey, p *state.Placement) evidence.Order {
 	r := w.runs[key]
 	if r == nil || r.run != p.Task.Run {
-		// Ordered by an earlier leader or session, or by this one before the worker was dropped.
-		return o.Fence >= w.track.FirstFence()
+		return evidence.Order{}
 	}
-	switch {
-	case o.Fence > r.fence:
-		return true
-	case r.startConfirmed && r.startConfirmedAt < sent:
-		return true
-	case r.stopConfirmedAt > 0 && r.stopConfirmedAt < sent:
-		return true
-	}
-	return false
+	return evidence.Order{Tracked: true, Fence: r.fence, StartConfirmedAt: r.startConfirmedAt, StopConfirmedAt: r.stopConfirmedAt}
 }
 
 // stopUnknownRun stops a run that the log does not place on the worker.
--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -19,6 +19,7 @@
 	simMaxOrderDelay   = 3 * time.Second
 	simReportInterval  = 500 * time.Millisecond
 	simMaintenanceTime = 2 * time.Second
+	simMaxExitDelay    = 4 * time.Second         // of a worker whose announced exit is not confirmed
 	simNoticeDelay     = 4500 * time.Millisecond // for the leader to notice that a task is unavailable without an order
 )
 
@@ -111,7 +112,7 @@
 	switch {
 	case w.unreachable() && w.exited && fault%2 == 0:
 		s.mu.Unlock()
-		return 0, &orders.NotSentError{Err: errors.New("connection refused")}
+		return 0, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
 	case w.unreachable(), s.faultsActive() && fault < 2: // lost
 		s.mu.Unlock()
 		<-ctx.Done()
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -132,7 +132,8 @@
 }
 
 // drain makes a machine's worker announce that it is leaving. After the given time
-// the worker exits and a new process starts on the machine.
+// the worker announces its exit, and a new process starts on the machine. The worker exits
+// with the confirmation, or, if that is lost, some time later.
 func (s *sim) drain(m *simMachine, after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -147,11 +148,21 @@
 			s.mu.Unlock()
 			return
 		}
-		w.crash(false)
 		c := s.control
 		s.mu.Unlock()
 		_ = c.Leave(context.Background(), w.id) // may fail: the leader then notices the exit later
-		s.startProcess(m)
+		if s.draw(2, "unconfirmed exit", w.id) == 0 {
+			time.Sleep(s.drawDuration(0, simMaxExitDelay, "exit", w.id))
+		}
+		s.mu.Lock()
+		ended := w.exited // by another fault, after which a new process starts
+		if !ended {
+			w.crash(false)
+		}
+		s.mu.Unlock()
+		if !ended {
+			s.startProcess(m)
+		}
 	})
 }
 
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -12,11 +12,12 @@
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
-// stopEnded stops the runs of jobs that have ended, and the runs of lasting steps
-// on workers that are draining.
+// stopEnded stops the runs of jobs that have ended, the runs of lasting steps on workers
+// that are draining, and all runs on a draining worker that has announced its exit.
 func (s *session) stopEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) {
 	for key, p := range placed {
-		if state.Ended(p.Job) || w.draining && p.Step.Lasting && s.upkeep.mayStop(p) {
+		leaves := w.draining && (w.announcedExit || p.Step.Lasting && s.upkeep.mayStop(p))
+		if state.Ended(p.Job) || leaves {
 			s.stopRun(now, w, key, p)
 		}
 	}
@@ -27,7 +28,8 @@
 func (s *session) stopRun(now time.Duration, w *workerState, key state.TaskKey, p *state.Placement) {
 	r := w.runs[key]
 	if r == nil || r.run != p.Task.Run {
-		r = &runState{run: p.Task.Run, fence: w.track.Fence()}
+		// Its start was ordered before this process was tracked, under a lower fence.
+		r = &runState{run: p.Task.Run, fence: w.track.FirstFence() - 1}
 		w.runs[key] = r
 	}
 	if r.stopSentAt > 0 && now < r.stopSentAt+stopRetry || s.pendingStarts.contains(key) {
@@ -52,6 +54,7 @@
 		clockMs, err := s.sender.Stop(ctx, to, o)
 		cancel()
 		s.post(func() {
+			w.countClosedPort(err)
 			s.sampleAnswerClock(w, clockMs, err)
 			s.logOrder("stop", w, task, run, err)
 			onAnswer(err == nil)
@@ -59,6 +62,16 @@
 	}()
 }
 
+// countClosedPort counts the calls in a row that found no process of the worker's id.
+func (w *workerState) countClosedPort(err error) {
+	switch {
+	case err == nil:
+		w.closedPorts = 0
+	case orders.NoProcess(err):
+		w.closedPorts++
+	}
+}
+
 func (s *session) logOrder(kind string, w *workerState, task *jobpb.TaskRef, run uint32, err error) {
 	level := zerolog.DebugLevel
 	if err != nil {
@@ -149,6 +162,7 @@
 	key := state.Key(start.Task)
 	now := s.now()
 	s.pendingStarts.removeRun(key, start.Run)
+	w.countClosedPort(err)
 	s.sampleAnswerClock(w, clockMs, err)
 	s.logOrder("start", w, start.Task, start.Run, err)
 	s.c.metrics.startSeconds.Observe((now - sent).Seconds())
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -373,10 +373,10 @@
 // machines that was requested at requestedAt.
 func (s *session) markWorkerEnded(id string, requestedAt time.Duration, m Machine) {
 	w := s.workers[id]
-	if w == nil || w.leftAt > 0 || requestedAt < w.track.LastContact {
+	if w == nil || w.listedAsEnded || requestedAt < w.track.LastContact {
 		return
 	}
 	s.log.Info().Str("worker", id).Str("machine", m.Name).Bool("up", m.Up).Str("listed_worker", m.WorkerID).
 		Dur("list_age", s.now()-requestedAt).Msg("worker has ended: its machine is listed without it")
-	w.leftAt = requestedAt - leaveGrace
+	w.leftAt, w.listedAsEnded = requestedAt, true
 }
--- a/process/jobs/worker_end.go
+++ b/process/jobs/worker_end.go
@@ -25,7 +25,7 @@
 		return endOrdered
 	case w.announcedExit || w.draining:
 		return endAnnounced
-	case w.leftAt > 0:
+	case w.listedAsEnded:
 		return endCrashed
 	}
 	return endLapsed
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/job/evidence"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
@@ -28,7 +29,6 @@
 	excludeAfterReports   = 2                      // report intervals without a report after which a worker gets no new tasks: its capacity may have shrunk
 	reportMargin          = 500 * time.Millisecond // for a report to arrive
 	dropAfterReports      = 3                      // report intervals without contact after which a worker is dropped, once its leases have expired
-	leaveGrace            = time.Second            // from a worker's announcement that it exits until it is dropped
 	refusedPause          = 300 * time.Millisecond // during which a worker that refused a start gets no other
 	failurePenalty        = 4 * time.Second        // during which a failed run counts against a worker
 )
@@ -46,13 +46,17 @@
 	pendingEnds int // batches of ends that are not committed yet
 	pausedUntil time.Duration
 	silent      bool // the last hold or start got no answer, or its machine is being moved
-	leftAt      time.Duration
-	inherited   bool   // registered in an earlier term
-	machine     string // the machine that a list named for it, empty before the first such list
-	absent      int    // lists in a row that do not name it and were requested since its last contact
+	// leftAt is when the worker announced that it exits or was listed as ended, 0 before.
+	// From then on it gets no new tasks.
+	leftAt    time.Duration
+	inherited bool   // registered in an earlier term
+	machine   string // the machine that a list named for it, empty before the first such list
+	absent    int    // lists in a row that do not name it and were requested since its last contact
 	// endOrdered reports that this leader has ordered an upkeep or a move of its machine.
 	endOrdered    bool
 	announcedExit bool
+	listedAsEnded bool // the machine service lists its machine without it
+	closedPorts   int  // calls in a row that found no process of its id at its address
 	endRecorded   bool
 	disconnected  bool          // the first order without an answer ended long before its timeout
 	recentStarts  []recentStart // the oldest first
@@ -109,7 +113,7 @@
 		for id, w := range s.workers {
 			placed := st.Placements(id)
 			s.removeSurvivedStarts(w)
-			if s.dropIfExpired(now, w, placed) {
+			if s.dropIfEnded(now, w, placed) {
 				continue
 			}
 			if stops {
@@ -132,21 +136,22 @@
 	return now - w.track.LastContact
 }
 
-// dropIfExpired drops a worker once none of its runs can still be running. It reports
-// whether the worker is being dropped.
-func (s *session) dropIfExpired(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) bool {
+// dropIfEnded drops a worker once it is proved that none of its runs is at work. It
+// reports whether the worker is being dropped.
+func (s *session) dropIfEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) bool {
 	if w.dropping {
 		return true
 	}
-	interval := s.c.o.Bounds.ReportInterval
-	exited := w.leftAt > 0 && now > w.leftAt+leaveGrace
-	expired := s.timeSinceContact(now, w) > dropAfterReports*interval && now > w.track.LeasesExpireBy()
-	if !exited && !expired {
+	proof := evidence.FromProcess(evidence.Process{
+		LeasesExpireBy: w.track.LeasesExpireBy(), SilentFor: s.timeSinceContact(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
+		ListedAsEnded: w.listedAsEnded, ExitAnnounced: w.announcedExit, ClosedPortSeen: w.closedPorts, Placed: len(placed), AnnouncedFor: now - w.leftAt,
+	}, now)
+	if proof == evidence.None {
 		return false
 	}
 	w.dropping = true
 	s.recordWorkerEnd(now, w, s.endCauseOf(w), placed)
-	s.log.Warn().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Dur("silent", s.timeSinceContact(now, w)).Bool("left", exited).Int("runs", len(placed)).
+	s.log.Warn().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Dur("silent", s.timeSinceContact(now, w)).Bool("left", w.leftAt > 0).Str("proof", string(proof)).Int("runs", len(placed)).
 		Msg("worker dropped: its leases have lapsed or it has ended")
 	id, born := w.info.Id, w.info.BornMs
 	s.add(&jobpb.Entry{Change: &jobpb.Entry_Gone{Gone: &jobpb.WorkerGone{Id: id, BornMs: born, AtMs: s.nowMs()}}}, func(bool, error) {
