Register a worker's later process only once its list settles the runs of the earlier one

Four starts that were meant for the earlier life began in the new one, and began on another executor as well when the new life became known.

Cause: the registration of a later process frees all runs that are placed on the earlier one. An order names the id of a process, which both have; the later one has seen no fence and carries out what was meant for the earlier one. That the earlier process has ended proves nothing about such runs.

Change: a later process is tracked under a fence above all that its predecessor was sent, and is registered only once a list of its runs under that fence shows that no placed run is at work there. Related paths, same cause (what says which process an answer belongs to): - a start whose answer shows a clock behind that of the registered process is not taken for confirmed; the worker is asked for its list; - a hold acknowledges ends by their number, which a later process counts anew: last-seen is 0 unless the process has listed its runs within 500 ms; - leases in a later process can be of the longest kind, since deadlines of orders to its predecessor are times on another clock. The replicated state is unchanged, so that builds can be mixed.

--- a/job/orders/orders.go
+++ b/job/orders/orders.go
@@ -67,6 +67,9 @@
 	StartedMs int64 // when the worker's process started; identifies the process
 	Running   []Run
 	Ended     []EndedRun
+	// EndsComplete reports that Ended holds every end after LastSeen of the hold; a list
+	// may be cut off.
+	EndsComplete bool
 }
 
 // Reason is why a worker or the machine service has refused an order.
--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -274,7 +274,8 @@
 		return false
 	}
 	if registered != nil && registered.BornMs < w.BornMs {
-		// A new process under the same id runs none of the tasks of its predecessor.
+		// The leader registers a new process under the same id once none of the placed
+		// tasks is at work there.
 		s.loseRuns(w.Id, 0)
 	}
 	s.workers[w.Id] = w
--- a/job/worker/worker.go
+++ b/job/worker/worker.go
@@ -12,6 +12,8 @@
 	// maxClockDrift is the largest fraction by which a worker's clock may run slower
 	// than real time.
 	maxClockDrift = 0.02
+	// clockTolerance is for the rounding of clocks.
+	clockTolerance = 50 * time.Millisecond
 	// FencesPerTerm is the number of fencing tokens that a term has for each worker.
 	FencesPerTerm = 1 << 12
 )
@@ -131,6 +133,26 @@
 // ClearUnanswered records that no unanswered order can take effect any more.
 func (w *Tracker) ClearUnanswered() { w.hasUnanswered = false }
 
+// ExpectForeignLeases records that the process may have carried out orders that were meant
+// for an earlier one under its id. Their deadlines are times on the earlier clock, so that
+// only the longest lease bounds them, counted from when such an order arrives.
+func (w *Tracker) ExpectForeignLeases() {
+	w.inheritedLeases = max(w.inheritedLeases, w.timing.MaxLease+w.timing.Lease)
+}
+
+// Precedes reports whether a process whose clock shows clockMs in the answer to an order
+// began later than this one: its clock is behind, and the answer can't be an older one.
+func (w *Tracker) Precedes(orderSent time.Duration, clockMs int64) bool {
+	if !w.clockKnown {
+		return false
+	}
+	earliest := w.clockAt(orderSent)
+	if before := w.sampledAt - orderSent; before > 0 {
+		earliest = w.clockMs - before.Milliseconds() // the clock does not run fast
+	}
+	return clockMs < earliest-clockTolerance.Milliseconds()
+}
+
 // LeasesExpireBy returns the time by which the leases of all runs of the worker have
 // expired if it receives no further order.
 func (w *Tracker) LeasesExpireBy() time.Duration {
--- a/process/jobs/registry.go
+++ b/process/jobs/registry.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
-	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
 // Report handles a worker's report. For a worker that is new or has changed, for
@@ -53,11 +52,20 @@
 		if w.draining {
 			r.Worker.Draining = true
 		}
-		if sameWorker(w.info, r.Worker) {
+		if w.predecessor != nil && !w.registering {
+			s.updateSuccessor(w, r, result)
+			return
+		}
+		if w.predecessor == nil && sameWorker(w.info, r.Worker) {
 			result <- nil
 			return
 		}
 	}
+	if w != nil && w.info.BornMs < r.Worker.BornMs {
+		r.Worker.Sequence = r.Sequence
+		s.succeed(w, r, result)
+		return
+	}
 	s.register(r, result)
 }
 
@@ -73,32 +81,42 @@
 	if w := s.workers[info.Id]; w != nil && info.Draining && w.info.BornMs == info.BornMs {
 		w.draining = true // excludes the worker from starts before the change is committed
 	}
-	if w := s.workers[info.Id]; w != nil && w.info.BornMs < info.BornMs {
-		s.view(func(st *state.Store) { s.recordWorkerEnd(s.now(), w, endRestarted, st.Placements(info.Id)) })
-	}
-	s.add(&jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: info}}, func(applied bool, err error) {
+	s.addRegistration(info, func(err error) {
 		result <- err
-		if err != nil || !applied {
-			return
-		}
 		w := s.workers[info.Id]
-		if w == nil || w.info.BornMs != info.BornMs {
-			if w != nil {
-				s.fences.use(info.Id, w.track.Fence())
-			}
-			w = s.trackWorker(info, false)
-		}
-		if !info.Unreported {
+		if err == nil && w != nil && w.info.BornMs == info.BornMs {
 			w.setReported(reportedAt, r.ClockMs)
+			w.track.SampleClock(s.now(), r.ClockMs)
 		}
-		w.info = info
-		w.draining = info.Draining
-		w.track.SampleClock(s.now(), r.ClockMs)
-		s.log.Info().Str("worker", info.Id).Int64("born_ms", info.BornMs).Str("pool", info.Pool).Bool("draining", info.Draining).
-			Str("address", info.Address).Msg("worker registered")
 	})
 }
 
+// addRegistration puts a worker's registration into the next log entry. It takes effect
+// here before onResult is called.
+func (s *session) addRegistration(info *jobpb.Worker, onResult func(err error)) {
+	s.add(&jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: info}}, func(applied bool, err error) {
+		if err == nil && applied {
+			s.applyRegistration(info)
+		}
+		onResult(err)
+	})
+}
+
+func (s *session) applyRegistration(info *jobpb.Worker) {
+	w := s.workers[info.Id]
+	if w == nil {
+		w = s.trackWorker(info, false)
+	}
+	if w.info.BornMs != info.BornMs {
+		return // a later process has been seen meanwhile
+	}
+	w.predecessor = nil
+	w.info = info
+	w.draining = w.draining || info.Draining
+	s.log.Info().Str("worker", info.Id).Int64("born_ms", info.BornMs).Str("pool", info.Pool).Bool("draining", info.Draining).
+		Str("address", info.Address).Msg("worker registered")
+}
+
 // Leave handles a worker's announcement that its process exits. The process may serve on
 // for a while, for example if the confirmation is lost, so that this proves no end of its
 // runs: they get no more leases, and are stopped if the worker is draining.
--- /dev/null
+++ b/process/jobs/restart_test.go
@@ -0,0 +1,160 @@
+package jobs
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/orders"
+	"marjoramtiller.example/marjoramtiller/job/state"
+)
+
+// restartFixture is a leader's session with a worker w-0, which runs task 0 of job. A later
+// process has reported under its id, born at 5 ms, and waits for its registration.
+type restartFixture struct {
+	*upkeepFixture
+	earlier, later *workerState
+	run            orders.Run
+	confirmed      chan error
+}
+
+func newRestartFixture(t *testing.T) *restartFixture {
+	t.Helper()
+	f := &restartFixture{upkeepFixture: newUpkeepFixture(t), confirmed: make(chan error, 4)}
+	f.session.c.o.Bounds.ReportInterval = time.Second
+	f.earlier = f.session.workers["w-0"]
+	f.run = orders.Run{Task: &jobpb.TaskRef{Job: "job"}, Run: 1}
+	f.report(false)
+	f.later = f.session.workers["w-0"]
+	return f
+}
+
+func (f *restartFixture) report(draining bool) {
+	info := &jobpb.Worker{Id: "w-0", Pool: "pool", BornMs: 5, CpuMillis: 1000, Draining: draining}
+	f.session.report(Report{Worker: info, Sequence: 1, ClockMs: 100}, f.confirmed)
+}
+
+// list has the later process answer a hold under a fence.
+func (f *restartFixture) list(fence uint64, list orders.RunList) {
+	list.StartedMs, list.ClockMs = 5, 200
+	f.session.handleRunList(f.later, f.session.now(), orders.HoldOrder{Fence: fence}, &list, nil)
+}
+
+// registrations returns the registrations in the batch.
+func (f *restartFixture) registrations() (list []*jobpb.Worker) {
+	for _, e := range f.session.batch {
+		if w := e.GetWorker(); w != nil {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+// Guards against the tasks of a process that has ended which start elsewhere while the
+// process that now has its id runs them: it has carried out orders that were meant for its
+// predecessor.
+func TestRunsAtALaterProcessAreNotFreed(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture(t)
+	is.True(f.later != f.earlier)
+	is.Equal(len(f.registrations()), 0)
+	is.True(!f.session.isUsable("w-0"))
+	fence := f.later.track.Fence()
+	is.True(fence > f.earlier.track.Fence())
+	f.list(fence, orders.RunList{EndsComplete: true, Running: []orders.Run{f.run}})
+	is.Equal(len(f.registrations()), 0)
+	key := state.Key(f.run.Task)
+	is.True(f.later.runs[key].stopSentAt > 0) // the log can't move it to the later process
+	f.list(f.earlier.track.Fence(), orders.RunList{EndsComplete: true})
+	is.Equal(len(f.registrations()), 0) // an order of its start may come after this list
+	is.Equal(len(f.confirmed), 0)
+	f.list(fence, orders.RunList{EndsComplete: true})
+	is.Equal(len(f.registrations()), 1)
+	f.list(fence, orders.RunList{EndsComplete: true})
+	is.Equal(len(f.registrations()), 1) // once
+	f.applyBatch()
+	is.NoErr(<-f.confirmed)
+	is.Equal(f.later.predecessor, nil)
+	is.True(f.session.isUsable("w-0"))
+}
+
+// Guards against a task that starts again after the later process has completed it, and
+// against a report that is confirmed before the log has what it says.
+func TestEndsAtALaterProcessAreRecorded(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture(t)
+	end := orders.EndedRun{Number: 1, Task: f.run.Task, Run: 1, How: jobpb.How_DONE}
+	f.list(f.later.track.Fence(), orders.RunList{EndsComplete: true, Ended: []orders.EndedRun{end}})
+	is.Equal(f.session.batch[0].GetEnd().GetHow(), jobpb.How_DONE)
+	is.Equal(len(f.registrations()), 1)
+	f.report(true) // while the registration is being committed
+	is.Equal(len(f.registrations()), 2)
+	is.True(f.registrations()[1].Draining)
+	is.Equal(len(f.confirmed), 0)
+	f.applyBatch()
+	is.Equal(len(f.confirmed), 2)
+	is.True(f.later.draining && f.later.info.Draining)
+}
+
+// Guards against waiting for a list of a process that is of no use to anybody: nothing was
+// placed on its predecessor, or it never lists its runs.
+func TestLaterProcessIsNotAwaitedForEver(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture(t)
+	f.session.report(Report{Worker: &jobpb.Worker{Id: "idle", BornMs: 1}, Sequence: 1}, f.confirmed)
+	f.applyBatch()
+	f.session.report(Report{Worker: &jobpb.Worker{Id: "idle", BornMs: 2}, Sequence: 1}, f.confirmed)
+	is.Equal(len(f.registrations()), 1)
+	f.session.c.o.Bounds.Lease.Lease, f.session.c.o.Bounds.Lease.MaxLease = 4*time.Second, 10*time.Second
+	f.session.report(Report{Worker: &jobpb.Worker{Id: "w-0", BornMs: 6}, Sequence: 1}, f.confirmed)
+	latest := f.session.workers["w-0"]
+	is.Equal(latest.predecessor, f.earlier)                             // not the one between them, which was never registered
+	is.True(!f.session.dropped(latest, f.session.now()+10*time.Second)) // it may hold a lease of the longest kind
+	f.session.batch = nil
+	is.True(f.session.dropped(latest, f.session.now()+15*time.Second))
+	gone := f.session.batch[len(f.session.batch)-1].GetGone()
+	is.Equal(gone.BornMs, f.earlier.info.BornMs) // the registered process, whose runs it frees
+}
+
+// Guards against a start that counts as confirmed by the registered process although
+// another one has answered it: the clock in the answer is that of a later process.
+func TestStartAnsweredByALaterProcessIsNotConfirmed(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	w := f.session.workers["w-0"]
+	now := f.session.now()
+	w.track.SampleClock(now, 60_000)
+	start := &jobpb.Start{Task: &jobpb.TaskRef{Job: "job"}, Run: 1, Worker: "w-0"}
+	fence := w.track.Fence()
+	for clockMs, sameProcess := range map[int64]bool{60_000: true, 59_990: true, 300: false} {
+		r := &runState{run: 1, fence: w.track.Fence(), sentAt: now}
+		f.session.handleStartAnswer(w, start, r, now, clockMs, nil)
+		is.Equal(r.startConfirmed, sameProcess)
+	}
+	is.Equal(w.track.Fence(), fence+1)
+	is.Equal(w.nextHold, time.Duration(0)) // its list tells which process it is
+}
+
+// Guards against a process that forgets ends which are not in the log: a hold meant for its
+// predecessor acknowledges ends by their number alone.
+func TestEndsAreAcknowledgedOnlyToAKnownProcess(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	workers := &recordingWorkers{}
+	f.session.sender = workers
+	w := f.session.workers["w-0"]
+	w.track.LastLoggedEnd = 57
+	lastSeen := func(now time.Duration) uint64 {
+		f.session.sendHold(now, w, true)
+		(<-f.session.events)()
+		return workers.lastHold().LastSeen
+	}
+	w.listedAt = 0
+	is.Equal(lastSeen(time.Hour), uint64(0)) // no list yet
+	w.listedAt = time.Hour
+	is.Equal(lastSeen(time.Hour+identityTimeout/2), uint64(57))
+	w.listedAt = time.Hour
+	is.Equal(lastSeen(time.Hour+2*identityTimeout), uint64(0)) // it may have started again
+}
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -16,10 +16,15 @@
 // sendHold sends a hold order: it requests the worker's list of runs and extends
 // their lease if there are any.
 func (s *session) sendHold(now time.Duration, w *workerState, running bool) {
-	o := orders.HoldOrder{Fence: w.track.Fence(), LastSeen: w.track.LastLoggedEnd}
+	o := orders.HoldOrder{Fence: w.track.Fence()}
+	// A process that has started meanwhile under the worker's id numbers its ends anew and
+	// would forget those up to LastSeen, which are not in the log.
+	if w.listedAt > 0 && now < w.listedAt+identityTimeout {
+		o.LastSeen = w.track.LastLoggedEnd
+	}
 	// The lease of a worker that did not answer is not extended: a grant would defer
 	// the time from which its runs are certain to have ended.
-	if running && !w.silent && !w.announcedExit {
+	if running && !w.silent && !w.announcedExit && w.predecessor == nil {
 		if deadline, known := w.track.Grant(now); known {
 			o.DeadlineMs = deadline
 		}
@@ -64,6 +69,7 @@
 		s.log.Info().Str("worker", w.info.Id).Msg("worker answers again")
 	}
 	w.silent, w.disconnected = false, false
+	w.listedAt = now
 	w.track.SampleClock(now, list.ClockMs)
 	w.nextHold = sent + s.holdInterval
 	if o.Fence == w.track.Fence() && !w.track.RunsListed {
@@ -74,6 +80,9 @@
 	s.view(func(st *state.Store) {
 		s.recordEnds(w, list, st)
 		s.reconcileRuns(w, sent, o, list, st)
+		if w.predecessor != nil {
+			s.settlePredecessor(w, sent, o, list, st.Placements(w.info.Id))
+		}
 	})
 }
 
@@ -106,17 +115,13 @@
 	w.nextHold = now + holdRetry
 }
 
-// registerNewProcess registers the new process that answers under a worker's id. It gets
-// no tasks before it has reported, as it may be of another kind.
+// registerNewProcess handles a list of a process other than the one that is tracked.
 func (s *session) registerNewProcess(w *workerState, list *orders.RunList) {
 	w.nextHold = s.now() + holdRetry
 	if list.StartedMs < w.info.BornMs || w.dropping {
 		return
 	}
-	s.log.Warn().Str("worker", w.info.Id).Int64("born_ms", list.StartedMs).Int64("known_ms", w.info.BornMs).Msg("worker was restarted: a new process answers under its id")
-	info := &jobpb.Worker{Id: w.info.Id, BornMs: list.StartedMs, Address: w.info.Address, Pool: w.info.Pool, Zone: w.info.Zone,
-		CpuMillis: w.info.CpuMillis, MemoryMb: w.info.MemoryMb, Gpus: w.info.Gpus, Labels: w.info.Labels, Unreported: true}
-	s.register(Report{Worker: info, ClockMs: list.ClockMs}, make(chan error, 1))
+	s.succeed(w, Report{Worker: unregistered(w.info, list.StartedMs), ClockMs: list.ClockMs}, make(chan error, 1))
 }
 
 // recordEnds puts the ends that a worker lists into the log. LastSeen, which lets
@@ -205,6 +210,9 @@
 		}
 	}
 	w.listedRuns = running
+	if w.predecessor != nil {
+		return
+	}
 	listed := make(map[state.TaskKey]bool, len(list.Ended))
 	for _, e := range list.Ended {
 		listed[state.Key(e.Task)] = true
@@ -216,7 +224,7 @@
 		if listed[key] || s.pendingStarts.contains(key) {
 			continue
 		}
-		proof := evidence.FromList(w.orderOf(key, p), evidence.List{Complete: true, Fence: o.Fence, FirstFence: w.track.FirstFence(), RequestedAt: sent})
+		proof := evidence.FromList(w.orderOf(key, p), w.listEvidence(sent, o, list))
 		if proof != evidence.None {
 			s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Uint32("task", key.Index).Uint32("run", p.Task.Run).
 				Str("worker", w.info.Id).Uint64("fence", o.Fence).Str("proof", string(proof)).Msg("run is not at its worker and cannot begin there: it is free again")
@@ -235,6 +243,11 @@
 	return evidence.Order{Tracked: true, Fence: r.fence, StartConfirmedAt: r.startConfirmedAt, StopConfirmedAt: r.stopConfirmedAt}
 }
 
+// listEvidence returns what makes a list of runs a proof.
+func (w *workerState) listEvidence(sent time.Duration, o orders.HoldOrder, list *orders.RunList) evidence.List {
+	return evidence.List{Complete: true, Fence: o.Fence, FirstFence: w.track.FirstFence(), RequestedAt: sent}
+}
+
 // stopUnknownRun stops a run that the log does not place on the worker.
 func (s *session) stopUnknownRun(w *workerState, r orders.Run) {
 	s.log.Warn().Str("request", r.Task.Job).Uint32("run", r.Run).Str("worker", w.info.Id).Msg("stopping a run that is not placed on this worker")
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -24,6 +24,7 @@
 	// the holds to one worker, divided by the number of processes that send them. It limits
 	// the rate of all holds to what these can send.
 	holdIntervalPerWorker = 600 * time.Microsecond
+	identityTimeout       = 500 * time.Millisecond // after a list of runs, for which no other process is expected at the worker's address
 	stopRetry             = 400 * time.Millisecond // between stops of the same run
 	probeAfterReports     = 2                      // report intervals without contact after which a worker without runs is asked for its list
 	excludeAfterReports   = 2                      // report intervals without a report after which a worker gets no new tasks: its capacity may have shrunk
@@ -42,6 +43,7 @@
 	reportedAt  time.Duration // when its last report arrived at a control process, 0 if none is known in this term
 	reportClock int64         // ms on its clock in that report, 0 if the report does not tell
 	holding     bool
+	listedAt    time.Duration // when its last list of runs arrived, 0 before the first
 	nextHold    time.Duration
 	pendingEnds int // batches of ends that are not committed yet
 	pausedUntil time.Duration
@@ -58,14 +60,18 @@
 	listedAsEnded bool // the machine service lists its machine without it
 	closedPorts   int  // calls in a row that found no process of its id at its address
 	endRecorded   bool
-	disconnected  bool          // the first order without an answer ended long before its timeout
-	recentStarts  []recentStart // the oldest first
-	draining      bool          // has announced that it is going to leave
-	dropping      bool
-	runs          runSet
-	listedRuns    map[state.TaskKey]orders.Run // the runs in the worker's last list
-	failures      []time.Duration
-	suspect       bool // too many of its runs are overdue
+	// predecessor is the registered process under the worker's id, nil if this one is.
+	predecessor        *workerState
+	registering        bool           // its registration is in the log's next entries
+	unconfirmedReports []chan<- error // of reports that wait for its registration
+	disconnected       bool           // the first order without an answer ended long before its timeout
+	recentStarts       []recentStart  // the oldest first
+	draining           bool           // has announced that it is going to leave
+	dropping           bool
+	runs               runSet
+	listedRuns         map[state.TaskKey]orders.Run // the runs in the worker's last list
+	failures           []time.Duration
+	suspect            bool // too many of its runs are overdue
 	// suspectAt is when it was last suspect, 0 if never.
 	suspectAt time.Duration
 }
@@ -118,7 +124,9 @@
 			}
 			if stops {
 				s.stopEnded(now, w, placed)
-				s.checkSpeed(now, w, placed)
+				if w.predecessor == nil {
+					s.checkSpeed(now, w, placed)
+				}
 			}
 			if len(placed) > 0 {
 				active++
@@ -150,10 +158,14 @@
 		return false
 	}
 	w.dropping = true
-	s.recordWorkerEnd(now, w, s.endCauseOf(w), placed)
+	registered := w
+	if w.predecessor != nil {
+		registered = w.predecessor
+	}
+	s.recordWorkerEnd(now, registered, s.endCauseOf(w), placed)
 	s.log.Warn().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Dur("silent", s.timeSinceContact(now, w)).Bool("left", w.leftAt > 0).Str("proof", string(proof)).Int("runs", len(placed)).
 		Msg("worker dropped: its leases have lapsed or it has ended")
-	id, born := w.info.Id, w.info.BornMs
+	id, born := w.info.Id, registered.info.BornMs
 	s.add(&jobpb.Entry{Change: &jobpb.Entry_Gone{Gone: &jobpb.WorkerGone{Id: id, BornMs: born, AtMs: s.nowMs()}}}, func(bool, error) {
 		if s.workers[id] == w {
 			s.fences.use(id, w.track.Fence())
@@ -169,7 +181,7 @@
 	probation := len(st.Suspects()) > 0
 	for id, w := range s.workers {
 		if !w.track.RunsListed || w.draining || w.silent || w.dropping || w.leftAt > 0 || now < w.pausedUntil ||
-			w.info.Unreported || w.reportAge(now) > reportTimeout(s.c.o.Bounds) || s.upkeep.cordoned(id) || s.moves.movePending(id) {
+			w.info.Unreported || w.predecessor != nil || w.reportAge(now) > reportTimeout(s.c.o.Bounds) || s.upkeep.cordoned(id) || s.moves.movePending(id) {
 			continue
 		}
 		sw := &schedule.Worker{ID: id, StartedMs: w.info.BornMs, Pool: w.info.Pool, Labels: w.info.Labels, Rack: rackOf(w.info.Labels),
