Take a list of runs for whole only if its ends can't have been cut off

By the time the next leader asked for the executor's list, over 500 tasks had ended; up to 600 of them ran again.

Cause: a list holds 500 ends at most. The leader took a run that was neither among the running nor among the listed ends for one that had never begun, and freed it. Its end came with a later list, which was acknowledged.

The zero value means that it may be cut off, also for a list of a relay of an older build. Only a complete list proves that a run it lacks is over (evidence.FromList). The rest of the ends come with the next holds, which acknowledge those that are in the log.

--- a/process/jobs/relay_codec.go
+++ b/process/jobs/relay_codec.go
@@ -39,7 +39,7 @@
 }
 
 func encodeRunList(l *orders.RunList) *jobpb.RunList {
-	list := &jobpb.RunList{ClockMs: l.ClockMs, StartedMs: l.StartedMs}
+	list := &jobpb.RunList{ClockMs: l.ClockMs, StartedMs: l.StartedMs, EndsComplete: l.EndsComplete}
 	for _, r := range l.Running {
 		list.Running = append(list.Running, &jobpb.ListedRun{Task: r.Task, Run: r.Run, Checkpoint: r.Checkpoint, Percent: int32(r.Percent), Load: r.Load})
 	}
@@ -54,7 +54,7 @@
 	if l == nil {
 		return nil
 	}
-	list := &orders.RunList{ClockMs: l.ClockMs, StartedMs: l.StartedMs}
+	list := &orders.RunList{ClockMs: l.ClockMs, StartedMs: l.StartedMs, EndsComplete: l.EndsComplete}
 	for _, r := range l.Running {
 		if r.GetTask() == nil {
 			return nil
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -245,7 +245,7 @@
 
 // listEvidence returns what makes a list of runs a proof.
 func (w *workerState) listEvidence(sent time.Duration, o orders.HoldOrder, list *orders.RunList) evidence.List {
-	return evidence.List{Complete: true, Fence: o.Fence, FirstFence: w.track.FirstFence(), RequestedAt: sent}
+	return evidence.List{Complete: list.EndsComplete, Fence: o.Fence, FirstFence: w.track.FirstFence(), RequestedAt: sent}
 }
 
 // stopUnknownRun stops a run that the log does not place on the worker.
--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -19,6 +19,7 @@
 	simMaxOrderDelay   = 3 * time.Second
 	simReportInterval  = 500 * time.Millisecond
 	simMaintenanceTime = 2 * time.Second
+	simEndsPerList     = 2                       // in a list of runs; more are listed once these are acknowledged
 	simMaxExitDelay    = 4 * time.Second         // of a worker whose announced exit is not confirmed
 	simNoticeDelay     = 4500 * time.Millisecond // for the leader to notice that a task is unavailable without an order
 )
@@ -276,7 +277,9 @@
 		}
 		list.Running = append(list.Running, orders.Run{Task: r.ref, Run: r.number, Percent: percent})
 	}
-	for i := w.lastSeen; i < uint64(len(w.ended)); i++ {
+	last := min(uint64(len(w.ended)), w.lastSeen+simEndsPerList)
+	list.EndsComplete = last < w.lastSeen+simEndsPerList
+	for i := w.lastSeen; i < last; i++ {
 		r := w.ended[i]
 		list.Ended = append(list.Ended, orders.EndedRun{Number: i + 1, Task: r.ref, Run: r.number, How: r.how})
 	}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -322,7 +322,10 @@
 	return len(e.unacknowledgedEnds) > 0
 }
 
-const fullPercent = 100
+const (
+	fullPercent = 100
+	endsPerList = 500 // the others are listed once these are acknowledged
+)
 
 func (e *Executor) runList() map[string]any {
 	e.mu.Lock()
@@ -336,7 +339,7 @@
 		}
 		running = append(running, []any{task, r.number, "", percent, 0})
 	}
-	for _, x := range e.unacknowledgedEnds {
+	for _, x := range e.unacknowledgedEnds[:min(len(e.unacknowledgedEnds), endsPerList)] {
 		finished = append(finished, []any{x.number, x.task, x.run, x.how, ""})
 	}
 	return map[string]any{"clock-ms": e.ClockMs(), "born": e.StartedMs, "running": running, "finished": finished}
