Read the list of machines entry by entry, so that an odd one does not hide the others

Reported by other operators: an odd entry of another writer, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or they stopped following it.

Here: yes, in part. No process ended, but the leader rejected the whole list of machines for one entry that it could not decode, so that upkeeps, moves and the detection of ended workers stopped for as long as the entry stood. A state that is not known counted as not up, which proved the end of the machine's worker.

A list with such entries does not show that a worker or a machine is gone: it may be the entry of that machine. The earlier entries of machines that it lacks are kept as not up.

The stand-in of the machine service and the simulation have such entries now.

--- a/process/jobs/crash_test.go
+++ b/process/jobs/crash_test.go
@@ -160,17 +160,39 @@
 			f := newUpkeepFixture(t)
 			lost := f.session.trackWorker(&jobpb.Worker{Id: "lost"}, inherited)
 			list := []Machine{{Name: "m-0", Up: true, WorkerID: "w-0"}, {Name: "m-1"}}
-			f.driver.applyList(lost.knownSince+listLag/2, list)
-			f.driver.applyList(lost.knownSince+listLag/2, list)
+			f.driver.applyWhole(lost.knownSince+listLag/2, list)
+			f.driver.applyWhole(lost.knownSince+listLag/2, list)
 			is.Equal(lost.leftAt, time.Duration(0)) // may be too new for these lists
-			f.driver.applyList(f.session.now()+2*listLag, list)
+			f.driver.applyWhole(f.session.now()+2*listLag, list)
 			is.Equal(lost.leftAt, time.Duration(0)) // missed by one list only
 			lost.track.SampleClock(f.session.now()+3*listLag, 9000)
-			f.driver.applyList(f.session.now()+2*listLag, list)
+			f.driver.applyWhole(f.session.now()+2*listLag, list)
 			is.Equal(lost.leftAt, time.Duration(0)) // in contact since
-			f.driver.applyList(f.session.now()+4*listLag, list)
-			f.driver.applyList(f.session.now()+5*listLag, list)
+			f.driver.applyWhole(f.session.now()+4*listLag, list)
+			f.driver.applyWhole(f.session.now()+5*listLag, list)
 			is.True(lost.leftAt != 0)
 		})
 	}
 }
+
+// Guards against a worker or a machine that is taken for gone because its entry in the list
+// of machines could not be read.
+func TestUnreadableEntryProvesNoEnd(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	f.driver.machine("m-1")
+	list := MachineList{Machines: []Machine{{Name: "m-0", Pool: "pool", Up: true, WorkerID: "w-0"}}, Unreadable: 1}
+	later := f.session.now() + 4*listLag
+	for i := range 3 * absentLists {
+		f.driver.applyList(later+time.Duration(i)*listLag, list)
+	}
+	is.Equal(f.session.workers["w-1"].listedAsEnded, false)
+	is.Equal(f.driver.listed["m-1"].WorkerID, "w-1") // as listed before
+	is.Equal(f.driver.machine("m-1").absent, 0)
+	list.Unreadable = 0
+	for i := range absentLists {
+		f.driver.applyList(later+time.Duration(i)*listLag, list)
+	}
+	is.Equal(f.session.workers["w-1"].listedAsEnded, true)
+	is.Equal(f.driver.machine("m-1").absent, absentLists)
+}
--- a/process/jobs/services.go
+++ b/process/jobs/services.go
@@ -16,9 +16,17 @@
 	WorkerID string
 }
 
+// MachineList is the machine service's list of machines.
+type MachineList struct {
+	Machines []Machine
+	// Unreadable is the number of entries that could not be read and are left out. Such a
+	// list does not show that a machine or a worker is gone.
+	Unreadable int
+}
+
 // Machines is the platform's machine service.
 type Machines interface {
-	List(ctx context.Context) ([]Machine, error)
+	List(ctx context.Context) (MachineList, error)
 	Move(ctx context.Context, machine, pool string, fence uint64) error
 	Upkeep(ctx context.Context, machine string, wave uint64, fence uint64) error
 }
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -22,15 +22,18 @@
 }
 
 // List implements Machines.
-func (s *sim) List(ctx context.Context) ([]Machine, error) {
+func (s *sim) List(ctx context.Context) (MachineList, error) {
 	s.mu.Lock()
-	var list []Machine
+	var list MachineList
 	for _, m := range s.machines {
 		lm := Machine{Name: m.name, Pool: "pool", Up: !m.out, Cores: simCPUMillis / 1000}
 		if m.worker != nil {
 			lm.WorkerID = m.worker.id
 		}
-		list = append(list, lm)
+		list.Machines = append(list.Machines, lm)
+	}
+	if s.faultsActive() && s.draw(4, "odd entry") == 0 {
+		list.Unreadable++ // of another writer; the others hold
 	}
 	s.mu.Unlock()
 	time.Sleep(s.drawDuration(time.Millisecond, 600*time.Millisecond, "list")) // the list is outdated when it is received
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -138,6 +138,10 @@
 				u.s.log.Warn().Err(err).Msg("list of machines could not be read from the machine service; it is requested again")
 				return
 			}
+			if list.Unreadable > 0 {
+				u.s.log.Warn().Int("unreadable", list.Unreadable).Int("machines", len(list.Machines)).
+					Msg("entries of the list of machines can't be read: the earlier ones of their machines are kept")
+			}
 			u.applyList(now, list)
 		})
 	}()
@@ -146,20 +150,30 @@
 // applyList stores a list of machines. A worker's process has ended if its machine is
 // listed as not up or with another worker, unless the worker was in contact after the
 // list was requested.
-func (u *upkeepDriver) applyList(requestedAt time.Duration, list []Machine) {
-	for _, m := range list {
+func (u *upkeepDriver) applyList(requestedAt time.Duration, list MachineList) {
+	for _, m := range list.Machines {
 		previous := u.listed[m.Name].WorkerID
 		if previous != "" && (m.WorkerID != previous || !m.Up) {
 			u.s.markWorkerEnded(previous, requestedAt, m)
 		}
 	}
-	u.endUnlistedWorkers(requestedAt, list)
-	u.countAbsent(list)
+	earlier := u.listed
+	u.listed = make(map[string]Machine, len(list.Machines))
+	if list.Unreadable == 0 {
+		u.endUnlistedWorkers(requestedAt, list.Machines)
+		u.countAbsent(list.Machines)
+	} else {
+		for name, m := range earlier {
+			m.Up = false // not known: the unreadable entry may be that of this machine
+			u.listed[name] = m
+		}
+	}
 	u.listedAt = requestedAt
-	u.listed = make(map[string]Machine, len(list))
-	u.byWorker = make(map[string]string, len(list))
-	for _, m := range list {
+	for _, m := range list.Machines {
 		u.listed[m.Name] = m
+	}
+	u.byWorker = make(map[string]string, len(u.listed))
+	for _, m := range u.listed {
 		u.byWorker[m.WorkerID] = m.Name
 		if w := u.s.workers[m.WorkerID]; w != nil {
 			w.machine = m.Name
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -50,7 +50,7 @@
 	s.orderGate = newOrderGate(st, 0, 0, 0)
 	s.moves = newMoveDriver(s)
 	s.upkeep = newUpkeepDriver(s)
-	s.upkeep.applyList(0, []Machine{{Name: "m-0", Pool: "pool", Up: true, WorkerID: "w-0"}, {Name: "m-1", Pool: "pool", Up: true, WorkerID: "w-1"}})
+	s.upkeep.applyWhole(0, []Machine{{Name: "m-0", Pool: "pool", Up: true, WorkerID: "w-0"}, {Name: "m-1", Pool: "pool", Up: true, WorkerID: "w-1"}})
 	return &upkeepFixture{store: st, session: s, driver: s.upkeep, orders: machines.orders}
 }
 
@@ -67,7 +67,7 @@
 // to orders.
 type recordingMachines struct{ orders chan string }
 
-func (m *recordingMachines) List(context.Context) ([]Machine, error) { return nil, nil }
+func (m *recordingMachines) List(context.Context) (MachineList, error) { return MachineList{}, nil }
 func (m *recordingMachines) Move(_ context.Context, machine, _ string, _ uint64) error {
 	m.orders <- machine
 	return nil
@@ -77,6 +77,11 @@
 	return nil
 }
 
+// applyWhole applies a list of machines of which every entry was read.
+func (u *upkeepDriver) applyWhole(requestedAt time.Duration, list []Machine) {
+	u.applyList(requestedAt, MachineList{Machines: list})
+}
+
 // applyBatch calls the waiters of the batch as if all its changes were applied.
 func (f *upkeepFixture) applyBatch() {
 	waiters := f.session.waiters
@@ -267,10 +272,10 @@
 	now := f.session.now()
 	for range absentLists {
 		is.True(!f.driver.removedFromList(now, "m-1"))
-		f.driver.applyList(now, whole[:1])
+		f.driver.applyWhole(now, whole[:1])
 	}
 	is.True(f.driver.removedFromList(now, "m-1"))
-	f.driver.applyList(now, whole)
+	f.driver.applyWhole(now, whole)
 	is.True(!f.driver.removedFromList(now, "m-1"))
 }
 
--- a/standin/executor/machines.go
+++ b/standin/executor/machines.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -15,6 +16,8 @@
 	Address string
 	// OnExecutorEnd is called when a move or an upkeep ends a machine's executor.
 	OnExecutorEnd func(machine, executor string)
+	// OddEntries are entries of another writer, which the list holds before the others.
+	OddEntries []json.RawMessage
 	// ListDelay is the age of a machine list when it is returned.
 	ListDelay time.Duration
 	// LoseAnswer reports whether the connection of an order that was carried out is
@@ -81,13 +84,23 @@
 
 func (m *Machines) serveList(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
-	list := make([]Machine, len(m.machines))
-	for i, x := range m.machines {
-		list[i] = *x
+	var entries [][]byte
+	for _, odd := range m.OddEntries {
+		entries = append(entries, odd)
+	}
+	for _, x := range m.machines {
+		entry, err := json.Marshal(x)
+		if err != nil {
+			panic(err) // the type can be encoded
+		}
+		entries = append(entries, entry)
 	}
 	m.mu.Unlock()
 	time.Sleep(m.ListDelay)
-	_ = json.NewEncoder(w).Encode(map[string]any{"machines": list, "next-page-token": nil})
+	// Odd entries may be nested too deeply for the encoder.
+	_, _ = w.Write([]byte(`{"machines":[`))
+	_, _ = w.Write(bytes.Join(entries, []byte(",")))
+	_, _ = w.Write([]byte(`],"next-page-token":null}`))
 }
 
 func (m *Machines) serveOrder(w http.ResponseWriter, r *http.Request) {
