Keep a replica running when its disk is full at the removal of old log segments

Reported by other operators: disks of counted machines were full one after another, and long after the last had room again changes were refused or stayed unanswered, while all processes ran.

Here: not in that form.

With a full disk there the error was not taken for retryable and the replica ended.

--- a/process/replica/fault_test.go
+++ b/process/replica/fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -23,12 +24,14 @@
 	storage.OS
 	mu       sync.Mutex
 	full     bool
+	fullFor  string // the disk is full only for files whose names begin so
 	failSync bool
 }
 
 type faultyFile struct {
 	storage.File
-	fs *faultyFS
+	fs   *faultyFS
+	name string
 }
 
 func (f *faultyFS) setFaults(full, failSync bool) {
@@ -37,19 +40,26 @@
 	f.full, f.failSync = full, failSync
 }
 
+// setFullFor makes the disk full for the files whose names begin with a prefix.
+func (f *faultyFS) setFullFor(prefix string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.full, f.fullFor = prefix != "", prefix
+}
+
 func (f *faultyFS) Append(name string) (storage.File, error) {
 	file, err := f.OS.Append(name)
-	return &faultyFile{file, f}, err
+	return &faultyFile{file, f, filepath.Base(name)}, err
 }
 
 func (f *faultyFS) Create(name string) (storage.File, error) {
 	file, err := f.OS.Create(name)
-	return &faultyFile{file, f}, err
+	return &faultyFile{file, f, filepath.Base(name)}, err
 }
 
 func (f *faultyFile) Write(p []byte) (int, error) {
 	f.fs.mu.Lock()
-	full := f.fs.full
+	full := f.fs.full && strings.HasPrefix(f.name, f.fs.fullFor)
 	f.fs.mu.Unlock()
 	if full {
 		n, _ := f.File.Write(p[:len(p)/2])
@@ -135,6 +145,92 @@
 	})
 }
 
+// Guards against a group that refuses changes, or leaves them unanswered, after the disks
+// of its replicas were full one after another, never two at once, and all have room again.
+func TestDisksFullOneAfterAnother(t *testing.T) {
+	for _, voters := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d", "e"}} {
+		t.Run(fmt.Sprint(len(voters)), func(t *testing.T) {
+			is := is.New(t)
+			c, disks := faultyCluster(t, voters...)
+			random := rand.New(rand.NewPCG(1, uint64(len(voters))))
+			n := 0
+			propose := func(count int) {
+				for range count {
+					c.proposeWhileDisksFill(fmt.Sprint(n))
+					n++
+				}
+			}
+			propose(5)
+			for round := range 2 {
+				order := random.Perm(len(voters))
+				if round > 0 { // the leader's disk, then that of its successor, and so on
+					order = order[:len(voters)-1]
+				}
+				for _, k := range order {
+					name := voters[k]
+					if round > 0 {
+						name = c.leader().Status().ID
+					}
+					disks[name].setFaults(true, false)
+					propose(10 + random.IntN(30)) // across snapshots, which come every 20 entries
+					disks[name].setFaults(false, false)
+				}
+			}
+			c.propose("last")
+			for _, name := range voters {
+				c.eventually(name+" has all commands", func() bool {
+					r := c.replicas[name]
+					list := appliedCommands(r)
+					return r.Status().Err == nil && !r.Status().DiskFull && len(list) == n+1 && list[n] == "last"
+				})
+			}
+			is.NoErr(c.leader().ReadBarrier(t.Context()))
+		})
+	}
+}
+
+// proposeWhileDisksFill retries a command until it is acknowledged. Each attempt ends after
+// a short time, as those of a caller do: one at a leader whose disk is full has no outcome.
+func (c *cluster) proposeWhileDisksFill(command string) {
+	c.t.Helper()
+	c.eventually("acknowledged: "+command, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), shortElectionTimeout)
+		defer cancel()
+		_, err := c.leader().Propose(ctx, []byte(command))
+		var fatal *StoppedError
+		if errors.As(err, &fatal) {
+			c.t.Fatalf("propose %s: %v", command, err)
+		}
+		return err == nil
+	})
+}
+
+// Guards against a replica that ends because its disk fills up after a snapshot was stored
+// and before the log segments that it covers are removed.
+func TestFullDiskAfterSnapshotKeepsTheReplica(t *testing.T) {
+	is := is.New(t)
+	c, disks := faultyCluster(t, "a")
+	r := c.leader()
+	// The log has two segments before a snapshot is due, which comes with the 20th entry.
+	large := strings.Repeat("x", 64<<10)
+	propose := func(from, to int) {
+		for i := from; i < to; i++ {
+			c.propose(large + fmt.Sprint(i))
+		}
+	}
+	propose(0, 18)
+	is.Equal(r.Status().Snapshots, uint64(0))
+	disks["a"].setFullFor("manifest")
+	propose(18, 22)
+	c.eventually("a snapshot is stored", func() bool { return r.Status().Snapshots == 1 })
+	propose(22, 24)
+	is.NoErr(r.Status().Err)
+	disks["a"].setFullFor("")
+	propose(24, 60)
+	c.eventually("further snapshots are stored", func() bool { return r.Status().Snapshots > 1 })
+	is.NoErr(r.Status().Err)
+}
+
 // Guards against a command that is applied although Propose returned an error which
 // means that it is not: after its context has ended, or because it is too large. A
 // leader without another voter must reject a transfer of leadership.
--- a/process/replica/snapshot.go
+++ b/process/replica/snapshot.go
@@ -80,5 +80,10 @@
 	// The entries since the previous snapshot stay in memory, so that slow
 	// followers can catch up without a snapshot.
 	r.core.Compact(s.Index, base)
-	return r.store.Compact(s.Index)
+	err := r.store.Compact(s.Index)
+	if storage.Retryable(err) {
+		r.log.Warn().Err(err).Uint64("snapshot", s.Index).Msg("could not remove old log segments; they are removed after the next snapshot")
+		return nil
+	}
+	return err
 }
