Ask the advisor again after a rejected ticket, and resign before the fences of a term are used up

Stale tickets: a ticket ends with the executor's life. The answer is now dropped when a worker rejects its ticket, and the advisor is asked again.

Fences: a term has 4,096 fences for each worker. A leader that raises more used those of the next term, and so would its successor. It now passes the leadership on when 64 are left.

Evidence: TestRejectedTicketIsNotUsedAgain and TestLeaderResignsBeforeItsFencesAreUsedUp; neither can be built before.

--- a/job/worker/worker.go
+++ b/job/worker/worker.go
@@ -61,6 +61,9 @@
 	return w
 }
 
+// LastFence returns the highest fencing token of a term.
+func LastFence(term uint64) uint64 { return (term+1)*FencesPerTerm - 1 }
+
 // Fence returns the fencing token for orders to this process.
 func (w *Tracker) Fence() uint64 { return w.fence }
 
--- a/process/jobs/advice.go
+++ b/process/jobs/advice.go
@@ -103,6 +103,19 @@
 	a.s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Int("allowed", len(tickets)).Msg("advice received")
 }
 
+// discard drops the answer whose ticket a worker has rejected, so that the advisor is asked
+// again: tickets end with the worker's process, and it may have started again under its id.
+func (a *adviceDriver) discard(start *jobpb.Start, rejected string) {
+	key := state.Key(start.Task).StepKey()
+	set := a.steps[key]
+	if set == nil || set.tickets == nil || set.tickets[start.Worker] != rejected {
+		return
+	}
+	set.tickets = nil
+	set.retryAt = a.s.now() + adviceRetryDelay
+	a.s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Str("worker", start.Worker).Msg("ticket rejected by the worker: the advisor is asked again")
+}
+
 // ticket returns the advisor's ticket for a start, empty if there is none.
 func (a *adviceDriver) ticket(start *jobpb.Start) string {
 	t := a.steps[state.Key(start.Task).StepKey()]
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -72,6 +72,7 @@
 	Propose(ctx context.Context, command []byte) ([]byte, error)
 	View(fn func(replica.StateMachine))
 	Status() replica.Status
+	TransferLeader(ctx context.Context, to string) error
 }
 
 // Control is a control process: it holds a replica of the job state and, while it
--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
+	"marjoramtiller.example/marjoramtiller/job/worker"
 )
 
 // restartFixture is a leader's session with a worker w-0, which runs task 0 of job. A later
@@ -158,3 +160,50 @@
 	w.listedAt = time.Hour
 	is.Equal(lastSeen(time.Hour+2*identityTimeout), uint64(0)) // it may have started again
 }
+
+// Guards against starts with a ticket that ended with the worker's earlier process, which
+// are sent and refused for as long as the ticket would be valid.
+func TestRejectedTicketIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newUpkeepFixture(t).session
+	s.advice = newAdviceDriver(s)
+	w := s.workers["w-0"]
+	start := &jobpb.Start{Task: &jobpb.TaskRef{Job: "job"}, Run: 1, Worker: "w-0"}
+	key := state.Key(start.Task).StepKey()
+	s.advice.steps[key] = &ticketSet{tickets: map[string]string{"w-0": "newer"}, reusableUntil: s.now() + time.Hour}
+	refused := &orders.RefusedError{Reason: orders.RefusedTicket}
+	s.handleStartAnswer(w, start, &runState{run: 1, ticket: "older"}, s.now(), 0, refused)
+	_, usable := s.advice.tickets(key)
+	is.True(usable) // an answer has come since
+	s.handleStartAnswer(w, start, &runState{run: 1, ticket: "newer"}, s.now(), 0, refused)
+	_, usable = s.advice.tickets(key)
+	is.True(!usable)
+}
+
+// transferLog is a log whose leader can pass its leadership on.
+type transferLog struct {
+	fixedLog
+	transfers chan string
+}
+
+func (l transferLog) TransferLeader(_ context.Context, to string) error {
+	l.transfers <- to
+	return nil
+}
+
+// Guards against a leader that uses the fences of the next term, which its successor would
+// use as well: a worker that needed thousands of them in one term.
+func TestLeaderResignsBeforeItsFencesAreUsedUp(t *testing.T) {
+	is := is.New(t)
+	s := newUpkeepFixture(t).session
+	log := transferLog{transfers: make(chan string, 1)}
+	s.c.group, s.term = log, 1
+	w := s.workers["w-0"]
+	for w.track.Fence() < worker.LastFence(1)-reservedFences {
+		s.raiseFence(w)
+	}
+	is.Equal(len(log.transfers), 0)
+	s.raiseFence(w)
+	is.Equal(<-log.transfers, "")
+	is.True(w.track.Fence() < worker.New(worker.LeaseTiming{}, 2, 0, 0, false).FirstFence())
+}
--- a/process/jobs/runs.go
+++ b/process/jobs/runs.go
@@ -26,6 +26,7 @@
 type runState struct {
 	run              uint32
 	fence            uint64
+	ticket           string        // of the start order, empty if it needed none
 	sentAt           time.Duration // when the start order was sent, 0 if this leader has only stopped the run
 	startConfirmed   bool          // the worker confirmed the start
 	startBrokenOff   bool          // the connection of the start order ended before its answer and its timeout
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -34,6 +34,8 @@
 	done   chan struct{}
 	events chan func()
 	broken atomic.Bool
+	// resigning reports that the leadership is being passed on.
+	resigning atomic.Bool
 
 	sender          orders.Workers // of all orders to workers
 	relays          *relayedSender // nil if this process sends all orders itself
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -142,6 +142,10 @@
 	return st
 }
 
+func (simGroup) TransferLeader(context.Context, string) error {
+	return errors.New("the simulation elects leaders by itself")
+}
+
 func (g simGroup) View(fn func(replica.StateMachine)) {
 	g.s.storeMu.Lock()
 	defer g.s.storeMu.Unlock()
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -123,8 +123,9 @@
 	r := &runState{run: start.Run, fence: w.track.Fence(), sentAt: sent}
 	w.runs[key] = r
 	w.recentStarts = append(w.recentStarts, recentStart{task: start.Task, run: start.Run, sentAt: sent, onProbation: onProbation})
+	r.ticket = s.advice.ticket(start)
 	o := orders.StartOrder{Task: start.Task, Run: start.Run, Spec: spec, Checkpoint: checkpoint, DeadlineMs: deadline, Fence: r.fence,
-		Ticket: s.advice.ticket(start)}
+		Ticket: r.ticket}
 	to := orders.Target{ID: w.info.Id, Address: w.info.Address}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout)
@@ -182,6 +183,9 @@
 		if errors.As(err, &refused) && refused.Reason == orders.RefusedFence {
 			s.raiseFence(w)
 		}
+		if refused != nil && refused.Reason == orders.RefusedTicket {
+			s.advice.discard(start, r.ticket)
+		}
 		s.addNeverStarted(start.Worker, start.Task, start.Run)
 	default:
 		var lost *orders.RelayError
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -62,6 +62,9 @@
 }
 func (fixedLog) View(fn func(replica.StateMachine)) { fn(nil) }
 func (fixedLog) Status() replica.Status             { return replica.Status{LeaseValid: true} }
+func (fixedLog) TransferLeader(context.Context, string) error {
+	return errors.New("there is no other leader")
+}
 
 // recordingMachines confirms all orders and sends the names of the ordered machines
 // to orders.
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"context"
 	"math"
 	"slices"
 	"strings"
@@ -30,6 +31,7 @@
 	excludeAfterReports   = 2                      // report intervals without a report after which a worker gets no new tasks: its capacity may have shrunk
 	reportMargin          = 500 * time.Millisecond // for a report to arrive
 	dropAfterReports      = 3                      // report intervals without contact after which a worker is dropped, once its leases have expired
+	reservedFences        = 64                     // of a term, for a worker, when the leadership is passed on
 	refusedPause          = 300 * time.Millisecond // during which a worker that refused a start gets no other
 	failurePenalty        = 4 * time.Second        // during which a failed run counts against a worker
 )
@@ -102,6 +104,26 @@
 	w.track.RaiseFence()
 	s.fences.use(w.info.Id, w.track.Fence())
 	w.nextHold = 0
+	if w.track.Fence()+reservedFences > worker.LastFence(s.term) {
+		s.resign(w)
+	}
+}
+
+// resign passes the leadership on, since the fences of this term are nearly used up for a
+// worker: those above belong to the next leader.
+func (s *session) resign(w *workerState) {
+	if s.resigning.Swap(true) {
+		return
+	}
+	s.log.Warn().Str("worker", w.info.Id).Uint64("fence", w.track.Fence()).Msg("leadership is passed on: the fences of this term are nearly used up")
+	go func() {
+		defer s.resigning.Store(false)
+		ctx, cancel := context.WithTimeout(s.ctx, transferTimeout)
+		defer cancel()
+		if err := s.c.group.TransferLeader(ctx, ""); err != nil {
+			s.log.Warn().Err(err).Msg("leadership was not passed on; it is tried again with the next raised fence")
+		}
+	}()
 }
 
 // maintainWorkers sends the holds and stops that are due and drops workers whose
