Store the document of a large configuration compressed

Change: above 2 MiB the document is stored compressed (Configuration.document_gzip) and expanded when it is read.

Evidence: TestLargeConfigurationIsStored stores 20,000 routes, whose plain form exceeds an entry.

--- /dev/null
+++ b/process/jobs/configuration_test.go
@@ -0,0 +1,54 @@
+package jobs
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+)
+
+// configurationWithRoutes returns a configuration with a number of queues, and a document
+// about as large as that of an operator.
+func configurationWithRoutes(n int) *jobpb.Configuration {
+	c := &jobpb.Configuration{Version: 7}
+	var document bytes.Buffer
+	for i := range n {
+		q := &jobpb.Queue{Name: fmt.Sprintf("r-%07d", i), Host: "jepu9.example", Prefix: fmt.Sprintf("/bobo563/lo%d/", i), Pool: "wuno96b",
+			MaxAttempts: 3, Stretch: 2.2, TargetMs: 2500, TimeoutMs: 3000}
+		c.Queues = append(c.Queues, q)
+		fmt.Fprintf(&document, `{"name":%q,"host":%q,"path-prefix":%q,"kind":"non_idempotent","timeout-ms":3000,"target-latency-ms":2500,`+
+			`"priority":0,"service":"wuno96b","max-attempts":3,"stretch-factor":2.2},`, q.Name, q.Host, q.Prefix)
+	}
+	c.Document = document.Bytes()
+	return c
+}
+
+// Guards against a valid configuration of thousands of routes that is refused because an
+// entry of the log can't hold its document and its decoded form together.
+func TestLargeConfigurationIsStored(t *testing.T) {
+	is := is.New(t)
+	small := configurationWithRoutes(100)
+	packed, err := compressDocument(small)
+	is.NoErr(err)
+	is.Equal(packed, small)
+	large := configurationWithRoutes(20_000)
+	is.True(proto.Size(large) > maxBatchBytes)
+	packed, err = compressDocument(large)
+	is.NoErr(err)
+	s := newUpkeepFixture(t).session
+	s.add(&jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: packed}}, func(_ bool, err error) { is.NoErr(err) })
+	data, waiters := s.nextBatch()
+	is.Equal(len(waiters), 1)
+	is.True(len(data) > 0)
+	command := &jobpb.Command{}
+	is.NoErr(proto.Unmarshal(data, command))
+	stored := command.Entries[0].GetConfigure()
+	is.Equal(len(stored.Queues), len(large.Queues))
+	document, err := documentOf(stored)
+	is.NoErr(err)
+	is.True(bytes.Equal(document, large.Document)) // it is read back as it was sent
+}
--- a/process/jobs/reads.go
+++ b/process/jobs/reads.go
@@ -87,13 +87,13 @@
 	if err := c.replica.ReadBarrier(ctx); err != nil {
 		return nil, 0, &UnavailableError{Reason: err.Error()}
 	}
-	c.replica.View(func(replica.StateMachine) {
-		document, version = c.store.Configuration().Document, c.store.Configuration().Version
-	})
-	if version == 0 {
+	var stored *jobpb.Configuration
+	c.replica.View(func(replica.StateMachine) { stored = c.store.Configuration() })
+	if stored.Version == 0 {
 		return nil, 0, &UnavailableError{Reason: "there is no configuration yet"}
 	}
-	return document, version, nil
+	document, err = documentOf(stored)
+	return document, stored.Version, err
 }
 
 // WaveCompleted reports whether a wave is stored and whether it is completed.
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -168,7 +168,11 @@
 	if err != nil {
 		return err
 	}
-	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: conf}})
+	stored, err := compressDocument(conf)
+	if err != nil {
+		return err
+	}
+	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: stored}})
 	c.log.Info().Err(err).Uint64("version", conf.Version).Bool("newer", applied).Msg("configuration received")
 	return err
 }
