Keep a worker suspect while it has an overdue run soon after it was suspect

Alone, it made no worker suspect and was never moved.

Change: a worker that was suspect within 3 s stays so while it has an overdue run.

Evidence: TestLastRunOfAStandingWorkerIsMoved fails before (3 of 4 runs stopped).

--- a/process/jobs/slow.go
+++ b/process/jobs/slow.go
@@ -31,7 +31,9 @@
 			overdue++
 		}
 	}
-	suspect := overdue >= overdueRuns && float64(overdue) >= overdueShare*float64(short)
+	many := overdue >= overdueRuns && float64(overdue) >= overdueShare*float64(short)
+	// The last run of a worker that stands still is overdue alone once the others are stopped.
+	suspect := many || overdue > 0 && w.recentlySuspect(now)
 	if suspect != w.suspect {
 		s.log.Info().Str("worker", w.info.Id).Int("overdue", overdue).Int("runs", short).Bool("suspect", suspect).Msg("worker's suspect state changed")
 	}
@@ -103,11 +105,15 @@
 // suspectPenaltyTime is how long a worker is ranked lower after it was last suspect.
 const suspectPenaltyTime = 3 * time.Second
 
+func (w *workerState) recentlySuspect(now time.Duration) bool {
+	return w.suspectAt > 0 && now < w.suspectAt+suspectPenaltyTime
+}
+
 // penalty returns a worker's rank for new tasks. Workers with recent failures, or
 // that were recently suspect, have a higher penalty and get tasks last.
 func (w *workerState) penalty(now time.Duration) int {
 	n := w.recentFailures(now)
-	if w.suspectAt > 0 && now < w.suspectAt+suspectPenaltyTime {
+	if w.recentlySuspect(now) {
 		n += overdueRuns
 	}
 	return n
--- a/process/jobs/slow_test.go
+++ b/process/jobs/slow_test.go
@@ -36,3 +36,42 @@
 	other.silent, other.info.Pool = false, "other"
 	is.True(!f.session.restartable(slow, p))
 }
+
+// Guards against a run that stays on a worker that stands still: it became overdue a moment
+// after the others there, which had been stopped, and was then alone.
+func TestLastRunOfAStandingWorkerIsMoved(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	f.session.estimate = schedule.NewEstimates()
+	standing, other := f.session.workers["w-0"], f.session.workers["w-1"]
+	standing.track.RunsListed, other.track.RunsListed = true, true
+	job := &jobpb.Job{Id: "short", Queue: "queue"}
+	step := &jobpb.Step{Count: 4, EstimatedMs: 100}
+	placed := map[state.TaskKey]*state.Placement{}
+	now := f.session.now()
+	for i := range uint32(4) {
+		ref := &jobpb.TaskRef{Job: "short", Index: i}
+		placed[state.Key(ref)] = &state.Placement{Job: job, Ref: ref, Step: step, Task: &jobpb.Task{Run: 1}}
+		started := now
+		if i == 3 {
+			started += 50 * time.Millisecond
+		}
+		standing.runs[state.Key(ref)] = &runState{run: 1, startConfirmed: true, startConfirmedAt: started}
+	}
+	stopped := func() (n int) {
+		for _, r := range standing.runs {
+			if r.stopSentAt > 0 {
+				n++
+			}
+		}
+		return n
+	}
+	overdueAt := now + 100*time.Millisecond + overdueMin
+	f.session.checkSpeed(overdueAt+time.Millisecond, standing, placed)
+	is.Equal(stopped(), 3)
+	f.session.checkSpeed(overdueAt+20*time.Millisecond, standing, placed)
+	is.Equal(stopped(), 3) // the last one is not overdue yet
+	f.session.checkSpeed(overdueAt+60*time.Millisecond, standing, placed)
+	is.Equal(stopped(), 4)
+	is.True(!other.suspect)
+}
