Bound foreign leases from when they are expected, and ask later processes without placed runs

Found when the change was read again: - the bound for leases in a later process counted from when the worker was first tracked, so that it had no effect for one that was known for long; - a stale announcement of an exit was not withdrawn by a report that another control process had confirmed, so that a sound worker's leases would have lapsed; - a later process whose predecessor's runs ended otherwise meanwhile had nothing placed on it, was not asked for its list and never registered (TestLaterProcessIsAskedWithoutPlacedRuns fails without the change). A refused or unsent start is judged in job/evidence too.

--- a/job/evidence/evidence.go
+++ b/job/evidence/evidence.go
@@ -5,7 +5,11 @@
 // read from the leader's clock.
 package evidence
 
-import "time"
+import (
+	"time"
+
+	"marjoramtiller.example/marjoramtiller/job/orders"
+)
 
 // Kind is what proves that a run is over. The zero value is no proof.
 type Kind string
@@ -31,6 +35,15 @@
 	NoRuns Kind = "no runs"
 )
 
+// FromAnswer returns what the error of a start order proves about its run. An order without
+// an answer may be carried out, also later.
+func FromAnswer(err error) Kind {
+	if orders.NeverCarriedOut(err) {
+		return NotCarriedOut
+	}
+	return None
+}
+
 // Order is what the leader knows of the orders for a run. The zero value stands for a run
 // that was ordered before the leader began to track the worker's process.
 type Order struct {
--- a/job/evidence/evidence_test.go
+++ b/job/evidence/evidence_test.go
@@ -1,10 +1,13 @@
 package evidence
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"marjoramtiller.example/marjoramtiller/job/orders"
 )
 
 // Guards against a run that is taken for ended because a list lacks it, although the list
@@ -70,3 +73,13 @@
 		})
 	}
 }
+
+// Guards against a run that is taken for never begun because its start has no answer.
+func TestStartWithoutAnswerProvesNothing(t *testing.T) {
+	is := is.New(t)
+	is.Equal(FromAnswer(nil), None)
+	is.Equal(FromAnswer(context.DeadlineExceeded), None)
+	is.Equal(FromAnswer(&orders.RelayError{Relay: "r", Err: context.Canceled}), None)
+	is.Equal(FromAnswer(&orders.RefusedError{Reason: orders.RefusedCapacity}), NotCarriedOut)
+	is.Equal(FromAnswer(&orders.NotSentError{Err: context.Canceled}), NotCarriedOut)
+}
--- a/job/worker/worker.go
+++ b/job/worker/worker.go
@@ -48,7 +48,9 @@
 	hasUnanswered    bool
 	inheritedLeases  time.Duration // bound of the leases of earlier terms, counted from trackedSince
 	trackedSince     time.Duration
-	LastContact      time.Duration // the latest time at which it is known to have sent a message
+	// foreignLeasesUntil bounds the leases of orders that another process has carried out.
+	foreignLeasesUntil time.Duration
+	LastContact        time.Duration // the latest time at which it is known to have sent a message
 }
 
 // New returns the tracker of a process that the leader of the given term tracks from
@@ -136,16 +138,17 @@
 // ClearUnanswered records that no unanswered order can take effect any more.
 func (w *Tracker) ClearUnanswered() { w.hasUnanswered = false }
 
-// ExpectForeignLeases records that the process may have carried out orders that were meant
-// for an earlier one under its id. Their deadlines are times on the earlier clock, so that
-// only the longest lease bounds them, counted from when such an order arrives.
-func (w *Tracker) ExpectForeignLeases() {
-	w.inheritedLeases = max(w.inheritedLeases, w.timing.MaxLease+w.timing.Lease)
+// ExpectForeignLeases records that orders which were sent until now may have been carried
+// out by another process under the id than the one they were meant for. Their deadlines are
+// times on the clock of that one, so that only the longest lease bounds them, counted from
+// when such an order arrives.
+func (w *Tracker) ExpectForeignLeases(now time.Duration) {
+	w.foreignLeasesUntil = now + maxRealTime(w.timing.MaxLease+w.timing.Lease)
 }
 
-// Precedes reports whether a process whose clock shows clockMs in the answer to an order
-// began later than this one: its clock is behind, and the answer can't be an older one.
-func (w *Tracker) Precedes(orderSent time.Duration, clockMs int64) bool {
+// AnsweredByLater reports whether the answer to an order is that of a process that began
+// later than this one: the clock in it is behind, and it can't be older than the order.
+func (w *Tracker) AnsweredByLater(orderSent time.Duration, clockMs int64) bool {
 	if !w.clockKnown {
 		return false
 	}
@@ -159,7 +162,7 @@
 // LeasesExpireBy returns the time by which the leases of all runs of the worker have
 // expired if it receives no further order.
 func (w *Tracker) LeasesExpireBy() time.Duration {
-	expiry := w.trackedSince + maxRealTime(w.inheritedLeases)
+	expiry := max(w.trackedSince+maxRealTime(w.inheritedLeases), w.foreignLeasesUntil)
 	if w.clockKnown && w.maxDeadlineMs > 0 {
 		left := time.Duration(w.maxDeadlineMs-w.clockMs) * time.Millisecond
 		expiry = max(expiry, w.sampledAt+maxRealTime(left))
--- a/process/jobs/order_gate_test.go
+++ b/process/jobs/order_gate_test.go
@@ -14,10 +14,15 @@
 func storeOf(t *testing.T, entries ...*jobpb.Entry) *state.Store {
 	t.Helper()
 	st := state.New()
+	applyEntries(t, st, entries...)
+	return st
+}
+
+func applyEntries(t *testing.T, st *state.Store, entries ...*jobpb.Entry) {
+	t.Helper()
 	data, err := proto.Marshal(&jobpb.Command{Entries: entries})
 	is.New(t).NoErr(err)
 	st.Apply(1, data)
-	return st
 }
 
 func moveEntry(machine, pool string) *jobpb.Entry {
--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -173,6 +173,9 @@
 	report(1000)
 	is.True(!w.announcedExit)
 	is.Equal(w.leftAt, time.Duration(0))
+	w.announcedExit, w.leftAt = true, now-time.Second
+	s.recordContacts([]*jobpb.WorkerContact{{Id: "w-0", Sequence: w.sequence + 1, ClockMs: 1000}}) // a report to another process
+	is.True(!w.announcedExit)
 	leaving, other, _ := newLeavingFixture(t, true)
 	other.leftAt -= time.Second
 	leaving.report(Report{Worker: proto.Clone(other.info).(*jobpb.Worker), Sequence: 7, ClockMs: 1000}, make(chan error, 1))
--- a/process/jobs/report_forwarding.go
+++ b/process/jobs/report_forwarding.go
@@ -138,6 +138,7 @@
 		w.setReported(now-age, contact.ClockMs)
 		if age == 0 {
 			w.track.SampleClock(now, contact.ClockMs)
+			s.withdrawExit(w, now, Report{Worker: w.info, Sequence: contact.Sequence, ClockMs: contact.ClockMs})
 		}
 	}
 }
--- a/process/jobs/restart.go
+++ b/process/jobs/restart.go
@@ -27,7 +27,7 @@
 	}
 	s.fences.use(earlier.info.Id, earlier.track.Fence())
 	w := s.trackWorker(r.Worker, false)
-	w.track.ExpectForeignLeases()
+	w.track.ExpectForeignLeases(s.now())
 	w.predecessor, w.sequence, w.machine = registered, r.Sequence, registered.machine
 	w.unconfirmedReports = []chan<- error{result}
 	if !r.Worker.Unreported {
--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -109,10 +109,11 @@
 	f.applyBatch()
 	f.session.report(Report{Worker: &jobpb.Worker{Id: "idle", BornMs: 2}, Sequence: 1}, f.confirmed)
 	is.Equal(len(f.registrations()), 1)
-	f.session.c.o.Bounds.Lease.Lease, f.session.c.o.Bounds.Lease.MaxLease = 4*time.Second, 10*time.Second
 	f.session.report(Report{Worker: &jobpb.Worker{Id: "w-0", BornMs: 6}, Sequence: 1}, f.confirmed)
 	latest := f.session.workers["w-0"]
-	is.Equal(latest.predecessor, f.earlier)                             // not the one between them, which was never registered
+	is.Equal(latest.predecessor, f.earlier) // not the one between them, which was never registered
+	latest.track = worker.New(worker.LeaseTiming{Lease: 4 * time.Second, MaxLease: 10 * time.Second}, 1, 6, f.session.now(), false)
+	latest.track.ExpectForeignLeases(f.session.now())
 	is.True(!f.session.dropped(latest, f.session.now()+10*time.Second)) // it may hold a lease of the longest kind
 	f.session.batch = nil
 	is.True(f.session.dropped(latest, f.session.now()+15*time.Second))
@@ -207,3 +208,21 @@
 	is.Equal(<-log.transfers, "")
 	is.True(w.track.Fence() < worker.New(worker.LeaseTiming{}, 2, 0, 0, false).FirstFence())
 }
+
+// Guards against a later process that is never registered because the runs of its
+// predecessor have ended otherwise, so that nothing is placed on it and nobody asks it.
+func TestLaterProcessIsAskedWithoutPlacedRuns(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture(t)
+	f.list(f.later.track.Fence(), orders.RunList{EndsComplete: true, Running: []orders.Run{f.run}})
+	is.True(f.later.track.RunsListed)
+	end := &jobpb.End{Task: f.run.Task, Run: 1, How: jobpb.How_STOPPED, Worker: "w-0"}
+	applyEntries(t, f.store, &jobpb.Entry{Change: &jobpb.Entry_End{End: end}})
+	is.Equal(len(f.store.Placements("w-0")), 0)
+	workers := &recordingWorkers{}
+	f.session.sender, f.later.nextHold, f.later.holding = workers, 0, false
+	f.session.maintainWorkers(f.session.now())
+	is.True(f.later.holding)
+	f.list(f.later.track.Fence(), orders.RunList{EndsComplete: true})
+	is.Equal(len(f.registrations()), 1)
+}
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/job/evidence"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
@@ -169,16 +170,16 @@
 	s.c.metrics.startSeconds.Observe((now - sent).Seconds())
 	var refused *orders.RefusedError
 	switch {
-	case err == nil && clockMs > 0 && w.track.Precedes(sent, clockMs):
+	case err == nil && clockMs > 0 && w.track.AnsweredByLater(sent, clockMs):
 		// A later process under the worker's id has begun the run.
 		s.log.Warn().Str("request", key.Job).Uint32("run", start.Run).Str("worker", start.Worker).Int64("clock_ms", clockMs).
 			Msg("start answered by another process than the registered one: its list of runs is requested")
-		w.track.ExpectForeignLeases()
+		w.track.ExpectForeignLeases(now)
 		w.track.RecordUnanswered(sent)
 		s.raiseFence(w)
 	case err == nil:
 		r.startConfirmed, r.startConfirmedAt = true, now
-	case orders.NeverCarriedOut(err):
+	case evidence.FromAnswer(err) != evidence.None:
 		w.pausedUntil = now + refusedPause
 		if errors.As(err, &refused) && refused.Reason == orders.RefusedFence {
 			s.raiseFence(w)
