Begin a further session of a term only after the proposals of the last one are settled

Cause 1: a session ends without the outcome of its last commit. The entry may be applied after the next session of the same term has begun, which decides without it. In a new term the leader's first entry follows all earlier ones; a second session of a term had nothing of that kind. Change: a session ends after its proposals have returned, and the next one begins after an empty entry of its own has been applied.

Cause 2: runs that a later process under an id has carried out were stopped at once. Change: lasting ones are stopped only while their step allows it; until then they keep their leases, and runs that ended with the earlier process are freed, so that their tasks can start elsewhere.

TestSessionEndsAfterItsProposals.

--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -178,6 +178,15 @@
 	return true
 }
 
+// mayEnd reports whether a run may be stopped on a worker that serves on: its step does not
+// limit its unavailable tasks, or with this one no more are unavailable than it allows.
+func (u *upkeepDriver) mayEnd(w *workerState, p *state.Placement) bool {
+	if !p.Step.Lasting || p.Step.MaxUnavailable == 0 || state.Ended(p.Job) {
+		return true
+	}
+	return u.mayStop(p) && u.unavailableElsewhere(p)+u.unavailableOnSameWorker(w, p) < int(p.Step.MaxUnavailable)
+}
+
 // upkeepPending reports whether the upkeep of a worker's machine is or may be in
 // progress without the list of machines showing it yet. An order without an answer
 // counts until it is certain not to be carried out any more: otherwise two machines with
--- a/process/jobs/commit.go
+++ b/process/jobs/commit.go
@@ -44,7 +44,9 @@
 	}
 	s.inFlight = true
 	sent := s.now()
+	s.proposing.Add(1)
 	go func() {
+		defer s.proposing.Done()
 		ctx, cancel := context.WithTimeout(s.ctx, commitTimeout)
 		defer cancel()
 		result, err := s.c.group.Propose(ctx, data)
@@ -56,6 +58,18 @@
 	}()
 }
 
+// settleProposals waits until every change that earlier sessions of this term have proposed
+// is applied or lost. Otherwise one could be applied after a new session has begun, which
+// decides without it: the entry that is proposed here follows them in the log.
+func (c *Control) settleProposals(ctx context.Context) error {
+	data, err := proto.Marshal(&jobpb.Command{Entries: []*jobpb.Entry{{}}})
+	if err != nil {
+		return err
+	}
+	_, err = c.group.Propose(ctx, data)
+	return err
+}
+
 // nextBatch removes the next changes that fit into one log entry from the batch, in their
 // order, and returns them encoded. A change that no entry can hold fails alone.
 func (s *session) nextBatch() (data []byte, waiters []func(bool, error)) {
--- a/process/jobs/commit_test.go
+++ b/process/jobs/commit_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -137,3 +138,45 @@
 	is.Equal(len(next.fences.next), 0)
 	is.True(next.trackWorker(&jobpb.Worker{Id: "w"}, true).track.Fence() > second.workers["w"].track.Fence())
 }
+
+// slowLog is a log whose proposals end some time after their context.
+type slowLog struct {
+	fixedLog
+	ended chan struct{}
+}
+
+func (l slowLog) Propose(ctx context.Context, _ []byte) ([]byte, error) {
+	<-ctx.Done()
+	<-l.ended
+	return nil, ctx.Err()
+}
+
+// Guards against a change of an earlier session of the term that reaches the log after the
+// next session has begun, which decides without it.
+func TestSessionEndsAfterItsProposals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newUpkeepFixture(t).session.c
+		c.ctx = t.Context()
+		log := slowLog{ended: make(chan struct{})}
+		c.group = log
+		s := newSession(c, 1, nil)
+		close(s.done) // its goroutine
+		s.add(forgetJob("a"), nil)
+		s.commit()
+		ended := false
+		go func() {
+			s.end()
+			ended = true
+		}()
+		synctest.Wait()
+		is.True(!ended)
+		close(log.ended)
+		synctest.Wait()
+		is.True(ended)
+		accepted := proposalLog{entries: make(chan []byte, 1)}
+		c.group = accepted
+		is.NoErr(c.settleProposals(t.Context()))
+		is.Equal(len(accepted.entries), 1) // it follows all others in the log
+	})
+}
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -225,6 +225,12 @@
 		c.log.Debug().Err(err).Uint64("term", term).Msg("session not started: the read barrier of the new term failed")
 		return
 	}
+	if c.usedFences != nil && c.usedFences.term == term {
+		if err := c.settleProposals(ctx); err != nil {
+			c.log.Warn().Err(err).Uint64("term", term).Msg("session not started: changes of the term's last session may still be applied")
+			return
+		}
+	}
 	s := newSession(c, term, c.usedFences)
 	s.useRelays(newRelayedSender(term, &c.numbers, c.o.Workers, c.pool.SendRelay, c.otherVoters, c.Leads, c.o.Clock, s.log))
 	c.mu.Lock()
@@ -246,8 +252,7 @@
 	if s == nil {
 		return
 	}
-	s.cancel()
-	<-s.done
+	s.end()
 	c.usedFences = s.endFences()
 	c.log.Info().Uint64("term", s.term).Msg("no longer leading: orders end")
 }
--- a/process/jobs/restart.go
+++ b/process/jobs/restart.go
@@ -66,8 +66,8 @@
 }
 
 // settlePredecessor handles a list of a process that is not registered yet. Placed runs
-// that are at work there are stopped, as the log can't move them from the earlier process;
-// once the list shows that none is, the process is registered, which frees the others.
+// that are at work there are stopped, as the log can't move them from the earlier process,
+// lasting ones when their step allows it; once the list shows that none is, the process is registered, which frees the others.
 func (s *session) settlePredecessor(w *workerState, sent time.Duration, o orders.HoldOrder, list *orders.RunList, placed map[state.TaskKey]*state.Placement) {
 	ended := make(map[state.TaskKey]uint32, len(list.Ended))
 	for _, e := range list.Ended {
@@ -79,7 +79,9 @@
 		switch {
 		case ended[key] == p.Task.Run: // its end goes into the log before the registration
 		case w.listedRuns[key].Run == p.Task.Run:
-			s.stopRun(s.now(), w, key, p)
+			if s.upkeep.mayEnd(w, p) {
+				s.stopRun(s.now(), w, key, p)
+			}
 			unsettled++
 		case evidence.FromList(w.orderOf(key, p), w.listEvidence(sent, o, list)) == evidence.None:
 			unsettled++
@@ -90,11 +92,26 @@
 	if unsettled > 0 {
 		s.log.Info().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Uint64("fence", o.Fence).Int("unsettled", unsettled).
 			Msg("worker not registered yet: runs of its earlier process may be at work")
+		s.freeLost(w, lost)
 		return
 	}
 	s.registerSuccessor(w, lost)
 }
 
+// freeLost frees the runs that ended with the earlier process while others are not settled.
+// Their tasks start elsewhere, so that a lasting run may be stopped afterwards.
+func (s *session) freeLost(w *workerState, lost map[state.TaskKey]*state.Placement) {
+	if len(lost) == 0 {
+		return
+	}
+	s.recordWorkerEnd(s.now(), w.predecessor, endRestarted, lost)
+	for _, p := range lost {
+		s.addEnd(w.predecessor, p, jobpb.How_LOST, "", false)
+	}
+	w.pendingEnds++ // the next list is compared with the state after these ends
+	s.add(&jobpb.Entry{}, func(bool, error) { w.pendingEnds-- })
+}
+
 // registerSuccessor puts the registration of a later process into the log, which frees the
 // runs that are placed on the earlier one; lost are those that ended with it.
 func (s *session) registerSuccessor(w *workerState, lost map[state.TaskKey]*state.Placement) {
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -24,7 +24,7 @@
 	}
 	// The lease of a worker that did not answer is not extended: a grant would defer
 	// the time from which its runs are certain to have ended.
-	if running && !w.silent && !w.announcedExit && w.predecessor == nil {
+	if running && !w.silent && !w.announcedExit {
 		if deadline, known := w.track.Grant(now); known {
 			o.DeadlineMs = deadline
 		}
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,8 @@
 	done   chan struct{}
 	events chan func()
 	broken atomic.Bool
+	// proposing counts the commits in flight that may still put an entry into the log.
+	proposing sync.WaitGroup
 	// resigning reports that the leadership is being passed on.
 	resigning atomic.Bool
 
@@ -125,6 +128,13 @@
 	}
 }
 
+// end ends the session. No change of it is proposed afterwards.
+func (s *session) end() {
+	s.cancel()
+	<-s.done
+	s.proposing.Wait()
+}
+
 // runQueuedEvents runs queued events until the queue is empty, at most eventQueue
 // of them.
 func (s *session) runQueuedEvents() {
