--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -253,6 +253,7 @@
 		for _, e := range s.executors {
 			calls.Go(func() { s.report(address, e) })
 		}
+		calls.Go(func() { s.reportOdd(address, s.sequence) })
 		calls.Wait()
 		select {
 		case <-done:
@@ -268,6 +269,24 @@
 	s.call(http.MethodPut, address, "", "/executors/"+e.ID, body)
 }
 
+// reportOdd sends a report of another writer, which no control process may accept and which
+// must not affect those of the workers.
+func (s *soak) reportOdd(address string, number int) {
+	const format = `{"service":"pool","address":%q,"zone":"z","state":%q,"capacity":{"cpu":%s},"born":1,"sequence":1}`
+	odd := []struct{ id, body string }{
+		{"%ff%fe", fmt.Sprintf(format, "127.0.0.1:9", "ready", "1")},
+		{"odd", fmt.Sprintf(format, "127.0.0.1:65536", "ready", "1")},
+		{"odd", fmt.Sprintf(format, "127.0.0.1:9", "ready", "1e400")},
+		{"odd", fmt.Sprintf(format, "127.0.0.1:9", "ready", strings.Repeat("[", 20_000))},
+		{"odd", fmt.Sprintf(format, "127.0.0.1:9", "odd", "1")},
+		{"odd", "\xff\xfe"},
+	}
+	report := odd[number%len(odd)]
+	if code, _ := s.call(http.MethodPut, address, "", "/executors/"+report.id, report.body); code >= 200 && code < 300 {
+		s.t.Errorf("the report of another writer was accepted: %.100s", report.body)
+	}
+}
+
 func (s *soak) entry() string {
 	return s.interfaceRelays[s.processes[controls+s.rng.IntN(entries)]].Address()
 }
