Share no variable without a lock in two tests of sessions and later processes

Cause: the tests; the product sets a session's sender before it runs. Change: the relay's messages go to an atomic pointer; the second test keeps the fixture's sender. Both check what they checked.

--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -88,7 +88,9 @@
 
 // relayPair is a leader's sender with one relay, joined without a network.
 type relayPair struct {
-	sender  *relayedSender
+	sender *relayedSender
+	// session is the sender of the latest session, which gets the messages of the relay.
+	session atomic.Pointer[relayedSender]
 	relay   *orderRelay
 	numbers dispatch.Numbers
 	direct  recordingWorkers // called by the leader itself
@@ -105,11 +107,12 @@
 	clock := replica.SystemClock()
 	toLeader := func(_ string, m *jobpb.RelayMessage) {
 		if !p.cut.Load() {
-			time.AfterFunc(time.Millisecond, func() { p.sender.handle("relay", m) })
+			time.AfterFunc(time.Millisecond, func() { p.session.Load().handle("relay", m) })
 		}
 	}
 	p.relay = newOrderRelay(ctx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
 	p.sender = p.newSender()
+	p.session.Store(p.sender)
 	go p.sender.run(ctx)
 	return p
 }
@@ -253,7 +256,7 @@
 		}()
 		time.Sleep(10 * time.Millisecond)
 		endEarlier()
-		p.sender = later
+		p.session.Store(later)
 		go later.run(ctx)
 		time.Sleep(100 * time.Millisecond) // for the first probe
 		listed := make(chan *orders.RunList)
--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -219,8 +219,7 @@
 	end := &jobpb.End{Task: f.run.Task, Run: 1, How: jobpb.How_STOPPED, Worker: "w-0"}
 	applyEntries(t, f.store, &jobpb.Entry{Change: &jobpb.Entry_End{End: end}})
 	is.Equal(len(f.store.Placements("w-0")), 0)
-	workers := &recordingWorkers{}
-	f.session.sender, f.later.nextHold, f.later.holding = workers, 0, false
+	f.later.nextHold, f.later.holding = 0, false
 	f.session.maintainWorkers(f.session.now())
 	is.True(f.later.holding)
 	f.list(f.later.track.Fence(), orders.RunList{EndsComplete: true})
