Log what a replica read at its start, the session of each line, and runs that are not placed

A replica now logs the first and last index, commit, term and vote it has read ('log opened'), and the indexes with each change of role. No decision changes.

go test ./process/replica ./process/jobs passes but for the known red TestTaskThatCrashesWorkersLateIsGivenUp.

--- a/process/jobs/relay.go
+++ b/process/jobs/relay.go
@@ -58,6 +58,7 @@
 	}
 	if m.Term > r.leaderTerm {
 		r.leader, r.leaderTerm, r.ages, r.reply = leader, m.Term, &dispatch.Ages{}, nil
+		r.log.Info().Str("leader", leader).Uint64("term", m.Term).Msg("relaying orders of a leader")
 	}
 	age := r.ages.Age(time.Duration(m.SentUs)*time.Microsecond, now)
 	reply := r.openReply()
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -250,6 +250,8 @@
 
 // stopUnknownRun stops a run that the log does not place on the worker.
 func (s *session) stopUnknownRun(w *workerState, r orders.Run) {
-	s.log.Warn().Str("request", r.Task.Job).Uint32("run", r.Run).Str("worker", w.info.Id).Msg("stopping a run that is not placed on this worker")
+	s.c.metrics.unplacedRuns.Inc()
+	s.log.Warn().Str("request", r.Task.Job).Uint32("occurrence", r.Task.Occurrence).Uint32("step", r.Task.Step).Uint32("task", r.Task.Index).
+		Uint32("run", r.Run).Str("worker", w.info.Id).Uint64("fence", w.track.Fence()).Msg("stopping a run that is not placed on this worker")
 	s.sendStop(w, r.Task, r.Run, func(bool) {})
 }
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -79,7 +79,8 @@
 	s.moves = newMoveDriver(s)
 	s.advice = newAdviceDriver(s)
 	s.view(func(st *state.Store) { s.orderGate = newOrderGate(st, s.began, c.o.Bounds.OrderGap, s.nowMs()) })
-	s.log.Info().Uint64("session", s.fences.session).Int("workers_with_fences", len(s.fences.next)).Msg("session begins")
+	s.log = s.log.With().Uint64("session", s.fences.session).Logger()
+	s.log.Info().Int("workers_with_fences", len(s.fences.next)).Msg("session begins")
 	return s
 }
 
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -132,10 +132,19 @@
 		return err
 	}
 	r.core = core
+	r.logOpened(state.HardState.GetVote())
 	r.publishStatus()
 	return nil
 }
 
+// logOpened logs what the replica has read from its folder, so that entries or a vote that
+// it lost can be told from those it never had.
+func (r *Replica) logOpened(vote string) {
+	s := r.core.Status()
+	r.log.Info().Uint64("first_index", s.FirstIndex).Uint64("last_index", s.LastIndex).Uint64("commit", s.Commit).
+		Uint64("snapshot", r.snapshot.GetIndex()).Uint64("term", s.Term).Str("vote", vote).Int("voters", len(s.Voters)).Msg("log opened")
+}
+
 // storeFoundingVoters stores the founding voters as a snapshot at index 0 if the
 // folder holds no snapshot. A later change of the settings then does not change the
 // membership from which the log is replayed.
@@ -357,7 +366,7 @@
 func (r *Replica) publishStatus() {
 	s := r.core.Status()
 	if s.Role != r.lastRole {
-		r.log.Info().Stringer("role", s.Role).Uint64("term", s.Term).Msg("role changed")
+		r.log.Info().Stringer("role", s.Role).Uint64("term", s.Term).Uint64("last_index", s.LastIndex).Uint64("commit", s.Commit).Msg("role changed")
 		r.lastRole = s.Role
 	}
 	r.mu.Lock()
