Play relays, restarts of all control processes and of workers in the soak, and check capacity

Control processes are also killed at once, restarted one after the other, paused together, and the leader is stopped beside paused followers. Workers restart under their ids, run on for 150 ms after a stop, and other writers' reports go to every control process. Each run ends with how often its processes logged what it is meant to provoke. The files are parted by processes, workers and faults.

The check of ends: an end that was acknowledged after the worker's lease had expired no longer counts, as the contract says of such ends. The stand-in keeps one lease for the whole process now, and ends a run at the earliest of its end, its stop and its lease; it took a run that was done in time for lapsed if nobody asked meanwhile.

--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -27,6 +27,8 @@
 	ID, Address string
 	StartedMs   int64
 	Delay       time.Duration
+	// StopDelay is how long a run goes on after it was told to stop.
+	StopDelay time.Duration
 	// Duration is how long a task runs; a negative value means that
 	// it runs until it is stopped or its lease expires.
 	Duration func(task string) time.Duration
@@ -39,6 +41,7 @@
 	mu                 sync.Mutex
 	openedAt           time.Time
 	fence              uint64
+	leaseMs            int64 // time on the process's clock until which its runs may go on
 	endCount           uint64
 	runs               map[string]*run
 	unacknowledgedEnds []end
@@ -46,6 +49,7 @@
 	starts             []Start
 	history            []Interval
 	unresponsive       bool
+	closed             bool
 }
 
 // Interval is the time during which a run was executed here.
@@ -56,6 +60,9 @@
 	How      string
 	// AcknowledgedAt is when a hold acknowledged the end; zero if none did.
 	AcknowledgedAt time.Time
+	// LeaseLapsed reports that the process's lease expired after the end and before its
+	// acknowledgement. The sender may then have taken the run for lost.
+	LeaseLapsed bool
 }
 
 // Start is a start order that was carried out.
@@ -67,9 +74,9 @@
 }
 
 type run struct {
-	number     uint32
-	startedAt  time.Time
-	deadlineMs int64
+	number    uint32
+	startedAt time.Time
+	stopsAt   time.Time // zero unless it was told to stop
 }
 
 type end struct {
@@ -98,8 +105,18 @@
 	return e, nil
 }
 
-// Close simulates the end of the process and of all its runs: the server stops.
-func (e *Executor) Close() { _ = e.server.Close() }
+// Close simulates the end of the process and of all its runs: the server stops, and late
+// orders have no effect.
+func (e *Executor) Close() {
+	_ = e.server.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance()
+	for task := range e.runs {
+		e.finish(task, "crashed", time.Now())
+	}
+	e.closed = true
+}
 
 // SetUnresponsive sets whether the process leaves all requests without a response. Its runs
 // continue.
@@ -143,32 +160,31 @@
 // start.
 func (e *Executor) ClockMs() int64 { return time.Since(e.openedAt).Milliseconds() + 1 }
 
-// advance ends the runs that have completed or whose lease has expired. The caller
-// holds mu.
+// advance ends the runs that have completed, were stopped or whose lease has expired. The
+// caller holds mu.
 func (e *Executor) advance() {
+	now := time.Now()
+	lapsesAt := e.openedAt.Add(time.Duration(e.leaseMs) * time.Millisecond)
 	for task, r := range e.runs {
-		d := e.Duration(task)
-		switch {
-		case e.ClockMs() > r.deadlineMs:
-			e.finish(task, "lapsed")
-		case d >= 0 && time.Since(r.startedAt) >= d:
-			e.finish(task, "done")
+		at, how := lapsesAt, "lapsed"
+		if !r.stopsAt.IsZero() && r.stopsAt.Before(at) {
+			at, how = r.stopsAt, "stopped"
+		}
+		if d := e.Duration(task); d >= 0 && r.startedAt.Add(d).Before(at) {
+			at, how = r.startedAt.Add(d), "done"
+		}
+		if !at.After(now) {
+			e.finish(task, how, at)
 		}
 	}
 }
 
-func (e *Executor) finish(task, how string) {
+// finish records the end of a run. The caller holds mu.
+func (e *Executor) finish(task, how string, at time.Time) {
 	e.endCount++
 	r := e.runs[task]
 	e.unacknowledgedEnds = append(e.unacknowledgedEnds, end{number: e.endCount, task: task, run: r.number, how: how})
-	to := time.Now()
-	if d := e.Duration(task); how == "done" {
-		to = r.startedAt.Add(d)
-	}
-	if lapse := e.openedAt.Add(time.Duration(r.deadlineMs) * time.Millisecond); how == "lapsed" {
-		to = lapse
-	}
-	e.history = append(e.history, Interval{Task: task, Run: r.number, From: r.startedAt, To: to, How: how})
+	e.history = append(e.history, Interval{Task: task, Run: r.number, From: r.startedAt, To: at, How: how})
 	delete(e.runs, task)
 }
 
@@ -232,16 +248,30 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.advance()
+	if e.closed {
+		return "late"
+	}
 	if b.Fence < e.fence {
 		return "fence"
 	}
 	e.fence = b.Fence
+	e.markLapsedEnds()
 	return do(b)
 }
 
-func (e *Executor) extendLeases(deadlineMs int64) {
-	for _, r := range e.runs {
-		r.deadlineMs = max(r.deadlineMs, deadlineMs)
+// extendLease extends the lease of all runs. The caller holds mu and has called advance.
+func (e *Executor) extendLease(deadlineMs int64) {
+	e.leaseMs = max(e.leaseMs, deadlineMs)
+}
+
+// markLapsedEnds marks the ends that were not acknowledged before the lease expired. The
+// caller holds mu.
+func (e *Executor) markLapsedEnds() {
+	if e.ClockMs() <= e.leaseMs {
+		return
+	}
+	for _, x := range e.unacknowledgedEnds {
+		e.history[x.number-1].LeaseLapsed = true
 	}
 }
 
@@ -249,7 +279,7 @@
 	if r := e.runs[b.Task]; r != nil && r.number == b.Run {
 		return ""
 	}
-	e.extendLeases(b.DeadlineMs)
+	e.extendLease(b.DeadlineMs)
 	if b.Run <= e.highestRuns[b.Task] {
 		return "old"
 	}
@@ -257,16 +287,21 @@
 		return "late"
 	}
 	e.highestRuns[b.Task] = b.Run
-	e.runs[b.Task] = &run{number: b.Run, startedAt: time.Now(), deadlineMs: b.DeadlineMs}
+	if earlier := e.runs[b.Task]; earlier != nil {
+		// It was told to stop and runs on meanwhile; only its end is listed.
+		e.finish(b.Task, "stopped", earlier.stopsAt)
+	}
+	e.runs[b.Task] = &run{number: b.Run, startedAt: time.Now()}
 	e.starts = append(e.starts, Start{Task: b.Task, Run: b.Run, Spec: b.Spec, At: time.Now()})
 	return ""
 }
 
 func (e *Executor) stop(b orderBody) string {
 	e.highestRuns[b.Task] = max(e.highestRuns[b.Task], b.Run)
-	if r := e.runs[b.Task]; r != nil && r.number <= b.Run {
-		e.finish(b.Task, "stopped")
+	if r := e.runs[b.Task]; r != nil && r.number <= b.Run && r.stopsAt.IsZero() {
+		r.stopsAt = time.Now().Add(e.StopDelay)
 	}
+	e.advance()
 	return ""
 }
 
@@ -285,7 +320,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	reason := e.apply(b, func(b orderBody) string {
-		e.extendLeases(b.DeadlineMs)
+		e.extendLease(b.DeadlineMs)
 		kept := e.unacknowledgedEnds[:0]
 		for _, x := range e.unacknowledgedEnds {
 			if x.number > b.LastSeen {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -2,7 +2,7 @@
 // injects faults: signals to the processes, lost or late orders at the workers, and
 // delayed, blocked or closed connections of callers, workers and reports in relays.
 // It checks by the responses to callers and the run history of the workers that no
-// accepted job is lost and no task runs twice.
+// accepted job is lost, no task runs twice and no worker is given more than its capacity.
 package soak
 
 import (
@@ -16,7 +16,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -27,170 +26,73 @@
 )
 
 const (
-	controls       = 3
-	entries        = 2
-	workers        = 6
-	faultDuration  = 6 * time.Second // for which faults are injected per seed
-	waitLimit      = 2 * time.Minute // for an event, most of them after the last fault
-	reportInterval = 200 * time.Millisecond
-	pollInterval   = 20 * time.Millisecond
+	waitLimit    = 2 * time.Minute // for an event, most of them after the last fault
+	pollInterval = 20 * time.Millisecond
+
+	workerCPU  = 8000 // millicores of a worker
+	taskCPU    = 2000 // millicores of a task
+	maxRuns    = workerCPU / taskCPU
+	taskFaults = 0.1 // share of the orders to workers that are lost, late or not answered
+
+	stopDelay = 150 * time.Millisecond // for which a run goes on after it was told to stop
+
+	// lastingPrefix begins the ids of the jobs whose tasks run until they are stopped.
+	lastingPrefix = "ffff"
 )
 
-// firstPort is the first internal port. It is derived from the process ID, so that
-// test processes that run concurrently rarely share ports.
-var firstPort = 17000 + os.Getpid()%100*120
+// fleet is the size of a run and what happens in it.
+type fleet struct {
+	controls, entries, workers int
+	callers                    int           // that submit jobs at the same time
+	lastingTasks               int           // of the job that lasts for the whole run, 0 for none
+	minRun, maxRun             time.Duration // of a task that does not last
+	reportInterval             time.Duration // of each worker
+	faultDuration              time.Duration // for which faults are injected
+	groupRestarts              bool          // several control processes are restarted at once or one after the other
+	workerRestartInterval      time.Duration // mean time between two restarts of workers under their ids
+}
 
-var seeds = []uint64{1}
+var (
+	// smallFleet is below the number of workers from which orders go through relays.
+	smallFleet = fleet{controls: 3, entries: 2, workers: 6, callers: 1, minRun: 150 * time.Millisecond, maxRun: 150 * time.Millisecond,
+		reportInterval: 200 * time.Millisecond, faultDuration: 6 * time.Second, workerRestartInterval: 3 * time.Second}
+	// relayedFleet has enough workers for relays.
+	relayedFleet = fleet{controls: 5, entries: 2, workers: 140, callers: 6, lastingTasks: 60, minRun: 100 * time.Millisecond, maxRun: 1200 * time.Millisecond,
+		reportInterval: 500 * time.Millisecond, faultDuration: 15 * time.Second, groupRestarts: true, workerRestartInterval: time.Second}
+	// largeFleet has the processes and workers of the largest deployment that one machine bears.
+	largeFleet = fleet{controls: 9, entries: 6, workers: 350, callers: 10, lastingTasks: 150, minRun: 100 * time.Millisecond, maxRun: 1800 * time.Millisecond,
+		reportInterval: 1500 * time.Millisecond, faultDuration: 45 * time.Second, groupRestarts: true, workerRestartInterval: time.Second}
+)
 
 // soak is the run of one seed: the processes, the workers and the accepted jobs.
 type soak struct {
 	t               *testing.T
-	rng             *rand.Rand
+	fleet           fleet
+	seed            uint64
+	rng             *rand.Rand // of the faults
 	dir             string
 	binary          string
 	processes       []*process
-	executors       []*executor.Executor
-	workerRelays    map[string]*relay.Relay   // in front of each worker, by worker ID
+	workers         []*worker
 	interfaceRelays map[*process]*relay.Relay // in front of the callers' interface of an entry or the interface of a control process
-	sequence        int
-	mu              sync.Mutex // guards faultsEnabled
-	faultsEnabled   bool
-	accepted        []string
-}
-
-type process struct {
-	role, name, ip string
-	binary         string // path of the program that it runs, or ran last
-	command        *exec.Cmd
-	log            *os.File
-}
-
-func (p *process) address(port int) string { return fmt.Sprintf("%s:%d", p.ip, firstPort+port) }
-
-const (
-	portControlPlane = 100
-	portCallers      = 101
-	portReadiness    = 102
-)
-
-func ip(kind, number int) string { return fmt.Sprintf("127.77.%d.%d", kind, number+1) }
-
-// settings returns the contents of the settings file of a process.
-func (s *soak) settings(p *process, bootstrap bool) string {
-	var seeds []string
-	for i := range controls {
-		seeds = append(seeds, strconv.Quote(fmt.Sprintf("%s:%d", ip(1, i), firstPort+portControlPlane)))
-	}
-	return fmt.Sprintf(`{"node-name":%q,"ip-address":%q,"zone":"z","listen-addresses":{"frontend":%q,"readiness":%q,"control-plane":%q},
-		"internal-port-range":[%d,%d],"seed-nodes":[%s],"bootstrap":%t,"data-directory":%q,"heartbeat-interval-ms":300,
-		"limits":{"memory-mb":200},"bounds":{"grace-period-s":2,"max-hold-ms":3000,"status_s":120}}`,
-		p.name, p.ip, p.address(portCallers), p.address(portReadiness), p.address(portControlPlane), firstPort, firstPort+9,
-		strings.Join(seeds, ","), bootstrap, filepath.Join(s.dir, p.name))
-}
-
-func (s *soak) start(p *process, binary string, bootstrap bool) {
-	path := filepath.Join(s.dir, p.name+".json")
-	if err := os.WriteFile(path, []byte(s.settings(p, bootstrap)), 0o600); err != nil {
-		s.t.Fatal(err)
-	}
-	p.binary = binary
-	p.command = exec.Command(binary, p.role)
-	p.command.Env = []string{"MARJORAMTILLER_NODE_FILE=" + path}
-	p.command.Stdout, p.command.Stderr = p.log, p.log
-	if err := p.command.Start(); err != nil {
-		s.t.Fatal(err)
-	}
-}
-
-func (s *soak) signal(p *process, sig syscall.Signal) {
-	if err := p.command.Process.Signal(sig); err != nil {
-		s.t.Logf("signal %s to %s: %v", sig, p.name, err)
-	}
-}
-
-// restart sends a process a signal that terminates it, waits for its exit and starts
-// it again with the current build.
-func (s *soak) restart(p *process, sig syscall.Signal) {
-	s.signal(p, sig)
-	_ = p.command.Wait() // the error is the exit status of the killed process
-	s.start(p, s.binary, false)
-}
-
-// firstBinary returns the program that the processes run until their first restart: that
-// of an older build, if MARJORAMTILLER_OLDER_BUILD names its folder.
-func (s *soak) firstBinary() string {
-	if folder := os.Getenv("MARJORAMTILLER_OLDER_BUILD"); folder != "" {
-		return filepath.Join(folder, "marjoramtiller-platform")
-	}
-	return s.binary
-}
 
-// upgrade replaces the processes that still run an older build, one after the other. A job
-// must be accepted after each replacement.
-func (s *soak) upgrade() {
-	for _, p := range s.processes {
-		if p.binary == s.binary {
-			continue
-		}
-		s.restart(p, syscall.SIGTERM)
-		s.eventually("a job is accepted after "+p.name+" was replaced", s.submitJob)
-	}
+	mu            sync.Mutex // guards the fields below
+	faultsEnabled bool
+	accepted      []string
 }
 
-// submitJob submits a job and reports whether it was accepted.
-func (s *soak) submitJob() bool {
-	id := fmt.Sprintf("%016x", s.rng.Uint64())
-	body := `{"spec":"x","steps":[{"count":3,"cpu":2000,"estimated-ms":150},{"count":2,"cpu":2000,"estimated-ms":150,"after":[0]}]}`
-	code, _ := s.call(http.MethodPost, s.entry(), "a.example", "/q/"+id, body)
-	if code == http.StatusOK {
-		s.accepted = append(s.accepted, id)
-	}
-	return code == http.StatusOK
-}
-
-func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{t: t, rng: rand.New(rand.NewPCG(seed, seed)), dir: t.TempDir(), faultsEnabled: true,
-		workerRelays: map[string]*relay.Relay{}, interfaceRelays: map[*process]*relay.Relay{}}
+func newSoak(t *testing.T, seed uint64, f fleet) *soak {
+	s := &soak{t: t, fleet: f, seed: seed, rng: rand.New(rand.NewPCG(seed, seed)), dir: t.TempDir(), faultsEnabled: true,
+		interfaceRelays: map[*process]*relay.Relay{}}
 	s.binary = filepath.Join(s.dir, "platform")
 	if out, err := exec.Command("go", "build", "-o", s.binary, "../../cmd/marjoramtiller-platform").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
-	for i := range controls + entries {
-		p := &process{role: "control", name: fmt.Sprint("control-", i), ip: ip(1, i)}
-		if i >= controls {
-			p.role, p.name, p.ip = "entry", fmt.Sprint("entry-", i-controls), ip(2, i-controls)
-		}
-		log, err := os.Create(filepath.Join(s.dir, p.name+".log"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		p.log = log
-		s.processes = append(s.processes, p)
-		interfaceAddress := p.address(portControlPlane)
-		if p.role == "entry" {
-			interfaceAddress = p.address(portCallers)
-		}
-		s.interfaceRelays[p] = s.relay(interfaceAddress)
-		s.start(p, s.firstBinary(), true)
+	for i := range f.controls + f.entries {
+		s.addProcess(i)
 	}
-	for i := range workers {
-		e, err := executor.Open(fmt.Sprint("i-", i))
-		if err != nil {
-			t.Fatal(err)
-		}
-		e.Duration = func(string) time.Duration { return 150 * time.Millisecond }
-		e.Delay = time.Second
-		faults := rand.New(rand.NewPCG(seed, uint64(i)))
-		e.Fault = func(string, string) executor.Fault {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			if !s.faultsEnabled || faults.Float64() > 0.1 {
-				return executor.None
-			}
-			return []executor.Fault{executor.LoseAnswer, executor.LoseOrder, executor.Late}[faults.IntN(3)]
-		}
-		s.executors = append(s.executors, e)
-		s.workerRelays[e.ID] = s.relay(e.Address)
+	for i := range f.workers {
+		s.workers = append(s.workers, s.newWorker(i))
 	}
 	t.Cleanup(s.close)
 	return s
@@ -208,17 +110,14 @@
 
 func (s *soak) close() {
 	for _, p := range s.processes {
-		_ = p.command.Process.Signal(syscall.SIGCONT)
-		_ = p.command.Process.Kill()
-		_ = p.command.Wait()
-		_ = p.log.Close()
+		p.end()
 		if s.t.Failed() {
 			data, err := os.ReadFile(p.log.Name())
 			s.t.Logf("log of %s (%v):\n%s", p.name, err, data)
 		}
 	}
-	for _, e := range s.executors {
-		e.Close()
+	for _, w := range s.workers {
+		w.end()
 	}
 }
 
@@ -243,52 +142,9 @@
 	return resp.StatusCode, string(buf[:n])
 }
 
-// reportAll periodically sends the reports of all workers, each time to the next
-// control process, until done is closed.
-func (s *soak) reportAll(done chan struct{}) {
-	for {
-		s.sequence++
-		var calls sync.WaitGroup
-		address := s.interfaceRelays[s.processes[s.sequence%controls]].Address()
-		for _, e := range s.executors {
-			calls.Go(func() { s.report(address, e) })
-		}
-		calls.Go(func() { s.reportOdd(address, s.sequence) })
-		calls.Wait()
-		select {
-		case <-done:
-			return
-		case <-time.After(reportInterval):
-		}
-	}
-}
-
-func (s *soak) report(address string, e *executor.Executor) {
-	body := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":8000,"mem-mb":1000},
-		"labels":["a","r-1"],"clock-ms":%d,"born":%d,"sequence":%d}`, s.workerRelays[e.ID].Address(), e.ClockMs(), e.StartedMs, s.sequence)
-	s.call(http.MethodPut, address, "", "/executors/"+e.ID, body)
-}
-
-// reportOdd sends a report of another writer, which no control process may accept and which
-// must not affect those of the workers.
-func (s *soak) reportOdd(address string, number int) {
-	const format = `{"service":"pool","address":%q,"zone":"z","state":%q,"capacity":{"cpu":%s},"born":1,"sequence":1}`
-	odd := []struct{ id, body string }{
-		{"%ff%fe", fmt.Sprintf(format, "127.0.0.1:9", "ready", "1")},
-		{"odd", fmt.Sprintf(format, "127.0.0.1:65536", "ready", "1")},
-		{"odd", fmt.Sprintf(format, "127.0.0.1:9", "ready", "1e400")},
-		{"odd", fmt.Sprintf(format, "127.0.0.1:9", "ready", strings.Repeat("[", 20_000))},
-		{"odd", fmt.Sprintf(format, "127.0.0.1:9", "odd", "1")},
-		{"odd", "\xff\xfe"},
-	}
-	report := odd[number%len(odd)]
-	if code, _ := s.call(http.MethodPut, address, "", "/executors/"+report.id, report.body); code >= 200 && code < 300 {
-		s.t.Errorf("the report of another writer was accepted: %.100s", report.body)
-	}
-}
-
-func (s *soak) entry() string {
-	return s.interfaceRelays[s.processes[controls+s.rng.IntN(entries)]].Address()
+// entry returns the address of a random entry.
+func (s *soak) entry(rng *rand.Rand) string {
+	return s.interfaceRelays[s.processes[s.fleet.controls+rng.IntN(s.fleet.entries)]].Address()
 }
 
 const configuration = `{"version":1,"routes":[{"name":"r","host":"a.example","path-prefix":"/q/","timeout-ms":3000,"target-latency-ms":600,
@@ -306,43 +162,31 @@
 	s.t.Fatalf("did not happen within %s: %s", waitLimit, what)
 }
 
-// disturbConnection closes the connections to a worker or to the interface of a
-// process, or for a while delays them or blocks one or both directions.
-func (s *soak) disturbConnection() {
-	r := s.workerRelays[s.executors[s.rng.IntN(workers)].ID]
-	if s.rng.IntN(2) == 0 {
-		r = s.interfaceRelays[s.processes[s.rng.IntN(len(s.processes))]]
-	}
-	duration := time.Duration(s.rng.IntN(3000)) * time.Millisecond
-	switch s.rng.IntN(3) {
-	case 0:
-		r.CloseConnections()
-	case 1:
-		r.SetDelay(time.Duration(1+s.rng.IntN(400)) * time.Millisecond)
-		time.AfterFunc(duration, func() { r.SetDelay(0) })
-	case 2:
-		direction := s.rng.IntN(3) // 0 blocks the forward direction, 1 the way back, 2 both
-		r.SetBlocked(direction != 1, direction != 0)
-		time.AfterFunc(duration, func() { r.SetBlocked(false, false) })
+// submitJob submits a job and reports whether it was accepted.
+func (s *soak) submitJob(rng *rand.Rand) bool {
+	id := fmt.Sprintf("%016x", rng.Uint64()>>8) // does not begin like a lasting one
+	const steps = `{"spec":"x","steps":[{"count":3,"cpu":%d,"estimated-ms":150},{"count":2,"cpu":%d,"estimated-ms":150,"after":[0]}]}`
+	code, _ := s.call(http.MethodPost, s.entry(rng), "a.example", "/q/"+id, fmt.Sprintf(steps, taskCPU, taskCPU))
+	if code != http.StatusOK {
+		return false
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepted = append(s.accepted, id)
+	return true
 }
 
-// disturbProcess kills and restarts, stops and restarts, pauses or sends SIGHUP to one
-// random process, in most cases a control process.
-func (s *soak) disturbProcess() {
-	p := s.processes[s.rng.IntN(len(s.processes))]
-	switch s.rng.IntN(4) {
-	case 0:
-		s.restart(p, syscall.SIGKILL)
-	case 1:
-		s.restart(p, syscall.SIGTERM)
-	case 2:
-		s.signal(p, syscall.SIGSTOP)
-		paused := p.command.Process
-		time.AfterFunc(time.Duration(s.rng.IntN(3000))*time.Millisecond, func() { _ = paused.Signal(syscall.SIGCONT) })
-	case 3:
-		s.signal(p, syscall.SIGHUP)
+// submitLastingJob submits the job whose tasks run until they are stopped, if there is one.
+func (s *soak) submitLastingJob() {
+	if s.fleet.lastingTasks == 0 {
+		return
 	}
+	id := fmt.Sprintf("%s%012x", lastingPrefix, s.seed&0xffffffffffff)
+	body := fmt.Sprintf(`{"spec":"x","steps":[{"count":%d,"cpu":%d,"estimated-ms":900,"long-running":true}]}`, s.fleet.lastingTasks, taskCPU)
+	s.eventually("the lasting job is accepted", func() bool {
+		code, _ := s.call(http.MethodPost, s.entry(s.rng), "a.example", "/q/"+id, body)
+		return code == http.StatusOK
+	})
 }
 
 func (s *soak) run() {
@@ -351,82 +195,160 @@
 		return code == http.StatusOK
 	})
 	done := make(chan struct{})
-	reported := make(chan struct{})
-	go func() {
-		defer close(reported)
-		s.reportAll(done)
-	}()
-	defer func() {
-		close(done)
-		<-reported
-	}()
-	nextFault, nextLink := time.Now(), time.Now()
-	for until := time.Now().Add(faultDuration); time.Now().Before(until); {
-		s.submitJob()
-		if time.Now().After(nextFault) {
-			s.disturbProcess()
-			nextFault = time.Now().Add(time.Duration(300+s.rng.IntN(1500)) * time.Millisecond)
-		}
-		if time.Now().After(nextLink) {
-			s.disturbConnection()
-			nextLink = time.Now().Add(time.Duration(100+s.rng.IntN(700)) * time.Millisecond)
-		}
-	}
+	var reports sync.WaitGroup
+	reports.Go(func() { s.reportAll(done) })
+	defer reports.Wait()
+	defer close(done)
+	s.submitLastingJob()
+	s.runWithFaults()
 	s.upgrade()
 	s.mu.Lock()
 	s.faultsEnabled = false
+	accepted := s.accepted
 	s.mu.Unlock()
-	for _, id := range s.accepted {
+	for _, id := range accepted {
 		s.eventually("job "+id+" is completed", func() bool {
-			_, body := s.call(http.MethodGet, s.entry(), "a.example", "/q/"+id, "")
+			_, body := s.call(http.MethodGet, s.entry(s.rng), "a.example", "/q/"+id, "")
 			return strings.Contains(body, "completed")
 		})
 	}
 }
 
-// check asserts that the runs of a task did not overlap in time and that no run
-// began after the end of an earlier one was acknowledged as done.
+// runWithFaults submits jobs and injects faults for faultDuration.
+func (s *soak) runWithFaults() {
+	until := time.Now().Add(s.fleet.faultDuration)
+	var callers sync.WaitGroup
+	for i := range s.fleet.callers {
+		rng := rand.New(rand.NewPCG(s.seed, uint64(1000+i)))
+		callers.Go(func() {
+			for time.Now().Before(until) {
+				s.submitJob(rng)
+			}
+		})
+	}
+	s.injectFaults(until)
+	callers.Wait()
+	for _, p := range s.processes {
+		p.restarts.Wait()
+	}
+	for _, w := range s.workers {
+		w.restarts.Wait()
+	}
+}
+
+// check asserts that the runs of a task did not overlap in time, that no run began after
+// the end of an earlier one that was acknowledged as done within the lease, and that no
+// worker had more runs than its capacity allows.
 func (s *soak) check() {
 	byTask := map[string][]executor.Interval{}
-	for _, e := range s.executors {
-		for _, interval := range e.RunHistory() {
-			byTask[interval.Task] = append(byTask[interval.Task], interval)
+	for _, w := range s.workers {
+		for _, e := range w.all() {
+			history := e.RunHistory()
+			s.checkCapacity(e.ID, history)
+			for _, interval := range history {
+				byTask[interval.Task] = append(byTask[interval.Task], interval)
+			}
 		}
 	}
 	for task, list := range byTask {
-		slices.SortFunc(list, func(a, b executor.Interval) int { return a.From.Compare(b.From) })
-		for i, interval := range list[1:] {
-			before := list[i]
-			if interval.From.Before(before.To) {
-				s.t.Errorf("task %s: run %d began %s before the end of run %d", task, interval.Run, before.To.Sub(interval.From), before.Run)
-			}
-			if before.How == "done" && !before.AcknowledgedAt.IsZero() {
-				s.t.Errorf("task %s: run %d began after run %d was done", task, interval.Run, before.Run)
+		s.checkRuns(task, list)
+	}
+}
+
+func (s *soak) checkRuns(task string, list []executor.Interval) {
+	slices.SortFunc(list, func(a, b executor.Interval) int { return a.From.Compare(b.From) })
+	for i, interval := range list[1:] {
+		before := list[i]
+		if interval.From.Before(before.To) {
+			s.t.Errorf("task %s: run %d began %s before the end of run %d (%s)", task, interval.Run, before.To.Sub(interval.From), before.Run, before.How)
+		}
+		if before.How == "done" && !before.AcknowledgedAt.IsZero() && !before.LeaseLapsed {
+			s.t.Errorf("task %s: run %d began after run %d was done", task, interval.Run, before.Run)
+		}
+	}
+}
+
+func (s *soak) checkCapacity(worker string, history []executor.Interval) {
+	for _, started := range history {
+		running := 0
+		for _, other := range history {
+			if !other.From.After(started.From) && other.To.After(started.From) {
+				running++
 			}
 		}
+		if running > maxRuns {
+			s.t.Errorf("worker %s: run %d of task %s is the %dth at the same time, its capacity allows %d", worker, started.Run, started.Task, running, maxRuns)
+		}
 	}
 }
 
-// Guards against accepted jobs that are lost and tasks that run twice while control
-// and entry processes are killed, restarted and paused, orders to workers are lost or
-// late, and connections are delayed, closed or blocked in one or both directions.
-// MARJORAMTILLER_SOAK_SEEDS=N runs N random seeds instead of the fixed one, and
-// MARJORAMTILLER_OLDER_BUILD=FOLDER begins with the processes of an older build.
-func TestSoak(t *testing.T) {
-	run := seeds
-	if n, err := strconv.Atoi(os.Getenv("MARJORAMTILLER_SOAK_SEEDS")); err == nil {
-		run = nil
-		for range n {
-			run = append(run, rand.Uint64N(1<<32))
+// summarizedMessages are the messages whose numbers tell what a run has provoked.
+var summarizedMessages = []string{"started", "session begins", "commit was not confirmed", "relay lost", "order not relayed",
+	"truncated the log", "not placed on this worker", "cannot begin there"}
+
+// logSummary returns how often the processes have logged each of summarizedMessages.
+func (s *soak) logSummary() string {
+	counts := make([]int, len(summarizedMessages))
+	for _, p := range s.processes {
+		data, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			return err.Error()
 		}
+		for i, message := range summarizedMessages {
+			counts[i] += strings.Count(string(data), message)
+		}
+	}
+	var list []string
+	for i, message := range summarizedMessages {
+		list = append(list, fmt.Sprintf("%q %d", message, counts[i]))
+	}
+	return strings.Join(list, ", ")
+}
+
+// seedsFromEnvironment returns random seeds, as many as a variable says, or the fixed seed.
+func seedsFromEnvironment(variable string) []uint64 {
+	n, err := strconv.Atoi(os.Getenv(variable))
+	if err != nil {
+		return []uint64{1}
+	}
+	var list []uint64
+	for range n {
+		list = append(list, rand.Uint64N(1<<32))
 	}
-	for _, seed := range run {
+	return list
+}
+
+func play(t *testing.T, f fleet, seeds []uint64) {
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
-			s := newSoak(t, seed)
+			s := newSoak(t, seed, f)
+			defer s.check() // also if a job did not end in time
 			s.run()
-			s.check()
 			is.New(t).True(len(s.accepted) > 0)
-			t.Logf("seed %d: %d jobs accepted", seed, len(s.accepted))
+			t.Logf("seed %d: %d jobs accepted, in the logs %s", seed, len(s.accepted), s.logSummary())
 		})
 	}
 }
+
+// Guards against accepted jobs that are lost, tasks that run twice and workers over their
+// capacity while control and entry processes are killed, restarted and paused, orders to
+// workers are lost or late, and connections are delayed, closed or blocked in one or both
+// directions. MARJORAMTILLER_SOAK_SEEDS=N runs N random seeds instead of the fixed one, and
+// MARJORAMTILLER_OLDER_BUILD=FOLDER begins with the processes of an older build.
+func TestSoak(t *testing.T) { play(t, smallFleet, seedsFromEnvironment("MARJORAMTILLER_SOAK_SEEDS")) }
+
+// Guards against the same where orders go through relays, and while all control processes
+// are restarted, at once and one after the other. MARJORAMTILLER_RELAYED_SOAK_SEEDS=N runs N
+// random seeds.
+func TestSoakWithRelays(t *testing.T) {
+	play(t, relayedFleet, seedsFromEnvironment("MARJORAMTILLER_RELAYED_SOAK_SEEDS"))
+}
+
+// Guards against the same with as many processes as a large deployment has. It takes minutes
+// and runs by hand: MARJORAMTILLER_LARGE_SOAK_SEEDS=N sets the number of random seeds.
+func TestSoakOfLargeFleet(t *testing.T) {
+	if os.Getenv("MARJORAMTILLER_LARGE_SOAK_SEEDS") == "" {
+		t.Skip("runs by hand: set MARJORAMTILLER_LARGE_SOAK_SEEDS")
+	}
+	play(t, largeFleet, seedsFromEnvironment("MARJORAMTILLER_LARGE_SOAK_SEEDS"))
+}
--- /dev/null
+++ b/tests/soak/workers_test.go
@@ -0,0 +1,154 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"marjoramtiller.example/marjoramtiller/standin/executor"
+	"marjoramtiller.example/marjoramtiller/standin/relay"
+)
+
+// worker is a worker under one id, whose process may be restarted.
+type worker struct {
+	id       string
+	restarts sync.WaitGroup // restarts that are not finished
+
+	mu       sync.Mutex // guards the fields below
+	process  *executor.Executor
+	relay    *relay.Relay // in front of process
+	sequence int          // of the last report of process
+	earlier  []*executor.Executor
+}
+
+func (s *soak) newWorker(number int) *worker {
+	w := &worker{id: fmt.Sprint("i-", number)}
+	faults := rand.New(rand.NewPCG(s.seed, uint64(number)))
+	s.startWorker(w, func(string, string) executor.Fault {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.faultsEnabled || faults.Float64() > taskFaults {
+			return executor.None
+		}
+		return []executor.Fault{executor.LoseAnswer, executor.LoseOrder, executor.Late}[faults.IntN(3)]
+	})
+	return w
+}
+
+// startWorker starts a process of a worker.
+func (s *soak) startWorker(w *worker, fault func(path, task string) executor.Fault) {
+	e, err := executor.Open(w.id)
+	if err != nil {
+		s.t.Errorf("start worker %s: %v", w.id, err)
+		return
+	}
+	e.Duration, e.Fault, e.Delay, e.StopDelay = s.runTime, fault, time.Second, stopDelay
+	r := s.relay(e.Address)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.process, w.relay, w.sequence = e, r, 0
+}
+
+// restartWorker ends a worker's process with its runs and, after a pause, starts another one
+// under the worker's id.
+func (s *soak) restartWorker(w *worker, pause time.Duration) {
+	w.mu.Lock()
+	e := w.process
+	restarting := slices.Contains(w.earlier, e)
+	if !restarting {
+		w.earlier = append(w.earlier, e)
+	}
+	w.mu.Unlock()
+	if restarting {
+		return
+	}
+	e.Close()
+	time.Sleep(pause)
+	s.startWorker(w, e.Fault)
+}
+
+// all returns the worker's processes, the current one last.
+func (w *worker) all() []*executor.Executor {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.Contains(w.earlier, w.process) {
+		return slices.Clone(w.earlier)
+	}
+	return append(slices.Clone(w.earlier), w.process)
+}
+
+func (w *worker) end() {
+	for _, e := range w.all() {
+		e.Close()
+	}
+}
+
+// nextReport returns the current process, the address that it reports and the number of its
+// next report. The process is nil while the worker is down.
+func (w *worker) nextReport() (e *executor.Executor, address string, sequence int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.Contains(w.earlier, w.process) {
+		return nil, "", 0
+	}
+	w.sequence++
+	return w.process, w.relay.Address(), w.sequence
+}
+
+// runTime returns how long a task runs, which depends on its name only.
+func (s *soak) runTime(task string) time.Duration {
+	if strings.HasPrefix(task, lastingPrefix) {
+		return -1
+	}
+	spread := s.fleet.maxRun - s.fleet.minRun
+	return s.fleet.minRun + time.Duration(xxhash.Sum64String(task)%1024)*spread/1024
+}
+
+// reportAll periodically sends the reports of all workers, each to a random control process
+// and to the next one after a failure, until done is closed.
+func (s *soak) reportAll(done chan struct{}) {
+	rng := rand.New(rand.NewPCG(s.seed, 1))
+	for round := 1; ; round++ {
+		var calls sync.WaitGroup
+		for _, w := range s.workers {
+			first := rng.IntN(s.fleet.controls)
+			after := time.Duration(rng.Int64N(int64(s.fleet.reportInterval)))
+			calls.Go(func() {
+				time.Sleep(after)
+				s.report(first, w)
+			})
+		}
+		calls.Go(func() { s.reportOdd(round) })
+		calls.Wait()
+		select {
+		case <-done:
+			return
+		default:
+		}
+	}
+}
+
+// reportAttempts is the number of control processes to which a worker sends a report that
+// is not confirmed.
+const reportAttempts = 3
+
+func (s *soak) report(first int, w *worker) {
+	e, address, sequence := w.nextReport()
+	if e == nil {
+		return
+	}
+	body := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"z","state":"ready","capacity":{"cpu":%d,"mem-mb":1000},
+		"labels":["a","r-1"],"clock-ms":%d,"born":%d,"sequence":%d}`, address, workerCPU, e.ClockMs(), e.StartedMs, sequence)
+	for attempt := range reportAttempts {
+		to := s.interfaceRelays[s.processes[(first+attempt)%s.fleet.controls]].Address()
+		if code, _ := s.call(http.MethodPut, to, "", "/executors/"+e.ID, body); code == http.StatusOK {
+			return
+		}
+	}
+}
