Ask workers before they are dropped after a suspension of the leader

All control processes were paused for 1 to 5 s, the leader for 4.5 s; it stayed leader, since nobody could elect another one.

Cause: after the pause the first round dropped all workers: their leases had expired and the last contact was longer ago than three report intervals. Their reports and lists, with the ends of these tasks, were waiting to be read. Allowed by the contract, since the leases had expired, but the work was done twice.

The lapse of leases still needs the same silence, in which a worker that is up answers.

Evidence: TestSuspendedLeaderAsksWorkersBeforeItDropsThem fails without the change ('not true: !s.dropped(w, now)'). go test ./process/jobs ./job/... passes but for the known red TestTaskThatCrashesWorkersLateIsGivenUp.

--- a/job/evidence/evidence.go
+++ b/job/evidence/evidence.go
@@ -86,7 +86,7 @@
 // Process is what the leader knows of the end of a worker's process.
 type Process struct {
 	LeasesExpireBy time.Duration // until then its runs may be at work, if it is not reached
-	SilentFor      time.Duration // since its last contact
+	SilentFor      time.Duration // since its last contact, or since the leader can hear it again
 	MaxSilence     time.Duration // a process that is silent for longer gets no more leases
 	ListedAsEnded  bool          // the machine service lists its machine without it
 	ExitAnnounced  bool          // it has said that it exits, which it does some time later
--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -119,6 +119,21 @@
 	return dropped
 }
 
+// Guards against tasks that run again although they are done: a leader that was suspended
+// for longer than the leases drops workers whose answers it has not read yet.
+func TestSuspendedLeaderAsksWorkersBeforeItDropsThem(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newLeavingFixture(t, false)
+	w.announcedExit, w.leftAt = false, 0
+	s.suspension.observe(now)
+	now += 6 * time.Second
+	is.Equal(s.suspension.observe(now), 6*time.Second)
+	is.True(!s.dropped(w, now)) // its leases have expired, but it was not asked since
+	now += 3 * time.Second
+	is.True(!s.dropped(w, now))
+	is.True(s.dropped(w, now+1))
+}
+
 // Guards against the tasks of a worker that start elsewhere because it has announced its
 // exit: the confirmation may be lost, and it serves on for seconds.
 func TestAnnouncedExitFreesNoRuns(t *testing.T) {
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -62,6 +62,7 @@
 	expiryCheckedAt time.Duration
 	nextStopCheck   time.Duration // time of the next check for runs to stop
 	holdInterval    time.Duration // between two hold orders to one worker
+	suspension      suspension    // of this process
 }
 
 // newSession returns a session of a term. earlier holds the fences of this process's
@@ -153,6 +154,9 @@
 // plans and commits the collected changes.
 func (s *session) round() {
 	now := s.now()
+	if lasted := s.suspension.observe(now); lasted > 0 {
+		s.log.Warn().Dur("suspended", lasted).Int("workers", len(s.workers)).Msg("this process was suspended: silent workers are asked before they are dropped")
+	}
 	s.maintainWorkers(now)
 	if s.inFlight {
 		return
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -166,6 +166,12 @@
 	return now - w.track.LastContact
 }
 
+// silence returns for how long a worker has sent nothing although this process would have
+// received it.
+func (s *session) silence(now time.Duration, w *workerState) time.Duration {
+	return now - max(w.track.LastContact, s.suspension.endedAt)
+}
+
 // dropIfEnded drops a worker once it is proved that none of its runs is at work. It
 // reports whether the worker is being dropped.
 func (s *session) dropIfEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) bool {
@@ -173,7 +179,7 @@
 		return true
 	}
 	proof := evidence.FromProcess(evidence.Process{
-		LeasesExpireBy: w.track.LeasesExpireBy(), SilentFor: s.timeSinceContact(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
+		LeasesExpireBy: w.track.LeasesExpireBy(), SilentFor: s.silence(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
 		ListedAsEnded: w.listedAsEnded, ExitAnnounced: w.announcedExit, ClosedPortSeen: w.closedPorts, Placed: len(placed), AnnouncedFor: now - w.leftAt,
 	}, now)
 	if proof == evidence.None {
