Make what a store reads at its start durable before it is used

Callers saw: an acknowledged change could be lost, and a replica could vote for two candidates in one term, if a control process was killed and its host lost power soon after it had started again. Other replicas no longer started ("is corrupt", "is missing", "entry 27 does not follow entry 25") or stopped with acknowledged-entry-kept.

Cause: a process that is killed between a write and its sync, or between a rename and the sync of the folder, leaves changes in the page cache. The next process reads them like any other, counts the entries as stable, acknowledges them and stands by the vote. Open synced the last segment only after it had truncated a torn tail, and never synced the folder. A manifest that was renamed and not synced is the worst case: the entries that the next process writes to the new segment are synced, but after a loss of power the old manifest is back and Open removes that segment as one that is not in use.

Change: Open syncs the folder before it reads it, and always syncs the last segment.

The tests of process/replica run real replicas on one goroutine in virtual time, for which Open is split.

--- a/process/replica/options.go
+++ b/process/replica/options.go
@@ -117,6 +117,8 @@
 	// OnFatal is called once, on another goroutine, when the replica stops because
 	// of an error such as a broken invariant or a failed sync.
 	OnFatal func(error)
+
+	segmentBytes int64 // size at which the store creates a new log segment; the store's default if 0
 }
 
 const (
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -73,10 +73,20 @@
 
 // Open starts a replica from its folder.
 func Open(o Options) (*Replica, error) {
+	r, err := load(o)
+	if err != nil {
+		return nil, err
+	}
+	go r.run()
+	return r, nil
+}
+
+// load returns a replica with the state of its folder, without a goroutine that runs it.
+func load(o Options) (*Replica, error) {
 	if err := o.setDefaults(); err != nil {
 		return nil, err
 	}
-	store, state, err := storage.Open(storage.Options{FS: o.FS, Dir: o.Dir})
+	store, state, err := storage.Open(storage.Options{FS: o.FS, Dir: o.Dir, SegmentBytes: o.segmentBytes})
 	if err != nil {
 		return nil, err
 	}
@@ -98,7 +108,6 @@
 		_ = store.Close()
 		return nil, err
 	}
-	go r.run()
 	return r, nil
 }
 
--- a/process/storage/load.go
+++ b/process/storage/load.go
@@ -257,18 +257,18 @@
 	return s.openLastSegment(name, int64(offset), state.TruncatedBytes > 0)
 }
 
-// openLastSegment opens the last segment for appending and truncates a torn tail.
+// openLastSegment opens the last segment for appending, truncates a torn tail and syncs
+// the segment.
 func (s *Store) openLastSegment(name string, size int64, torn bool) error {
 	file, err := s.fs.Append(name)
 	if err != nil {
 		return fmt.Errorf("storage: open %s: %w", name, err)
 	}
 	s.file, s.size = file, size
-	if !torn {
-		return nil
-	}
-	if err := file.Truncate(size); err != nil {
-		return &SyncError{File: name, Err: err}
+	if torn {
+		if err := file.Truncate(size); err != nil {
+			return &SyncError{File: name, Err: err}
+		}
 	}
 	if err := file.Sync(); err != nil {
 		return &SyncError{File: name, Err: err}
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -71,8 +71,11 @@
 
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
 
-// Open reads a folder, truncates a torn tail of the log and returns the store and
-// its state.
+// Open reads a folder, truncates a torn tail of the log and returns the store and its
+// state. The state is durable: a process that was killed may have left records and
+// renames that are not synced and that a loss of power would take away, so Open syncs
+// the folder and the last segment. Everything else is synced before it is renamed or
+// followed by another segment.
 func Open(options Options) (*Store, *State, error) {
 	if options.FS == nil {
 		options.FS = OS{}
@@ -87,6 +90,9 @@
 	if err := s.fs.SyncDir(filepath.Dir(options.Dir)); err != nil {
 		return nil, nil, &SyncError{File: filepath.Dir(options.Dir), Err: err}
 	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return nil, nil, syncDirError(s.dir, err)
+	}
 	state, err := s.load()
 	if err != nil {
 		return nil, nil, err
