Play random kills and losses of power against groups of replicas

The test runs groups of 3 to 5 replicas with their stores on simulated disks, in virtual time. Processes end between and in the middle of changes of the disk, during their start too; power fails at one replica or at all; messages are lost. No acknowledged command may be missing, no replica may vote twice in a term, commands at an index must be the same everywhere, and every replica must start again.

Plays of one seed can differ, because the ids of data folders are random.

--- a/process/replica/durability_test.go
+++ b/process/replica/durability_test.go
@@ -16,6 +16,7 @@
 	"marjoramtiller.example/marjoramtiller/process/consensus"
 	"marjoramtiller.example/marjoramtiller/process/storage"
 	"marjoramtiller.example/marjoramtiller/standin/disk"
+	"marjoramtiller.example/marjoramtiller/standin/randomtest"
 )
 
 // processFS is the file system of a process on a simulated disk.
@@ -37,7 +38,9 @@
 
 	votes     map[string]string // voter and term, to candidate
 	committed map[uint64]string // log index, to command
+	proposed  int
 	acked     []string
+	powerCuts int
 }
 
 type stepNode struct {
@@ -369,3 +372,71 @@
 	voter.start()
 	vote(second)
 }
+
+// randomFault ends or starts processes, cuts power or connections, or proposes a command.
+func (g *stepGroup) randomFault() {
+	n := g.nodes[g.names[g.rng.IntN(len(g.names))]]
+	switch action := g.rng.IntN(100); {
+	case action < 45:
+		if l := g.leader(); l != nil {
+			g.proposed++
+			l.propose(fmt.Sprint(strings.Repeat("x", g.rng.IntN(100)), g.proposed))
+		}
+	case action < 48:
+		n.kill()
+	case action < 58:
+		n.process.EndAfter(g.rng.IntN(6)) // in the middle of a change, which may be torn
+	case action < 62:
+		g.cutPower(n)
+	case action < 63:
+		for _, name := range g.names {
+			g.cutPower(g.nodes[name])
+		}
+	case action < 92:
+		n.start()
+	case action < 94: // the next process ends during its start
+		n.kill()
+		n.process = n.disk.Start()
+		n.process.EndAfter(g.rng.IntN(12))
+		n.load()
+	case action < 95:
+		n.isolated = !n.isolated
+	default:
+		g.messages = slices.DeleteFunc(g.messages, func(*wirepb.RaftMessage) bool { return g.rng.IntN(2) == 0 })
+	}
+}
+
+// cutPower ends the process and keeps nothing or a random part of what is not synced.
+func (g *stepGroup) cutPower(n *stepNode) {
+	n.kill()
+	if g.rng.IntN(2) == 0 {
+		n.disk.LosePowerKeepingNothing()
+	} else {
+		n.disk.LosePower()
+	}
+	g.powerCuts++
+}
+
+// Guards against a lost acknowledged command, two votes of a replica in a term, different
+// commands at an index of the log, and a replica that does not start again. The faults are
+// any sequence of kills, also in the middle of a write or of a start, of losses of power
+// at one replica or at all, and of lost messages.
+func TestRandomKillsAndLossesOfPowerLoseNothing(t *testing.T) {
+	const seedsInCI = 60
+	var acked, powerCuts int
+	for _, seed := range randomtest.Seeds(seedsInCI) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			g := newStepGroup(t, seed, []string{"a", "b", "c", "d", "e"}[:3+seed%3]...)
+			for range 400 {
+				g.randomFault()
+				for range g.rng.IntN(12) {
+					g.step()
+				}
+			}
+			g.checkAcked()
+			acked += len(g.acked)
+			powerCuts += g.powerCuts
+		})
+	}
+	t.Logf("%d acknowledged commands, %d losses of power", acked, powerCuts)
+}
--- a/standin/randomtest/randomtest.go
+++ b/standin/randomtest/randomtest.go
@@ -5,6 +5,7 @@
 import (
 	"flag"
 	"os"
+	"strconv"
 	"testing"
 
 	_ "pgregory.net/rapid" // registers the flags that are set here
@@ -26,6 +27,23 @@
 	return m.Run()
 }
 
+// Seeds returns the seeds of a test that plays one case for each: MARJORAMTILLER_CHECKS
+// many, or count, from MARJORAMTILLER_SEED or 1 on.
+func Seeds(count int) []uint64 {
+	if n, err := strconv.Atoi(os.Getenv("MARJORAMTILLER_CHECKS")); err == nil {
+		count = n
+	}
+	first := uint64(1)
+	if n, err := strconv.ParseUint(os.Getenv("MARJORAMTILLER_SEED"), 10, 64); err == nil {
+		first = n
+	}
+	seeds := make([]uint64, count)
+	for i := range seeds {
+		seeds[i] = first + uint64(i)
+	}
+	return seeds
+}
+
 func environmentOr(variable, fallback string) string {
 	if v := os.Getenv(variable); v != "" {
 		return v
