Make the parents of a data folder durable when they are created

If a replica creates its data folder together with the folder above it, as in a new deployment, a loss of power can remove all of it: the replica stops with "has lost its data folder", and if power fails at all hosts, an acknowledged change is lost with all copies.

Cause: storage.Open creates all missing folders and synced the parent of the last one only.

Change: CreateFolder creates folders from the top and syncs the parent of each before it creates the next. A process that is killed in between leaves at most the last folder that exists without a durable entry, and the next start syncs the parent of that one.

Cost: one sync of a folder for each folder that is created; a start with an existing folder syncs its parent, as before.

The tests no longer create the parent beforehand.

--- a/process/replica/durability_test.go
+++ b/process/replica/durability_test.go
@@ -55,9 +55,6 @@
 
 const stepInterval = 25 * time.Millisecond
 
-// dataRoot is the folder in which each replica creates its own.
-const dataRoot = "/data"
-
 func newStepGroup(t *testing.T, seed uint64, names ...string) *stepGroup {
 	g := &stepGroup{
 		t: t, rng: rand.New(rand.NewPCG(seed, 1)), names: names, nodes: map[string]*stepNode{},
@@ -65,9 +62,6 @@
 	}
 	for i, name := range names {
 		n := &stepNode{group: g, name: name, disk: disk.New(seed*16 + uint64(i))}
-		p := n.disk.Start()
-		is.New(t).NoErr(p.MkdirAll(dataRoot))
-		is.New(t).NoErr(p.SyncDir("/"))
 		g.nodes[name] = n
 		n.start()
 	}
@@ -128,7 +122,7 @@
 func (n *stepNode) options() Options {
 	g := n.group
 	return Options{
-		ID: n.name, Group: "g", Voters: g.names, Dir: dataRoot + "/" + n.name, FS: processFS{n.process},
+		ID: n.name, Group: "g", Voters: g.names, Dir: "/data/" + n.name, FS: processFS{n.process},
 		StateMachine: &checkedMachine{group: g}, Transport: n, Clock: g, Logger: zerolog.Nop(), Seed: g.rng.Uint64(),
 		Tick: stepInterval, HeartbeatInterval: 2 * stepInterval, ElectionTimeoutMin: 6 * stepInterval, ElectionTimeoutMax: 12 * stepInterval,
 		SnapshotEntries: 8, SnapshotChunkBytes: 64, segmentBytes: 600,
--- a/process/storage/durability_test.go
+++ b/process/storage/durability_test.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"path"
 	"testing"
 
 	"github.com/matryer/is"
@@ -35,17 +34,6 @@
 	return fmt.Sprintf("hard state {%v}, snapshot at %d, %d entries, incarnation %x", s.HardState, s.Snapshot.GetIndex(), len(s.Entries), s.incarnation)
 }
 
-// newDisk returns a disk that has the parent of testDir.
-func newDisk(t *testing.T, seed uint64) *disk.Disk {
-	t.Helper()
-	d := disk.New(seed)
-	p := d.Start()
-	if err := errors.Join(p.MkdirAll(path.Dir(testDir)), p.SyncDir("/")); err != nil {
-		t.Fatal(err)
-	}
-	return d
-}
-
 func openOn(p *disk.Process) (*Store, readState, error) {
 	store, state, err := Open(Options{FS: processFS{p}, Dir: testDir, SegmentBytes: 300})
 	if err != nil {
@@ -91,13 +79,14 @@
 }
 
 // Guards against state that a process has read at its start, on which it votes and
-// acknowledges entries, and that a loss of power takes away. The process before it ends at
-// each of its changes of the disk, and so leaves changes that are not synced.
+// acknowledges entries, and that a loss of power takes away, alone or with the folders
+// that it is in. The process before it ends at each of its changes of the disk, and so
+// leaves changes that are not synced.
 func TestWhatOpenReturnsSurvivesALossOfPower(t *testing.T) {
 	const randomLosses = 4 // losses of power that keep a random part, for each end of the process
 	for changes := 0; ; changes++ {
 		for seed := range uint64(1 + randomLosses) {
-			d := newDisk(t, seed)
+			d := disk.New(seed)
 			first := d.Start()
 			first.EndAfter(changes)
 			err := useStore(first)
@@ -136,7 +125,7 @@
 // replaced by the process before and is not durable.
 func TestAppendAfterAnInterruptedChangeSurvivesALossOfPower(t *testing.T) {
 	for changes := 0; ; changes++ {
-		d := newDisk(t, uint64(changes))
+		d := disk.New(uint64(changes))
 		first := d.Start()
 		first.EndAfter(changes)
 		if useStore(first) == nil {
--- /dev/null
+++ b/process/storage/folder.go
@@ -0,0 +1,63 @@
+package storage
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"path/filepath"
+)
+
+// CreateFolder creates a folder and its parents, unless they exist, and makes them
+// durable.
+//
+// Each folder is durable before the next one is created in it. If the process is killed,
+// at most the last folder that exists is therefore not durable, and a later call syncs its
+// parent.
+func CreateFolder(fsys FS, dir string) error {
+	existing, missing, err := existingParent(fsys, dir)
+	if err != nil {
+		return fmt.Errorf("storage: create %s: %w", dir, err)
+	}
+	err = syncParent(fsys, existing)
+	if existing != dir && errors.Is(err, fs.ErrPermission) {
+		err = nil // this process can't have created a folder in one that it may not open
+	}
+	if err != nil {
+		return err
+	}
+	for _, folder := range missing {
+		if err := fsys.MkdirAll(folder); err != nil {
+			return fmt.Errorf("storage: create %s: %w", folder, err)
+		}
+		if err := syncParent(fsys, folder); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// existingParent returns the folder dir or the nearest parent of it that exists, and the
+// folders that are missing from there to dir, parents first.
+func existingParent(fsys FS, dir string) (existing string, missing []string, err error) {
+	existing = dir
+	for {
+		_, err := fsys.List(existing)
+		if !errors.Is(err, fs.ErrNotExist) {
+			return existing, missing, err
+		}
+		parent := filepath.Dir(existing)
+		if parent == existing {
+			return "", nil, err
+		}
+		missing = append([]string{existing}, missing...)
+		existing = parent
+	}
+}
+
+func syncParent(fsys FS, dir string) error {
+	parent := filepath.Dir(dir)
+	if err := fsys.SyncDir(parent); err != nil {
+		return syncDirError(parent, err)
+	}
+	return nil
+}
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -84,11 +84,8 @@
 		options.SegmentBytes = defaultSegmentBytes
 	}
 	s := &Store{fs: options.FS, dir: options.Dir, segmentBytes: options.SegmentBytes}
-	if err := s.fs.MkdirAll(options.Dir); err != nil {
-		return nil, nil, fmt.Errorf("storage: create %s: %w", options.Dir, err)
-	}
-	if err := s.fs.SyncDir(filepath.Dir(options.Dir)); err != nil {
-		return nil, nil, &SyncError{File: filepath.Dir(options.Dir), Err: err}
+	if err := CreateFolder(s.fs, s.dir); err != nil {
+		return nil, nil, err
 	}
 	if err := s.fs.SyncDir(s.dir); err != nil {
 		return nil, nil, syncDirError(s.dir, err)
