Make a replica's identity and its folder durable before its name is used

Callers saw: nothing that is traced to it. A control process whose data folder is created at its first start could lose the folder with its name and log in a loss of power. It then joins under another name, and the group has lost the copy that the old name acknowledged.

Cause: LoadOrCreateIdentity creates the data folder and did not sync its parent, and storage.Open, which comes later, finds the folder and syncs only the entry of its own. An identity that a killed process had renamed was also read without a sync of the folder. In cmd/marjoramtiller-platform the second fault was hidden: storage.Open syncs the same folder before the replica sends anything.

Change: the folder is created by storage.CreateFolder, and the folder is synced after an identity was read. The file operations go through storage.FS, so that the test can use the simulated disk.

Cost: one sync of a folder at each start.

The code before can't run on the simulated disk.

--- a/process/members/identity.go
+++ b/process/members/identity.go
@@ -7,13 +7,15 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"io/fs"
 	"net"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"marjoramtiller.example/marjoramtiller/process/storage"
 )
 
 // separator separates the address from the identity in a replica's name.
@@ -24,11 +26,6 @@
 
 const identityFile = "identity"
 
-const (
-	filePerm = 0o600
-	dirPerm  = 0o700
-)
-
 // Name returns the name of the replica that has the identity and is reached at the
 // address.
 func Name(address, identity string) string { return address + separator + identity }
@@ -58,25 +55,41 @@
 // a seed of a group that starts for the first time (bootstrap) is a founder. The name
 // is durable when LoadOrCreateIdentity returns.
 func LoadOrCreateIdentity(dir, address string, seeds []string, bootstrap bool) (name string, founders []string, err error) {
-	path := filepath.Join(dir, identityFile)
-	data, err := os.ReadFile(path)
-	if err == nil && len(data) > 0 {
-		identity := strings.TrimSpace(string(data))
-		if identity == founderIdentity {
-			founders = Founders(seeds)
-		}
-		return Name(address, identity), founders, nil
-	}
-	if err != nil && !os.IsNotExist(err) {
+	return loadOrCreateIdentity(storage.OS{}, dir, address, seeds, bootstrap)
+}
+
+func loadOrCreateIdentity(fsys storage.FS, dir, address string, seeds []string, bootstrap bool) (name string, founders []string, err error) {
+	identity, err := readIdentity(fsys, dir)
+	if err != nil {
 		return "", nil, errors.Wrap(err, "read the replica's identity from the data folder; check that the folder is readable")
 	}
-	identity := founderIdentity
-	if !bootstrap || !slices.Contains(seeds, address) {
+	if identity == "" {
 		identity = newIdentity()
-	} else {
+		if bootstrap && slices.Contains(seeds, address) {
+			identity = founderIdentity
+		}
+		if err := writeIdentity(fsys, dir, identity); err != nil {
+			return "", nil, errors.Wrap(err, "store the replica's identity in the data folder; check that the folder is writable and the disk has space")
+		}
+	}
+	if identity == founderIdentity {
 		founders = Founders(seeds)
 	}
-	return Name(address, identity), founders, errors.Wrap(writeIdentity(dir, path, identity), "store the replica's identity in the data folder; check that the folder is writable and the disk has space")
+	return Name(address, identity), founders, nil
+}
+
+// readIdentity returns the stored identity, or "" if there is none. A process that was
+// killed may have renamed the file without a sync of the folder, so the folder is synced
+// before the identity is used.
+func readIdentity(fsys storage.FS, dir string) (string, error) {
+	data, err := fsys.ReadFile(filepath.Join(dir, identityFile))
+	if errors.Is(err, fs.ErrNotExist) || err == nil && len(data) == 0 {
+		return "", nil
+	}
+	if err != nil {
+		return "", err
+	}
+	return strings.TrimSpace(string(data)), fsys.SyncDir(dir)
 }
 
 func newIdentity() string {
@@ -85,16 +98,17 @@
 	return hex.EncodeToString(b[:])
 }
 
-func writeIdentity(dir, path, identity string) error {
-	if err := os.MkdirAll(dir, dirPerm); err != nil {
+func writeIdentity(fsys storage.FS, dir, identity string) error {
+	if err := storage.CreateFolder(fsys, dir); err != nil {
 		return err
 	}
+	path := filepath.Join(dir, identityFile)
 	tempPath := path + ".new"
-	f, err := os.OpenFile(tempPath, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, filePerm)
+	f, err := fsys.Create(tempPath)
 	if err != nil {
 		return err
 	}
-	if _, err := f.WriteString(identity + "\n"); err != nil {
+	if _, err := f.Write([]byte(identity + "\n")); err != nil {
 		_ = f.Close()
 		return err
 	}
@@ -105,15 +119,10 @@
 	if err := f.Close(); err != nil {
 		return err
 	}
-	if err := os.Rename(tempPath, path); err != nil {
-		return err
-	}
-	folder, err := os.Open(dir)
-	if err != nil {
+	if err := fsys.Rename(tempPath, path); err != nil {
 		return err
 	}
-	defer func() { _ = folder.Close() }()
-	return folder.Sync()
+	return fsys.SyncDir(dir)
 }
 
 // Host returns the IP address in a replica's name, or "" if there is none.
--- a/process/members/members_test.go
+++ b/process/members/members_test.go
@@ -9,6 +9,8 @@
 	"github.com/matryer/is"
 
 	"marjoramtiller.example/marjoramtiller/process/consensus"
+	"marjoramtiller.example/marjoramtiller/process/storage"
+	"marjoramtiller.example/marjoramtiller/standin/disk"
 )
 
 var seeds = []string{"10.0.0.1:70", "10.0.0.2:70", "10.0.0.3:70"}
@@ -43,6 +45,41 @@
 	is.Equal(Host(other), "10.0.0.9")
 }
 
+// processFS is the file system of a process on a simulated disk.
+type processFS struct{ *disk.Process }
+
+func (p processFS) Append(name string) (storage.File, error) { return p.Process.Append(name) }
+func (p processFS) Create(name string) (storage.File, error) { return p.Process.Create(name) }
+
+// Guards against a replica that takes part in its group under a name that a loss of power
+// takes away, after a process before it was killed while it stored the name.
+func TestIdentitySurvivesAKillAndALossOfPower(t *testing.T) {
+	is := is.New(t)
+	load := func(p *disk.Process) (string, error) {
+		name, _, err := loadOrCreateIdentity(processFS{p}, "/data/control", "10.0.0.9:70", seeds, false)
+		return name, err
+	}
+	for changes := 0; ; changes++ {
+		d := disk.New(uint64(changes))
+		first := d.Start()
+		first.EndAfter(changes)
+		if _, err := load(first); err == nil {
+			is.True(changes > 5) // it creates folders and a file, which it syncs and renames
+			return
+		}
+		second := d.Start()
+		name, err := load(second)
+		is.NoErr(err)
+		second.End()
+		d.LosePowerKeepingNothing()
+		again, err := load(d.Start())
+		is.NoErr(err)
+		if again != name {
+			t.Errorf("after an end at change %d the name is %s, and %s after a loss of power", changes, name, again)
+		}
+	}
+}
+
 func healthyGroup() GroupState {
 	state := GroupState{Self: "10.0.0.1:70~a", Voters: []string{"10.0.0.1:70~a", "10.0.0.2:70~b", "10.0.0.3:70~c"}, SinceLastAck: map[string]time.Duration{}}
 	for _, name := range state.Voters {
