Write the last log record again at a start

Cause: after a failed sync the operating system may keep the pages readable and take them for written. The next process read the record, and its own sync succeeded without writing it.

Change: Open writes the last record again, in place and with the same bytes, before it syncs the segment. Only the last record can be affected, because a store writes nothing after a failed sync. The write needs no space for a copy, and an interrupted one changes no byte. The random test draws failed syncs too, and fails if a replica goes on after one.

Cost: the last record (8 MiB at most) is written once more at each start.

A failed sync of a folder is not covered: its changes can't be made again by a later process. The simulated disk has no such fault.

--- a/process/replica/durability_test.go
+++ b/process/replica/durability_test.go
@@ -140,13 +140,27 @@
 
 func (n *stepNode) load() {
 	r, err := load(n.options())
-	if err != nil && !n.process.Ended() {
+	n.waiting = map[string]*proposal{}
+	if n.hasEnded(err) {
+		n.kill()
+		return
+	}
+	if err != nil {
 		n.group.t.Fatalf("%s does not start: %v", n.name, err)
 	}
-	n.waiting = map[string]*proposal{}
-	if err == nil && !n.process.Ended() {
-		n.replica = r
+	n.replica = r
+}
+
+// hasEnded reports whether the process has been killed or its replica has stopped because
+// of a failed sync. It fails the test if the replica goes on after a failed sync.
+func (n *stepNode) hasEnded(err error) bool {
+	if n.process.Ended() {
+		return true
 	}
+	if n.process.SyncFailed() && err == nil {
+		n.group.t.Fatalf("%s goes on after a failed sync", n.name)
+	}
+	return n.process.SyncFailed()
 }
 
 // kill ends the process, as SIGKILL does.
@@ -175,8 +189,8 @@
 			err = r.processReady()
 		}
 	}
-	if n.process.Ended() {
-		n.replica = nil
+	if n.hasEnded(err) {
+		n.kill()
 		return
 	}
 	if err != nil {
@@ -284,7 +298,7 @@
 	g.t.Helper()
 	for _, name := range g.names {
 		g.nodes[name].isolated = false
-		g.nodes[name].process.EndAfter(-1)
+		g.nodes[name].kill() // cancels faults that have not happened yet
 		g.nodes[name].start()
 	}
 	g.proposeAndWait(fmt.Sprintf("last of %d", len(g.acked)))
@@ -394,6 +408,8 @@
 		n.process.EndAfter(g.rng.IntN(12))
 		n.load()
 	case action < 95:
+		n.process.FailNextSync()
+	case action < 96:
 		n.isolated = !n.isolated
 	default:
 		g.messages = slices.DeleteFunc(g.messages, func(*wirepb.RaftMessage) bool { return g.rng.IntN(2) == 0 })
@@ -414,7 +430,7 @@
 // Guards against a lost acknowledged command, two votes of a replica in a term, different
 // commands at an index of the log, and a replica that does not start again. The faults are
 // any sequence of kills, also in the middle of a write or of a start, of losses of power
-// at one replica or at all, and of lost messages.
+// at one replica or at all, of failed syncs, and of lost messages.
 func TestRandomKillsAndLossesOfPowerLoseNothing(t *testing.T) {
 	const seedsInCI = 60
 	var acked, powerCuts int
--- a/process/storage/durability_test.go
+++ b/process/storage/durability_test.go
@@ -148,3 +148,29 @@
 		}
 	}
 }
+
+// Guards against a record whose sync failed: the process stops, and the next one can read
+// the record and sync the file without an error although the record is not on the disk.
+func TestRecordWhoseSyncFailedIsDurableAfterARestart(t *testing.T) {
+	is := is.New(t)
+	d := disk.New(1)
+	first := d.Start()
+	store, _, err := openOn(first)
+	is.NoErr(err)
+	is.NoErr(store.Append(testEntries(1, 2, 1), &wirepb.RaftHardState{Term: 1, Vote: "a"}))
+	first.FailNextSync()
+	var failed *SyncError
+	is.True(errors.As(store.Append(testEntries(3, 3, 2), &wirepb.RaftHardState{Term: 2, Vote: "b"}), &failed))
+	first.End()
+
+	second := d.Start()
+	store, read, err := openOn(second)
+	is.NoErr(err)
+	is.NoErr(store.Append(testEntries(uint64(len(read.Entries))+1, 4, 3), nil))
+	second.End()
+	d.LosePowerKeepingNothing()
+	_, after, err := openOn(d.Start())
+	is.NoErr(err)
+	is.True(equalEntries(after.Entries[:len(read.Entries)], read.Entries))
+	is.Equal(len(after.Entries), 4)
+}
--- a/process/storage/fakefs_test.go
+++ b/process/storage/fakefs_test.go
@@ -64,6 +64,12 @@
 	return m.files[name], nil
 }
 
+func (m *memFS) Overwrite(name string, offset int64, data []byte) error {
+	f := m.files[name]
+	copy(f.data[offset:], data)
+	return f.Sync()
+}
+
 func (m *memFS) ReadFile(name string) ([]byte, error) {
 	f := m.files[name]
 	if f == nil {
--- a/process/storage/fs.go
+++ b/process/storage/fs.go
@@ -8,6 +8,7 @@
 package storage
 
 import (
+	"errors"
 	"io"
 	"os"
 	"sort"
@@ -28,6 +29,9 @@
 	Append(name string) (File, error)
 	// Create creates an empty file or truncates an existing one.
 	Create(name string) (File, error)
+	// Overwrite replaces bytes of a file from offset on by data, within the file's size,
+	// and syncs the file.
+	Overwrite(name string, offset int64, data []byte) error
 	ReadFile(name string) ([]byte, error)
 	Rename(from, to string) error
 	Remove(name string) error
@@ -57,6 +61,19 @@
 	return os.OpenFile(name, os.O_TRUNC|os.O_CREATE|os.O_WRONLY, filePerm)
 }
 
+// Overwrite implements FS.
+func (OS) Overwrite(name string, offset int64, data []byte) error {
+	f, err := os.OpenFile(name, os.O_WRONLY, filePerm)
+	if err != nil {
+		return err
+	}
+	_, err = f.WriteAt(data, offset)
+	if err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
 // ReadFile implements FS.
 func (OS) ReadFile(name string) ([]byte, error) { return os.ReadFile(name) }
 
--- a/process/storage/load.go
+++ b/process/storage/load.go
@@ -232,7 +232,7 @@
 		return fmt.Errorf("storage: read %s: %w", name, err)
 	}
 	seg := segment{number: number}
-	offset := 0
+	offset, lastRecord := 0, 0
 	for offset < len(data) {
 		b, n, err := decodeRecord(data[offset:])
 		if err != nil {
@@ -248,29 +248,32 @@
 		for _, e := range b.entries {
 			seg.lastIndex = max(seg.lastIndex, e.Index)
 		}
+		lastRecord = offset
 		offset += n
 	}
 	s.segments = append(s.segments, seg)
 	if !last {
 		return nil
 	}
-	return s.openLastSegment(name, int64(offset), state.TruncatedBytes > 0)
+	return s.openLastSegment(name, data[:offset], int64(lastRecord), state.TruncatedBytes > 0)
 }
 
-// openLastSegment opens the last segment for appending, truncates a torn tail and syncs
-// the segment.
-func (s *Store) openLastSegment(name string, size int64, torn bool) error {
+// openLastSegment opens the last segment for appending, truncates a torn tail and makes
+// the intact records durable. All but the last record were synced before another was
+// written. The last one is written again before the sync: if its first sync has failed,
+// the operating system may take it for written and not write it again by itself.
+func (s *Store) openLastSegment(name string, intact []byte, lastRecord int64, torn bool) error {
 	file, err := s.fs.Append(name)
 	if err != nil {
 		return fmt.Errorf("storage: open %s: %w", name, err)
 	}
-	s.file, s.size = file, size
+	s.file, s.size = file, int64(len(intact))
 	if torn {
-		if err := file.Truncate(size); err != nil {
+		if err := file.Truncate(s.size); err != nil {
 			return &SyncError{File: name, Err: err}
 		}
 	}
-	if err := file.Sync(); err != nil {
+	if err := s.fs.Overwrite(name, lastRecord, intact[lastRecord:]); err != nil {
 		return &SyncError{File: name, Err: err}
 	}
 	return nil
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -74,8 +74,8 @@
 // Open reads a folder, truncates a torn tail of the log and returns the store and its
 // state. The state is durable: a process that was killed may have left records and
 // renames that are not synced and that a loss of power would take away, so Open syncs
-// the folder and the last segment. Everything else is synced before it is renamed or
-// followed by another segment.
+// the folder and the last record. Everything else is synced before it is renamed or
+// followed by another record.
 func Open(options Options) (*Store, *State, error) {
 	if options.FS == nil {
 		options.FS = OS{}
--- a/standin/disk/disk.go
+++ b/standin/disk/disk.go
@@ -176,6 +176,7 @@
 	ended      bool
 	operations int // that the process carries out before it ends; unlimited if negative
 	failSync   bool
+	syncFailed bool
 }
 
 // Start returns the view of a new process.
@@ -194,6 +195,9 @@
 // FailNextSync makes the next sync of a file fail.
 func (p *Process) FailNextSync() { p.failSync = true }
 
+// SyncFailed reports whether a sync of a file has failed.
+func (p *Process) SyncFailed() bool { return p.syncFailed }
+
 // begin counts an operation that changes the disk. It returns an error if the process
 // ends instead.
 func (p *Process) begin() error {
@@ -379,7 +383,7 @@
 		return err
 	}
 	if f.process.failSync {
-		f.process.failSync = false
+		f.process.failSync, f.process.syncFailed = false, true
 		f.node.failSync()
 		return ErrSync
 	}
@@ -387,6 +391,26 @@
 	return nil
 }
 
+// Overwrite replaces bytes of a file from offset on by data and syncs the file.
+func (p *Process) Overwrite(name string, offset int64, data []byte) error {
+	f, err := p.Append(name)
+	if err != nil {
+		return err
+	}
+	if err := p.begin(); err != nil {
+		return err
+	}
+	f.node.overwrite(int(offset), data)
+	return f.Sync()
+}
+
+func (n *inode) overwrite(offset int, data []byte) {
+	copy(n.data[offset:], data)
+	for page := offset / pageBytes; page < pages(offset+len(data)); page++ {
+		n.dirty[page] = true
+	}
+}
+
 // Truncate reduces the size of the file.
 func (f *File) Truncate(size int64) error {
 	if err := f.process.begin(); err != nil {
