Keep the hard state when a start resets the log in a new segment

Callers saw: nothing so far.

Cause: a new segment begins with the store's hard state, so that older segments can be removed. Open set that only after the reset, and the segment began without one. A replica was not affected: it removes the older segments only after it has appended entries, which it always stores with the hard state.

Change: the hard state is set before the reset.

Without the change TestResetAtAStartKeepsTheHardState fails: store_test.go:240: not true: proto.Equal(state.HardState, voted)

--- a/process/storage/load.go
+++ b/process/storage/load.go
@@ -151,6 +151,7 @@
 			return nil, err
 		}
 	}
+	s.hardState = state.HardState
 	return state, s.alignLogWithSnapshot(state)
 }
 
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -94,7 +94,6 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s.hardState = state.HardState
 	s.snapshotIndex = state.Snapshot.GetIndex()
 	return s, state, nil
 }
--- a/process/storage/store_test.go
+++ b/process/storage/store_test.go
@@ -223,6 +223,23 @@
 	is.True(equalEntries(state.Entries, testEntries(31, 32, 2)))
 }
 
+// Guards against a vote that is lost with the segment that holds it: Open resets the log
+// after a crash between the storing of a leader's snapshot and the reset, and does so in a
+// new segment if the last one is full.
+func TestResetAtAStartKeepsTheHardState(t *testing.T) {
+	is := is.New(t)
+	fsys := newMemFS()
+	store, _ := open(t, fsys)
+	voted := &wirepb.RaftHardState{Term: 2, Vote: "b"}
+	is.NoErr(store.Append(testEntries(1, 6, 1), voted)) // more than a segment's size
+	is.NoErr(store.SaveSnapshot(&wirepb.RaftSnapshot{Index: 30, Term: 2}))
+	store, _ = open(t, fsys)
+	is.NoErr(store.Compact(30))
+	is.Equal(len(fsys.segments()), 1)
+	_, state := open(t, fsys)
+	is.True(proto.Equal(state.HardState, voted))
+}
+
 // Guards against large batches that exceed the maximum size of a record.
 func TestLargeBatchIsSplit(t *testing.T) {
 	is := is.New(t)
