--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -71,8 +71,11 @@
 
 func (s *Store) path(name string) string { return filepath.Join(s.dir, name) }
 
-// Open reads a folder, truncates a torn tail of the log and returns the store and
-// its state.
+// Open reads a folder, truncates a torn tail of the log and returns the store and its
+// state. The state is durable: a process that was killed may have left records and
+// renames that are not synced and that a loss of power would take away, so Open syncs
+// the folder and the last record. Everything else is synced before it is renamed or
+// followed by another record.
 func Open(options Options) (*Store, *State, error) {
 	if options.FS == nil {
 		options.FS = OS{}
@@ -81,17 +84,16 @@
 		options.SegmentBytes = defaultSegmentBytes
 	}
 	s := &Store{fs: options.FS, dir: options.Dir, segmentBytes: options.SegmentBytes}
-	if err := s.fs.MkdirAll(options.Dir); err != nil {
-		return nil, nil, fmt.Errorf("storage: create %s: %w", options.Dir, err)
+	if err := CreateFolder(s.fs, s.dir); err != nil {
+		return nil, nil, err
 	}
-	if err := s.fs.SyncDir(filepath.Dir(options.Dir)); err != nil {
-		return nil, nil, &SyncError{File: filepath.Dir(options.Dir), Err: err}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return nil, nil, syncDirError(s.dir, err)
 	}
 	state, err := s.load()
 	if err != nil {
 		return nil, nil, err
 	}
-	s.hardState = state.HardState
 	s.snapshotIndex = state.Snapshot.GetIndex()
 	return s, state, nil
 }
