Start though the folder above the data folder may not be opened

The merged CreateFolder syncs the folder above an existing data folder and failed if it may not be opened. A folder that this process may not open is not one in which it has created the data folder, so there is nothing of its own to make durable.

TestFolderIsUsedThoughItsParentMayNotBeOpened fails without the change ('permission denied').

--- a/process/storage/durability_test.go
+++ b/process/storage/durability_test.go
@@ -3,6 +3,9 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
@@ -174,3 +177,26 @@
 	is.True(equalEntries(after.Entries[:len(read.Entries)], read.Entries))
 	is.Equal(len(after.Entries), 4)
 }
+
+// parentDeniedFS is a file system on which one folder may not be opened.
+type parentDeniedFS struct {
+	OS
+	denied string
+}
+
+func (f parentDeniedFS) SyncDir(dir string) error {
+	if dir == f.denied {
+		return &fs.PathError{Op: "open", Path: dir, Err: fs.ErrPermission}
+	}
+	return f.OS.SyncDir(dir)
+}
+
+// Guards against a process that does not start because it may not read the folder above its
+// data folder, which somebody else has created.
+func TestFolderIsUsedThoughItsParentMayNotBeOpened(t *testing.T) {
+	is := is.New(t)
+	parent := t.TempDir()
+	dir := filepath.Join(parent, "data")
+	is.NoErr(os.Mkdir(dir, 0o700))
+	is.NoErr(CreateFolder(parentDeniedFS{denied: parent}, dir))
+}
--- a/process/storage/folder.go
+++ b/process/storage/folder.go
@@ -19,7 +19,7 @@
 		return fmt.Errorf("storage: create %s: %w", dir, err)
 	}
 	err = syncParent(fsys, existing)
-	if existing != dir && errors.Is(err, fs.ErrPermission) {
+	if errors.Is(err, fs.ErrPermission) {
 		err = nil // this process can't have created a folder in one that it may not open
 	}
 	if err != nil {
