Pass the leadership to a voter that is up

What callers would see: no leader for 1 to 3 s after a SIGTERM of the leader, where a voter has ended just before, as in a restart of all processes one after the other.

Cause: the voter with the longest replicated log was chosen. One that ended a moment ago has it too. TIMEOUT_NOW is then lost, and it has ended the leader's lease.

Change: voters that have acknowledged within the last 400 ms go first.

TestLeadershipIsTransferredToAVoterThatIsUp fails without the change ('b != d').

--- a/process/replica/cluster_test.go
+++ b/process/replica/cluster_test.go
@@ -282,3 +282,15 @@
 	c.propose("2")
 	is.Equal(c.leader().Status().Voters, []string{"a", "b", "c"})
 }
+
+// Guards against a leader that ends and passes the leadership to a voter that is down: its
+// lease is over from then on, and the others must wait for an election.
+func TestLeadershipIsTransferredToAVoterThatIsUp(t *testing.T) {
+	is := is.New(t)
+	s := consensus.Status{ID: "a", Voters: []string{"a", "b", "c", "d"}, Match: map[string]uint64{"b": 9, "c": 7, "d": 8},
+		SinceLastAck: map[string]time.Duration{"b": time.Second, "c": 100 * time.Millisecond, "d": 100 * time.Millisecond}}
+	is.Equal(transferTarget(s, ""), "d")
+	is.Equal(transferTarget(s, "b"), "b")
+	s.SinceLastAck["c"], s.SinceLastAck["d"] = time.Second, time.Second
+	is.Equal(transferTarget(s, ""), "b")
+}
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -319,7 +319,7 @@
 
 // TransferLeader transfers leadership to another voter and returns once this
 // replica is no longer the leader. If to is empty, the voter with the longest
-// replicated log is selected.
+// replicated log of those that are up is selected.
 func (r *Replica) TransferLeader(ctx context.Context, to string) error {
 	for {
 		var err error
@@ -343,12 +343,22 @@
 	}
 }
 
+// recentAck is the age of a voter's last acknowledgement up to which it is taken for up.
+// It is above the interval of heartbeats and below the least election timeout.
+const recentAck = 400 * time.Millisecond
+
+// transferTarget returns the named voter or, if to is empty, the one with the longest
+// replicated log of those that are up. Only if none is, it returns one that is not.
 func transferTarget(s consensus.Status, to string) string {
 	if to != "" {
 		return to
 	}
 	for _, name := range s.Voters {
-		if name != s.ID && (to == "" || s.Match[name] > s.Match[to]) {
+		if name == s.ID {
+			continue
+		}
+		up, best := s.SinceLastAck[name] < recentAck, s.SinceLastAck[to] < recentAck
+		if to == "" || up && !best || up == best && s.Match[name] > s.Match[to] {
 			to = name
 		}
 	}
