Play restarts of relays, refused proposals, late outcomes and leaders that lead again in the simulation

The simulation of process/jobs was kinder than real processes in these points: relays never restarted and shared the leader's clock, their outcomes arrived within 4 ms or not at all, the log refused no proposal and no commit went without an outcome while its leader led on, and each term had a new process.

Change: a relay's process may end, at once or taking messages for up to 1.5 s more, and another one starts that knows only the term; messages sent meanwhile are lost or reach the next process. One outcome in 50 is up to 3 s late. The log refuses proposals for up to 0.9 s, with a pause, as while the leadership is being transferred, so that sessions end in quick succession; half of the slow commits have no outcome although they are applied. A watcher ends and begins sessions as Control.watchRole does. One leader in three leads the next term as well.

--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -22,7 +22,7 @@
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/state"
-	"marjoramtiller.example/marjoramtiller/job/worker"
+	"marjoramtiller.example/marjoramtiller/process/consensus"
 	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
@@ -42,9 +42,9 @@
 
 // sim simulates a control group with one leader at a time, whose replicated log is a
 // single store, relays of orders, workers and a machine service. Orders and answers are
-// lost or delayed, relays are cut off or suspended, and workers become silent, crash and
-// drain. The simulation runs in virtual
-// time and checks the rules whenever an order takes effect.
+// lost or delayed, relays are cut off, suspended or restarted, sessions of the leader end
+// within its term, and workers become silent, crash and drain. The simulation runs in
+// virtual time and checks the rules whenever an order takes effect.
 type sim struct {
 	t         *testing.T
 	seed      uint64
@@ -70,6 +70,12 @@
 	store    *state.Store
 	term     atomic.Uint64
 	inFlight []*simProposal
+	refusals refusalWindow // guarded by storeMu
+
+	// leadership is full while a session or a term begins or ends. It is not a mutex, as
+	// virtual time stands still while a goroutine waits for one.
+	leadership chan struct{}
+	sessions   int // begun so far
 }
 
 type simProposal struct {
@@ -132,43 +138,55 @@
 	return jobpb.How_DONE
 }
 
-// simGroup is the replicated log as the leader of one term uses it.
+// simGroup is the replicated log as one process uses it.
 type simGroup struct {
 	s    *sim
-	term uint64
+	term atomic.Uint64 // that the process leads or has led last
 }
 
-func (g simGroup) Status() replica.Status {
+func (g *simGroup) Status() replica.Status {
 	var st replica.Status
-	st.LeaseValid, st.Term = g.s.term.Load() == g.term, g.term
+	st.Term = g.term.Load()
+	st.LeaseValid = g.s.term.Load() == st.Term
 	return st
 }
 
-func (simGroup) TransferLeader(context.Context, string) error {
+func (*simGroup) TransferLeader(context.Context, string) error {
 	return errors.New("the simulation elects leaders by itself")
 }
 
-func (g simGroup) View(fn func(replica.StateMachine)) {
+func (g *simGroup) View(fn func(replica.StateMachine)) {
 	g.s.storeMu.Lock()
 	defer g.s.storeMu.Unlock()
 	fn(nil)
 }
 
 // Propose commits an entry after a delay. If the leader changes in the meantime, elect
-// decides whether the entry is committed, and the proposer gets an unknown outcome.
-func (g simGroup) Propose(ctx context.Context, data []byte) ([]byte, error) {
+// decides whether the entry is committed, and the proposer gets an unknown outcome. It
+// refuses entries while the leadership is being transferred.
+func (g *simGroup) Propose(ctx context.Context, data []byte) ([]byte, error) {
 	s := g.s
 	p := &simProposal{data: data, done: make(chan struct{})}
 	s.storeMu.Lock()
-	if s.term.Load() != g.term {
+	if s.term.Load() != g.term.Load() {
 		s.storeMu.Unlock()
 		return nil, &replica.NotProposedError{Err: errors.New("not the leader")}
 	}
+	if s.refusals.active() {
+		s.storeMu.Unlock()
+		return nil, &consensus.BusyError{Reason: "leadership is being transferred"}
+	}
 	s.inFlight = append(s.inFlight, p)
 	s.storeMu.Unlock()
 	delay := s.drawDuration(4*time.Millisecond, 40*time.Millisecond, "commit")
 	if s.faultsActive() && s.draw(100, "slow") == 0 {
 		delay = time.Second
+		if s.draw(2, "timeout") == 0 {
+			// Stands for the commit timeout, which a quorum that is slow for longer exceeds.
+			var cancel context.CancelFunc
+			ctx, cancel = context.WithTimeout(ctx, s.drawDuration(0, delay, "commit timeout"))
+			defer cancel()
+		}
 	}
 	time.AfterFunc(delay, func() { s.applyUpTo(p) })
 	select {
@@ -196,66 +214,6 @@
 	close(p.done)
 }
 
-// elect ends the leader's term and starts the next one with a new control process.
-// Each undecided proposal of the old term is either committed or dropped first.
-func (s *sim) elect() {
-	if old := s.control; old != nil {
-		s.storeMu.Lock()
-		for i, p := range s.inFlight {
-			if !p.decided {
-				p.decided = true
-				if s.draw(2, "undecided", i) == 0 {
-					s.store.Apply(0, p.data)
-				}
-			}
-		}
-		s.inFlight = nil
-		s.term.Add(1)
-		s.storeMu.Unlock()
-		old.cancel()
-		<-old.session.done
-		time.Sleep(s.drawDuration(100*time.Millisecond, 2*time.Second, "election"))
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	c := &Control{group: simGroup{s, s.term.Load()}, store: s.store, ctx: ctx, cancel: cancel, metrics: newControlMetrics(),
-		log: s.logger(),
-		o: ControlOptions{Name: fmt.Sprint("c-", s.term.Load()), Workers: s, Machines: s, Clock: simClock{s.began},
-			Bounds: Bounds{Lease: worker.LeaseTiming{Lease: simLease, MaxLease: 10 * time.Second}, ReportInterval: simReportInterval,
-				JobRetention: time.Hour, OrderGap: simLeaderGap}}}
-	s.beginSession(c, nil)
-	s.mu.Lock()
-	s.control = c
-	s.mu.Unlock()
-}
-
-// beginSession begins a session of a leader.
-func (s *sim) beginSession(c *Control, fences *fenceRecord) {
-	session := newSession(c, s.term.Load(), fences)
-	var names []string
-	for _, r := range s.relays {
-		names = append(names, r.name)
-	}
-	session.useRelays(newRelayedSender(session.term, &c.numbers, s, s.sendToRelay, func() []string { return names }, c.Leads, c.o.Clock, c.log))
-	s.mu.Lock() // relays read the session
-	c.mu.Lock()
-	c.session = session
-	c.mu.Unlock()
-	s.mu.Unlock()
-	go session.relays.run(session.ctx)
-	go session.run()
-}
-
-// restartSession ends the leader's session and begins another one in the same term, as
-// after a commit that was not confirmed in time.
-func (s *sim) restartSession() {
-	c := s.control
-	c.session.end()
-	if err := c.settleProposals(context.Background()); err != nil {
-		s.fail("the proposals of a session are not settled: %v", err)
-	}
-	s.beginSession(c, c.session.endFences())
-}
-
 func (s *sim) logger() zerolog.Logger { return zerolog.New(s.logWriter).With().Timestamp().Logger() }
 
 type simClock struct{ began time.Time }
@@ -329,7 +287,8 @@
 }
 
 // TestSimulation guards against violated rules that occur only if a leader changes, an
-// order is lost, late or repeated, a relay is cut off or suspended, or a worker becomes silent or exits at a critical
+// session of a leader ends within its term, an order is lost, late or repeated, a relay is
+// cut off, suspended or restarted, or a worker becomes silent or exits at a critical
 // moment: two simultaneous runs of a task; a start before the steps it depends on are
 // done, after the task's completion, after its last attempt, beyond a worker's
 // capacity or after a cancellation; too many unavailable tasks of a step or machines
@@ -356,7 +315,7 @@
 func simulate(t *testing.T, seed uint64, o simOptions) {
 	s := &sim{t: t, seed: seed, began: time.Now(), workers: map[string]*simWorker{}, machines: map[string]*simMachine{},
 		history: map[state.TaskKey][]*simRun{}, steps: map[string][]*jobpb.Step{}, cancelSent: map[string]bool{}, cancelledAt: map[string]time.Time{},
-		options: o, crashes: newSimCrashes(),
+		options: o, crashes: newSimCrashes(), leadership: make(chan struct{}, 1),
 		store: storeOf(t, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: &jobpb.Configuration{Version: 1,
 			Queues: []*jobpb.Queue{{Name: "q", Host: simHost, Prefix: simPrefix, Pool: "pool", MaxAttempts: 3, Stretch: 2, TargetMs: 600}},
 			Pools:  []*jobpb.Pool{{Name: "pool"}}}}})}
@@ -369,6 +328,7 @@
 		}
 	}
 	s.elect()
+	go s.watchSessions()
 	for i := range simWorkers {
 		m := &simMachine{name: fmt.Sprint("m-", i)}
 		s.machines[m.name] = m
@@ -387,8 +347,10 @@
 	time.Sleep(time.Until(s.began.Add(simFaultPhase + simRecoveryPhase)))
 	s.checkFinalState()
 	s.logCounts()
+	s.leadership <- struct{}{}
 	s.control.cancel()
-	<-s.control.session.done
+	s.control.endSession()
+	<-s.leadership
 	time.Sleep(time.Minute) // for orders in flight and reports to end
 	if t.Failed() {
 		s.printLog()
@@ -409,7 +371,7 @@
 			counts[r.how.String()]++
 		}
 	}
-	s.t.Logf("terms %d, worker processes %d, jobs %d, cancelled %d, runs by end %v", s.term.Load(), s.processCount, len(s.steps), len(s.cancelledAt), counts)
+	s.t.Logf("terms %d, sessions %d, worker processes %d, jobs %d, cancelled %d, runs by end %v", s.term.Load(), s.sessions, s.processCount, len(s.steps), len(s.cancelledAt), counts)
 }
 
 // printLog prints the last log lines and writes all of them to the file that
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -109,8 +109,13 @@
 		if len(s.relays) > 0 && s.draw(3, "relay", n) == 0 {
 			s.relays[s.draw(simRelays, "which", n)].fail(n)
 		}
-		if s.draw(5, "session", n) == 0 {
+		switch s.draw(6, "session", n) {
+		case 0:
+			s.leadership <- struct{}{}
 			s.restartSession()
+			<-s.leadership
+		case 1:
+			s.refuseProposals(n)
 		}
 		switch s.draw(5, "what", n) {
 		case 4: // several workers drain at once
