Decide nothing in a session after a commit without an outcome

What callers would see: AVAIL or LIMIT of a wave. A commit fails without an outcome, for example because a quorum was slow for 4 s. The change may be applied later, but until the process checks its role, up to 20 ms later, the session planned, proposed and sent orders from a state that lacks it.

Change: a session that has failed runs no further event and no further round.

--- a/process/jobs/commit_test.go
+++ b/process/jobs/commit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/process/replica"
 	"marjoramtiller.example/marjoramtiller/process/storage"
 )
 
@@ -180,3 +182,41 @@
 		is.Equal(len(accepted.entries), 1) // it follows all others in the log
 	})
 }
+
+// unconfirmedLog is a log whose proposals have no known outcome.
+type unconfirmedLog struct {
+	fixedLog
+	proposals *atomic.Int32
+}
+
+func (l unconfirmedLog) Propose(context.Context, []byte) ([]byte, error) {
+	l.proposals.Add(1)
+	return nil, &replica.OutcomeUnknownError{Err: context.DeadlineExceeded}
+}
+
+// Guards against a session that decides on after a commit without an outcome, until its
+// process notices: the state that it reads may lack what is applied later, such as an upkeep
+// of another machine of a wave.
+func TestSessionDecidesNothingAfterAnUnknownOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newUpkeepFixture(t).session.c
+		c.ctx = t.Context()
+		log := unconfirmedLog{proposals: &atomic.Int32{}}
+		c.group = log
+		s := newSession(c, 1, nil)
+		go s.run()
+		defer s.end()
+		later := 0
+		s.post(func() {
+			s.add(forgetJob("a"), func(bool, error) {
+				s.post(func() { later++ })
+				s.add(forgetJob("b"), nil)
+			})
+		})
+		time.Sleep(time.Second)
+		is.True(s.failed())
+		is.Equal(log.proposals.Load(), int32(1))
+		is.Equal(later, 0)
+	})
+}
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -94,6 +94,8 @@
 	return s.relays.senders()
 }
 
+// failed reports whether a change has no known outcome. The session decides nothing from
+// then on: the state that it would read may lack that change.
 func (s *session) failed() bool { return s.broken.Load() }
 
 func (s *session) now() time.Duration { return s.c.o.Clock.Now() }
@@ -124,6 +126,9 @@
 		case <-ticks:
 		}
 		s.runQueuedEvents()
+		if s.failed() {
+			return
+		}
 		s.round()
 	}
 }
@@ -135,10 +140,13 @@
 	s.proposing.Wait()
 }
 
-// runQueuedEvents runs queued events until the queue is empty, at most eventQueue
-// of them.
+// runQueuedEvents runs queued events until the queue is empty or the session has failed, at
+// most eventQueue of them.
 func (s *session) runQueuedEvents() {
 	for range eventQueue {
+		if s.failed() {
+			return
+		}
 		select {
 		case fn := <-s.events:
 			fn()
