Tell the age of a report that has waited for a leader

A worker that shrinks while no leader is known gets tasks for its old capacity: a report from before counts as new, and the worker as known for up to twice the time allowed.

Cause: a process that confirms a report tells the leader of it within 250 ms. While no leader is known, the report waits for up to two report intervals and 0.5 s. Its age was told only to a leader that was not the first to hear of it.

Change: a report that has waited for more than 0.5 s tells its age to any leader.

Evidence: TestReportThatWaitedForALeaderTellsItsAge fails without the change (age 0 in place of 2 s).

--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -77,6 +77,20 @@
 	is.Equal(len(c.contacts), 0)
 }
 
+// Guards against a report that counts as recent although it has waited for seconds, at the
+// process that confirmed it, until a leader was known: the worker may have shrunk since.
+func TestReportThatWaitedForALeaderTellsItsAge(t *testing.T) {
+	is := is.New(t)
+	const maxAge = 3 * time.Second
+	for _, newLeader := range []bool{true, false} {
+		c := newReportCollector()
+		c.add(time.Second, &jobpb.WorkerContact{Id: "w", BornMs: 1, Sequence: 4})
+		list := c.take(3*time.Second, maxAge, newLeader)
+		is.Equal(len(list), 1)
+		is.Equal(list[0].AgeMs, int64(2000))
+	}
+}
+
 // Guards against a report that was delayed for seconds and counts as recent: the worker
 // had been dropped, so its number tells nothing, and its capacity may have shrunk since.
 func TestDelayedReportOfADroppedWorkerIsNotRecent(t *testing.T) {
--- a/process/jobs/report_forwarding.go
+++ b/process/jobs/report_forwarding.go
@@ -46,20 +46,22 @@
 }
 
 // take returns the reports that the leader has not been told of; a new leader is told of
-// all that are not older than maxAge. It forgets those that are.
+// all that are not older than maxAge. It forgets those that are. Reports that have waited
+// for longer than usual tell their age.
 func (c *reportCollector) take(now, maxAge time.Duration, newLeader bool) []*jobpb.WorkerContact {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []*jobpb.WorkerContact
 	for id, r := range c.contacts {
+		age := now - r.at
 		switch {
-		case now-r.at > maxAge:
+		case age > maxAge:
 			delete(c.contacts, id)
-		case r.told && newLeader:
-			aged := proto.Clone(r.contact).(*jobpb.WorkerContact)
-			aged.AgeMs = max(1, (now - r.at).Milliseconds())
-			list = append(list, aged)
-		case !r.told:
+		case r.told && !newLeader:
+		case r.told || age > 2*contactInterval:
+			r.told = true
+			list = append(list, r.aged(age))
+		default:
 			r.told = true
 			list = append(list, r.contact)
 		}
@@ -67,6 +69,13 @@
 	return list
 }
 
+// aged returns the report with its age.
+func (r *retainedContact) aged(age time.Duration) *jobpb.WorkerContact {
+	contact := proto.Clone(r.contact).(*jobpb.WorkerContact)
+	contact.AgeMs = max(1, age.Milliseconds())
+	return contact
+}
+
 // reportToLeader handles a report at a process that does not lead. Without a leader it
 // confirms nothing: the worker then reports to another process.
 func (c *Control) reportToLeader(ctx context.Context, r Report) error {
