Keep the bound of leases in a later process of a worker over the end of a session

What callers would see: TWICE. A process that has started under a worker's id carries out orders that were meant for its predecessor. Their deadlines lie far in its future, so that its runs hold leases of up to 10 s. A session that begins then, and does not reach the process, took its runs for over after 8.2 s in place of 14.3 s and started their tasks elsewhere.

Cause: the bound was known only to the session that had seen the process.

Change: the record that a session hands to the next one of its process has these bounds, also for a later term.

Open: a leader in another process does not know them.

--- a/job/worker/worker.go
+++ b/job/worker/worker.go
@@ -143,7 +143,16 @@
 // times on the clock of that one, so that only the longest lease bounds them, counted from
 // when such an order arrives.
 func (w *Tracker) ExpectForeignLeases(now time.Duration) {
-	w.foreignLeasesUntil = now + maxRealTime(w.timing.MaxLease+w.timing.Lease)
+	w.ExpectForeignLeasesUntil(now + maxRealTime(w.timing.MaxLease+w.timing.Lease))
+}
+
+// ForeignLeasesUntil returns the time until which another process under the id may hold
+// leases of orders that were not meant for it, 0 if none does.
+func (w *Tracker) ForeignLeasesUntil() time.Duration { return w.foreignLeasesUntil }
+
+// ExpectForeignLeasesUntil records what an earlier tracker knew of such leases.
+func (w *Tracker) ExpectForeignLeasesUntil(until time.Duration) {
+	w.foreignLeasesUntil = max(w.foreignLeasesUntil, until)
 }
 
 // AnsweredByLater reports whether the answer to an order is that of a process that began
--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -225,3 +225,27 @@
 	f.list(f.later.track.Fence(), orders.RunList{EndsComplete: true})
 	is.Equal(len(f.registrations()), 1)
 }
+
+// Guards against a session that takes the runs of a silent worker for over before their
+// leases lapse: an earlier session of this process knew that a later process under the
+// worker's id may have carried out orders, whose leases last longer.
+func TestForeignLeasesOutliveTheSession(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture(t)
+	c := f.session.c
+	c.ctx = t.Context()
+	bounds := worker.LeaseTiming{Lease: 4 * time.Second, MaxLease: 10 * time.Second}
+	c.o.Bounds.Lease = bounds
+	earlier := newSession(c, 1, nil)
+	f.later.track = worker.New(bounds, 1, 5, c.o.Clock.Now(), false)
+	f.later.track.ExpectForeignLeases(c.o.Clock.Now())
+	earlier.workers["w-0"] = f.later
+	want := f.later.track.LeasesExpireBy()
+	fences := earlier.endFences()
+	for _, term := range []uint64{1, 2} { // the same process may lead again
+		next := newSession(c, term, fences)
+		w := next.trackWorker(f.earlier.info, true)
+		is.Equal(w.track.LeasesExpireBy(), want)
+		fences = next.endFences()
+	}
+}
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -93,6 +93,7 @@
 	w := &workerState{info: info, inherited: earlier, sequence: info.Sequence, knownSince: s.now(), draining: info.Draining, runs: runSet{}, listedRuns: map[state.TaskKey]orders.Run{}}
 	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
 	w.track.RaiseFenceTo(s.fences.next[info.Id])
+	w.track.ExpectForeignLeasesUntil(s.fences.foreignLeases[info.Id])
 	s.workers[info.Id] = w
 	return w
 }
