Report no worker as silent because its relay ends

What callers would see: after a SIGTERM of a control process, sound workers get no tasks for a while, and runs whose start was broken off count as possible causes of crashes.

Cause: a relay that ends still takes messages until its server is closed. It confirmed them, and answered each order with the error of its own cancelled context: an unknown outcome, which the leader takes for a worker that does not answer. It marked the worker as silent and raised its fence.

Change: a relay that ends confirms nothing and reports no order that it breaks off, so that the leader learns that the relay is lost. Orders that were answered or never sent are still reported.

Evidence: TestRelayThatEndsReportsNoSilentWorkers fails without the change.

--- a/process/jobs/relay.go
+++ b/process/jobs/relay.go
@@ -45,6 +45,9 @@
 
 // handle takes a message of a leader. It does not block.
 func (r *orderRelay) handle(leader string, m *jobpb.RelayMessage) {
+	if r.ctx.Err() != nil {
+		return // this process ends; without a confirmation the sender stops using it
+	}
 	if m.Term < r.term() {
 		r.log.Info().Str("leader", leader).Uint64("term", m.Term).Uint64("newest_term", r.term()).Int("orders", len(m.Orders)).
 			Msg("orders not relayed: their term has ended")
@@ -110,13 +113,15 @@
 	}
 }
 
-// carryOut sends one order to its worker and adds the outcome to the reply.
+// carryOut sends one order to its worker and adds the outcome to the reply. The end of this
+// process breaks orders off, which says nothing about their workers: these have no outcome.
 func (r *orderRelay) carryOut(term uint64, o *jobpb.WorkerOrder, sentAt time.Duration) {
 	outcome := r.call(o, sentAt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inProgress--
-	if term == r.leaderTerm {
+	brokenOff := r.ctx.Err() != nil && outcome.Kind == jobpb.OrderOutcome_UNKNOWN
+	if term == r.leaderTerm && !brokenOff {
 		reply := r.openReply()
 		reply.Outcomes = append(reply.Outcomes, outcome)
 	}
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -99,6 +99,9 @@
 	paused  atomic.Bool      // the leader's lease has expired
 	cut     atomic.Bool      // messages of both directions are lost
 	delay   atomic.Int64     // of messages to the relay, in ns
+	// endRelay ends the relay's process, which still takes messages until its connections
+	// are closed.
+	endRelay context.CancelFunc
 }
 
 func newRelayPair(ctx context.Context) *relayPair {
@@ -110,7 +113,9 @@
 			time.AfterFunc(time.Millisecond, func() { p.session.Load().handle("relay", m) })
 		}
 	}
-	p.relay = newOrderRelay(ctx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
+	relayCtx, endRelay := context.WithCancel(ctx)
+	p.endRelay = endRelay
+	p.relay = newOrderRelay(relayCtx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
 	p.sender = p.newSender()
 	p.session.Store(p.sender)
 	go p.sender.run(ctx)
@@ -274,6 +279,30 @@
 	})
 }
 
+// Guards against a relay that ends and reports the orders that it breaks off, or takes
+// meanwhile, as orders that their workers have not answered.
+func TestRelayThatEndsReportsNoSilentWorkers(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		hold := func(wait time.Duration) error {
+			callCtx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+			defer cancel()
+			_, err := p.sender.Hold(callCtx, orders.Target{ID: "w", Address: "a"}, orders.HoldOrder{WaitMs: wait.Milliseconds()})
+			return err
+		}
+		broken := make(chan error, 1)
+		go func() { broken <- hold(time.Second) }()
+		time.Sleep(10 * time.Millisecond)
+		p.endRelay()
+		taken := hold(0)
+		for _, err := range []error{taken, <-broken} {
+			var lost *orders.RelayError
+			is.True(errors.As(err, &lost))
+		}
+		is.NoErr(hold(0)) // the leader sends it itself
+		is.Equal(p.direct.holds, 1)
+	})
+}
+
 // Guards against a message or an order that ends the process of the relay or of the leader.
 func TestRelaySurvivesMalformedMessages(t *testing.T) {
 	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
