Send no order for an earlier process of a relay

What callers would see: orders that are carried out seconds after the leader has given them up. A hold that is that late can acknowledge ends of a process that has started under the worker's id meanwhile (TWICE), since LastSeen is sent only while no such process is expected, 0.5 s after a list.

Cause: a relay takes the fastest message of a leader for one that needed no time. A relay's process that has just started has no other messages: the first ones, which have waited in the leader's queue or socket, counted as new however old they were. No probe came first, as the leader took the relay for healthy.

Change: relays name their process, by boot id, and the leader names the process that it has heard of last with its orders. Orders for another one are rejected as not sent, and the relay counts as lost until it has confirmed a probe, so that the offset of the clocks is known to 0.4 s (confirmTimeout).

Evidence: TestOrderForAnEarlierProcessIsNotRelayed fails without the change (2 starts sent 3 s late), and so does TestRestartedRelayIsProbedFirst.

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -39,6 +39,7 @@
 
 type relay struct {
 	hash        uint64 // of its name
+	boot        string // boot id of its process that was heard of last, empty if none was told
 	healthy     bool
 	nextProbeAt time.Duration
 	lastNumber  uint64
@@ -112,15 +113,33 @@
 	return xxhash.Sum64(pair[:])
 }
 
-// Send records that a message is sent to a relay, and returns its number.
-func (r *Relays) Send(now time.Duration, name string) (number uint64) {
+// Send records that a message is sent to a relay. It returns its number, and the boot id of
+// the process that its orders are meant for.
+func (r *Relays) Send(now time.Duration, name string) (number uint64, boot string) {
 	known := r.relays[name]
 	if known == nil {
-		return 0
+		return 0, ""
 	}
 	known.lastNumber = r.numbers.Next()
 	known.unconfirmed = append(known.unconfirmed, sentMessage{known.lastNumber, now})
-	return known.lastNumber
+	return known.lastNumber, known.boot
+}
+
+// Restarted records the boot id in a relay's message. It reports whether the relay was
+// healthy as another process. It then gets no orders until the new one has confirmed a
+// probe, which bounds how late the messages are from which that process learns the offset
+// of the leader's clock.
+func (r *Relays) Restarted(name, boot string) bool {
+	known := r.relays[name]
+	if known == nil || boot == "" || boot == known.boot {
+		return false
+	}
+	restarted := known.boot != "" && known.healthy
+	known.boot = boot
+	if restarted {
+		known.healthy, known.unconfirmed, known.nextProbeAt = false, nil, 0
+	}
+	return restarted
 }
 
 // Confirm records that a relay has received all messages up to a number. It reports
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -12,7 +12,8 @@
 	r := New(&Numbers{})
 	r.SetNames(names)
 	for _, name := range names {
-		r.Confirm(name, r.Send(0, name))
+		number, _ := r.Send(0, name)
+		r.Confirm(name, number)
 	}
 	return r
 }
@@ -35,7 +36,7 @@
 	r.SetNames([]string{"a"})
 	_, probes := r.Check(0)
 	is.Equal(probes, []string{"a"})
-	number := r.Send(0, "a")
+	number, _ := r.Send(0, "a")
 	_, ok := r.Choose("w")
 	is.True(!ok)
 	_, probes = r.Check(time.Millisecond)
@@ -51,7 +52,7 @@
 func TestRelayWithoutConfirmationFails(t *testing.T) {
 	is := is.New(t)
 	r := healthyRelays("a", "b")
-	first := r.Send(time.Second, "a")
+	first, _ := r.Send(time.Second, "a")
 	r.Send(time.Second, "a")
 	r.Confirm("a", first)
 	failed, _ := r.Check(time.Second + confirmTimeout)
@@ -65,7 +66,7 @@
 	failed, probes := r.Check(2*time.Second + confirmTimeout)
 	is.Equal(len(failed), 0) // reported once
 	is.Equal(probes, []string{"a"})
-	probe := r.Send(2*time.Second+confirmTimeout, "a")
+	probe, _ := r.Send(2*time.Second+confirmTimeout, "a")
 	is.True(!r.Confirm("a", first))
 	is.Equal(r.Healthy(), 1)
 	is.True(!r.Confirm("a", probe+1)) // a number that was never sent
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -133,7 +133,7 @@
 		return nil, err
 	}
 	c.replica, c.group = r, r
-	c.relay = newOrderRelay(ctx, o.Workers, c.pool.SendRelay, func() uint64 { return r.Status().Term }, o.Clock, o.Logger)
+	c.relay = newOrderRelay(ctx, o.BootID, o.Workers, c.pool.SendRelay, func() uint64 { return r.Status().Term }, o.Clock, o.Logger)
 	c.reports = newReportCollector()
 	c.server, err = wire.Listen(net, c)
 	if err != nil {
--- a/process/jobs/relay.go
+++ b/process/jobs/relay.go
@@ -25,6 +25,7 @@
 // are not sent.
 type orderRelay struct {
 	ctx     context.Context
+	boot    string // boot id of this process
 	workers orders.Workers
 	send    func(leader string, m *jobpb.RelayMessage)
 	term    func() uint64 // the newest term that this process knows
@@ -39,8 +40,8 @@
 	inProgress int
 }
 
-func newOrderRelay(ctx context.Context, workers orders.Workers, send func(string, *jobpb.RelayMessage), term func() uint64, clock replica.Clock, log zerolog.Logger) *orderRelay {
-	return &orderRelay{ctx: ctx, workers: workers, send: send, term: term, clock: clock, log: log}
+func newOrderRelay(ctx context.Context, boot string, workers orders.Workers, send func(string, *jobpb.RelayMessage), term func() uint64, clock replica.Clock, log zerolog.Logger) *orderRelay {
+	return &orderRelay{ctx: ctx, boot: boot, workers: workers, send: send, term: term, clock: clock, log: log}
 }
 
 // handle takes a message of a leader. It does not block.
@@ -66,7 +67,7 @@
 	reply := r.openReply()
 	reply.Received = max(reply.Received, m.Number)
 	for _, o := range m.Orders {
-		if err := r.reject(o, age); err != nil {
+		if err := r.reject(m, o, age); err != nil {
 			r.log.Info().Err(err).Str("worker", o.GetWorker()).Uint64("fence", o.GetFence()).Dur("age", age).Msg("order not relayed")
 			reply.Outcomes = append(reply.Outcomes, encodeOutcome(o.GetNumber(), 0, nil, &orders.NotSentError{Err: err}))
 			continue
@@ -77,8 +78,10 @@
 }
 
 // reject returns why an order is not sent, nil if it is.
-func (r *orderRelay) reject(o *jobpb.WorkerOrder, age time.Duration) error {
+func (r *orderRelay) reject(m *jobpb.RelayMessage, o *jobpb.WorkerOrder, age time.Duration) error {
 	switch {
+	case m.Boot != "" && m.Boot != r.boot: // a leader of an older build names none
+		return errors.New("the order is meant for an earlier process of this relay, and may have waited for long")
 	case !validOrder(o):
 		return errors.New("the order is incomplete")
 	case age > orderDuration(o):
@@ -97,7 +100,7 @@
 // with mu held.
 func (r *orderRelay) openReply() *jobpb.RelayMessage {
 	if r.reply == nil {
-		r.reply = &jobpb.RelayMessage{Term: r.leaderTerm}
+		r.reply = &jobpb.RelayMessage{Term: r.leaderTerm, Boot: r.boot}
 		time.AfterFunc(relayFlushDelay, r.flush)
 	}
 	return r.reply
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -91,7 +91,7 @@
 	sender *relayedSender
 	// session is the sender of the latest session, which gets the messages of the relay.
 	session atomic.Pointer[relayedSender]
-	relay   *orderRelay
+	relay   atomic.Pointer[orderRelay] // of the relay's process
 	numbers dispatch.Numbers
 	direct  recordingWorkers // called by the leader itself
 	remote  recordingWorkers // called by the relay
@@ -102,6 +102,8 @@
 	// endRelay ends the relay's process, which still takes messages until its connections
 	// are closed.
 	endRelay context.CancelFunc
+	// startRelay starts a process of the relay.
+	startRelay func(boot string)
 }
 
 func newRelayPair(ctx context.Context) *relayPair {
@@ -113,9 +115,12 @@
 			time.AfterFunc(time.Millisecond, func() { p.session.Load().handle("relay", m) })
 		}
 	}
-	relayCtx, endRelay := context.WithCancel(ctx)
-	p.endRelay = endRelay
-	p.relay = newOrderRelay(relayCtx, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop())
+	p.startRelay = func(boot string) {
+		relayCtx, endRelay := context.WithCancel(ctx)
+		p.endRelay = endRelay
+		p.relay.Store(newOrderRelay(relayCtx, boot, &p.remote, toLeader, p.term.Load, clock, zerolog.Nop()))
+	}
+	p.startRelay("first")
 	p.sender = p.newSender()
 	p.session.Store(p.sender)
 	go p.sender.run(ctx)
@@ -126,7 +131,7 @@
 func (p *relayPair) newSender() *relayedSender {
 	toRelay := func(_ string, m *jobpb.RelayMessage) {
 		if !p.cut.Load() {
-			time.AfterFunc(time.Duration(p.delay.Load())+time.Millisecond, func() { p.relay.handle("leader", m) })
+			time.AfterFunc(time.Duration(p.delay.Load())+time.Millisecond, func() { p.relay.Load().handle("leader", m) })
 		}
 	}
 	sender := newRelayedSender(1, &p.numbers, &p.direct, toRelay, func() []string { return []string{"relay"} },
@@ -212,6 +217,46 @@
 	})
 }
 
+// Guards against an order that the next process of a relay sends although the leader has
+// given it up: the process can't tell how long the first message that it gets, or a few in a
+// row, have waited for it.
+func TestOrderForAnEarlierProcessIsNotRelayed(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		p.delay.Store(int64(3 * time.Second)) // until the leader has a connection to the next process
+		p.endRelay()
+		p.startRelay("second")
+		results := make(chan error, 2)
+		for range 2 {
+			go func() { results <- p.start(ctx) }()
+			time.Sleep(10 * time.Millisecond)
+		}
+		var lost *orders.RelayError
+		is.True(errors.As(<-results, &lost))
+		is.True(errors.As(<-results, &lost))
+		time.Sleep(3500 * time.Millisecond) // until the orders have arrived
+		p.delay.Store(0)
+		time.Sleep(5 * time.Second)
+		is.Equal(p.remote.started(), 0)
+		is.NoErr(p.start(ctx))
+		is.Equal(p.remote.started(), 1)
+	})
+}
+
+// Guards against orders to a relay's process that has confirmed no probe of this leader: it
+// would count how long messages take from one that was late itself.
+func TestRestartedRelayIsProbedFirst(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		is.NoErr(p.start(ctx))
+		p.startRelay("second")
+		is.True(orders.NeverCarriedOut(p.start(ctx)))
+		time.Sleep(100 * time.Millisecond) // for a probe
+		is.Equal(p.sender.relays.Healthy(), 1)
+		is.NoErr(p.start(ctx))
+		is.Equal(p.remote.started(), 2)
+		is.Equal(p.direct.started(), 0)
+	})
+}
+
 // Guards against a leader that was suspended between the decision and the sending of an
 // order, and sends it although its lease has expired.
 func TestOrderIsNotSentAfterTheLeaseExpired(t *testing.T) {
@@ -306,7 +351,7 @@
 // Guards against a message or an order that ends the process of the relay or of the leader.
 func TestRelaySurvivesMalformedMessages(t *testing.T) {
 	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
-		p.relay.handle("leader", &jobpb.RelayMessage{Term: 1, Number: 2, Orders: []*jobpb.WorkerOrder{{}, nil, {Kind: 17, Worker: "w", Address: "a", Task: &jobpb.TaskRef{}, TimeoutMs: 100}}})
+		p.relay.Load().handle("leader", &jobpb.RelayMessage{Term: 1, Number: 2, Orders: []*jobpb.WorkerOrder{{}, nil, {Kind: 17, Worker: "w", Address: "a", Task: &jobpb.TaskRef{}, TimeoutMs: 100}}})
 		p.sender.handle("relay", &jobpb.RelayMessage{Term: 1, Outcomes: []*jobpb.OrderOutcome{nil, {Number: 99}}})
 		p.sender.handle("nobody", &jobpb.RelayMessage{Term: 1, Received: 5})
 		is.Equal(decodeRunList(&jobpb.RunList{Running: []*jobpb.ListedRun{{}}}), (*orders.RunList)(nil))
@@ -341,7 +386,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		p := newRelayPair(ctx)
-		p.relay.handle("leader", m)
+		p.relay.Load().handle("leader", m)
 		p.sender.handle("relay", m)
 		for _, outcome := range m.Outcomes {
 			_ = outcomeError(outcome)
--- a/process/jobs/relayed_sender.go
+++ b/process/jobs/relayed_sender.go
@@ -113,7 +113,8 @@
 // sendMessage sends orders, or a probe without any, to a relay. Called with mu held.
 func (r *relayedSender) sendMessage(relay string, list []*jobpb.WorkerOrder) {
 	now := r.clock.Now()
-	r.send(relay, &jobpb.RelayMessage{Term: r.term, Number: r.relays.Send(now, relay), SentUs: now.Microseconds(), Orders: list})
+	number, boot := r.relays.Send(now, relay)
+	r.send(relay, &jobpb.RelayMessage{Term: r.term, Number: number, SentUs: now.Microseconds(), Boot: boot, Orders: list})
 }
 
 // add queues an order for a worker's relay. It returns nil if the leader has to send it.
@@ -169,7 +170,10 @@
 func (r *relayedSender) handle(relay string, m *jobpb.RelayMessage) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.relays.Confirm(relay, m.Received) {
+	if r.relays.Restarted(relay, m.Boot) {
+		r.log.Warn().Str("relay", relay).Str("boot", m.Boot).Msg("relay was restarted: its orders are sent through others until it confirms a probe")
+		defer r.failOrders(relay)
+	} else if r.relays.Confirm(relay, m.Received) {
 		r.log.Info().Str("relay", relay).Int("healthy", r.relays.Healthy()).Msg("relay is healthy: it sends orders to workers")
 	}
 	for _, outcome := range m.Outcomes {
--- a/process/jobs/simulation_relay_test.go
+++ b/process/jobs/simulation_relay_test.go
@@ -47,7 +47,7 @@
 func (r *simRelay) startProcess() {
 	ctx, cancel := context.WithCancel(context.Background())
 	clock := simClock{r.sim.began.Add(-r.clockOffset)}
-	process := newOrderRelay(ctx, r, r.sendToLeader, r.term, clock, r.sim.logger())
+	process := newOrderRelay(ctx, fmt.Sprint("boot-", time.Since(r.sim.began)), r, r.sendToLeader, r.term, clock, r.sim.logger())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.relay, r.end = process, cancel
