End a leadership whose transfer was not carried out

What callers would see: no answers, no starts and no orders until the leader's process ends. TIMEOUT_NOW ends the lease for the rest of the term, as its receiver may win an election at any time. If the receiver does not, because it is cut off or has just ended, the leader went on without a lease, and its heartbeats kept the others from an election. A leader that ends gives the transfer up after 1.5 s and then ends; one that resigns because its fences are nearly used up stays.

Change: when the time for a transfer is over (the minimum election timeout), a leader that has sent TIMEOUT_NOW becomes a follower of its term. One that has not, because the receiver did not catch up, goes on with its lease as before.

Evidence: TestFailedTransferEndsTheLeadership fails without the change (leader without a lease 2 s later). Tests of process/consensus and process/replica pass.

--- a/process/consensus/leader.go
+++ b/process/consensus/leader.go
@@ -125,6 +125,12 @@
 		return
 	}
 	if c.transferTo != "" && c.now >= c.transferUntil {
+		if c.timeoutNowSent {
+			// The receiver did not take over. TIMEOUT_NOW has ended the lease for the rest
+			// of the term, so that only another term can have a leader with one.
+			c.becomeFollower(c.term, "")
+			return
+		}
 		c.transferTo = ""
 	}
 	if c.now >= c.heartbeatDue {
--- a/process/consensus/membership.go
+++ b/process/consensus/membership.go
@@ -180,7 +180,8 @@
 
 // TransferLeader transfers leadership to a voter once that voter has all of the
 // leader's entries. Until then, for at most the minimum election timeout, proposals
-// are refused.
+// are refused. A voter that was told to take over and has not done so by then ends the
+// leader's term as well.
 func (c *Core) TransferLeader(to string) error {
 	if c.err != nil {
 		return c.err
--- a/process/consensus/rules_test.go
+++ b/process/consensus/rules_test.go
@@ -425,3 +425,32 @@
 	is.NoErr(c.Step(c.now, answer))
 	is.Equal(c.Status().LeaseUntil, time.Duration(0))
 }
+
+// Guards against a leader that goes on without a lease after a transfer that the receiver
+// did not carry out: its heartbeats keep the others from electing one that has a lease.
+func TestFailedTransferEndsTheLeadership(t *testing.T) {
+	is := is.New(t)
+	for _, caughtUp := range []bool{true, false} {
+		c := newLeader(t)
+		processReady(c)
+		ack := messageFromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+		ack.Index = 1
+		is.NoErr(c.Step(c.now, ack))
+		if !caughtUp {
+			_, _, err := c.Propose([]byte("x")) // not acknowledged by b
+			is.NoErr(err)
+		}
+		is.NoErr(c.TransferLeader("b"))
+		sent := ofType(processReady(c), wirepb.RaftMessage_TYPE_TIMEOUT_NOW)
+		is.Equal(len(sent) > 0, caughtUp)
+		for range 40 { // heartbeats are answered all the while
+			answer := messageFromB(wirepb.RaftMessage_TYPE_HEARTBEAT_RESPONSE, 2)
+			answer.ReadContext = c.heartbeatSeq
+			is.NoErr(c.Step(c.now, answer))
+			is.NoErr(c.Tick(c.now + 50*time.Millisecond))
+			processReady(c)
+		}
+		is.Equal(c.Status().Role == Leader, !caughtUp)
+		is.Equal(c.Status().LeaseUntil > c.now, !caughtUp)
+	}
+}
