Use only a lease of the session's own term

What callers could see: TWICE. A session of a term that has ended sends orders under the lease of a later term of the same process. If another process has led in between, a list under the session's fence does not settle the late orders of that leader, although the session takes it for a proof.

Cause: the session asked whether its process leads under a valid lease, not in which term. The role is checked every 20 ms, and not at all while the first read of a term is repeated, for up to 2 s; a session for the term from before that read could begin in a later one.

Change: a session's orders and answers need a lease of its own term.

Evidence: TestSessionUsesNoLeaseOfAnotherTerm fails without the change (a hold is sent). No run of processes has shown it: it takes two elections within 2 s.

--- a/process/jobs/commit_test.go
+++ b/process/jobs/commit_test.go
@@ -220,3 +220,39 @@
 		is.Equal(later, 0)
 	})
 }
+
+// leasedLog is the log of a process that leads a term under a valid lease.
+type leasedLog struct {
+	fixedLog
+	term uint64
+}
+
+func (l leasedLog) Status() replica.Status {
+	status := l.fixedLog.Status()
+	status.Term = l.term
+	return status
+}
+
+// Guards against orders and answers of a session whose term has ended, under the lease of a
+// later term that the same process leads: an order of the leader between them may be late,
+// and a list under this session's fence does not settle it.
+func TestSessionUsesNoLeaseOfAnotherTerm(t *testing.T) {
+	for term, sent := range map[uint64]int{1: 1, 3: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newUpkeepFixture(t).session.c
+			c.ctx = t.Context()
+			c.group = leasedLog{term: term}
+			workers := &recordingWorkers{}
+			c.o.Workers = workers
+			s := newSession(c, 1, nil)
+			c.session = s
+			w := s.trackWorker(&jobpb.Worker{Id: "w"}, false)
+			s.sendHold(s.now(), w, false)
+			synctest.Wait()
+			is.Equal(workers.holds, sent)
+			_, err := c.leaderSession()
+			is.Equal(err == nil, sent > 0)
+		})
+	}
+}
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -232,7 +232,7 @@
 		}
 	}
 	s := newSession(c, term, c.usedFences)
-	s.useRelays(newRelayedSender(term, &c.numbers, c.o.Workers, c.pool.SendRelay, c.otherVoters, c.Leads, c.o.Clock, s.log))
+	s.useRelays(newRelayedSender(term, &c.numbers, c.o.Workers, c.pool.SendRelay, c.otherVoters, s.leads, c.o.Clock, s.log))
 	c.mu.Lock()
 	c.session = s
 	c.mu.Unlock()
@@ -267,7 +267,7 @@
 // valid lease.
 func (c *Control) leaderSession() (*session, error) {
 	s := c.currentSession()
-	if s == nil || !c.Leads() {
+	if s == nil || !s.leads() {
 		return nil, &UnavailableError{Reason: "this process does not lead"}
 	}
 	return s, nil
--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -290,7 +290,7 @@
 	d.s.markEndOrdered(m.Machine, true)
 	change := &jobpb.Move{Machine: m.Machine, Pool: m.To}
 	d.s.add(&jobpb.Entry{Change: &jobpb.Entry_Move{Move: change}}, func(applied bool, err error) {
-		if !applied || !d.s.c.Leads() {
+		if !applied || !d.s.leads() {
 			mv.ordering = false
 			mv.expiresAt = d.s.now()
 			d.s.markEndOrdered(m.Machine, false)
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -37,7 +37,7 @@
 	}
 	w.holding = true
 	to := orders.Target{ID: w.info.Id, Address: w.info.Address}
-	if !s.c.Leads() {
+	if !s.leads() {
 		w.holding = false
 		return
 	}
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -98,6 +98,13 @@
 // then on: the state that it would read may lack that change.
 func (s *session) failed() bool { return s.broken.Load() }
 
+// leads reports whether this process leads the session's term under a valid lease. The
+// process may lead a later term before it has noticed the end of this one.
+func (s *session) leads() bool {
+	status := s.c.group.Status()
+	return status.LeaseValid && status.Term == s.term
+}
+
 func (s *session) now() time.Duration { return s.c.o.Clock.Now() }
 
 // nowMs returns the wall-clock Unix time in milliseconds. It is used for due times
--- a/process/jobs/simulation_leader_test.go
+++ b/process/jobs/simulation_leader_test.go
@@ -95,7 +95,7 @@
 	for _, r := range s.relays {
 		names = append(names, r.name)
 	}
-	session.useRelays(newRelayedSender(session.term, &c.numbers, s, s.sendToRelay, func() []string { return names }, c.Leads, c.o.Clock, c.log))
+	session.useRelays(newRelayedSender(session.term, &c.numbers, s, s.sendToRelay, func() []string { return names }, session.leads, c.o.Clock, c.log))
 	c.mu.Lock()
 	c.session = session
 	c.mu.Unlock()
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -47,7 +47,7 @@
 func (s *session) sendStop(w *workerState, task *jobpb.TaskRef, run uint32, onAnswer func(ok bool)) {
 	to := orders.Target{ID: w.info.Id, Address: w.info.Address}
 	o := orders.RunOrder{Task: task, Run: run, Fence: w.track.Fence()}
-	if !s.c.Leads() {
+	if !s.leads() {
 		return
 	}
 	go func() {
@@ -114,7 +114,7 @@
 		onProbation = p.Task.Crashes > 0
 	})
 	deadline, known := w.track.Grant(s.now())
-	if !ok || !known || !s.c.Leads() || w.draining {
+	if !ok || !known || !s.leads() || w.draining {
 		s.pendingStarts.removeRun(key, start.Run)
 		w.runs.remove(key, start.Run)
 		s.addNeverStarted(start.Worker, start.Task, start.Run)
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -349,7 +349,7 @@
 // has carried out before.
 func (u *upkeepDriver) sendOrder(now time.Duration, w *jobpb.Wave, machine string) {
 	m := u.machine(machine)
-	if m.ordering || now < m.retryAt || !u.s.c.Leads() {
+	if m.ordering || now < m.retryAt || !u.s.leads() {
 		return
 	}
 	m.ordering, m.attemptedAt = true, now
