Do not count reports that a process confirms against an older state

A worker grows, is registered so, and shrinks again. A control process that has just started, or whose disk is slow, still has the first state and confirms the report of the smaller worker as one without a change. The leader took the larger worker for confirmed and started tasks for it.

Cause: a process compares reports with its own applied state, which may be behind that of the leader, and told the leader only that nothing had changed.

Change: it also tells the number of the registration that the report agrees with. The leader does not count a report that agrees with an earlier registration than its own; it still shows that the worker is alive.

Evidence: TestReportConfirmedAgainstAnOlderStateDoesNotCount fails without the change. No run of processes has shown it.

--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -12,6 +12,7 @@
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
 	"marjoramtiller.example/marjoramtiller/job/worker"
+	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
 // newReportFixture returns the session of a new leader; an earlier one has registered a
@@ -77,6 +78,35 @@
 	is.Equal(len(c.contacts), 0)
 }
 
+// Guards against a report that a process whose state is behind, as after its restart, has
+// confirmed as one without a change: it may have less capacity than the leader knows of.
+func TestReportConfirmedAgainstAnOlderStateDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	s, w, _ := newReportFixture(t)
+	s.recordContacts([]*jobpb.WorkerContact{{Id: "w", BornMs: 1, Sequence: 12, ClockMs: 500, Registered: 7}})
+	is.True(!s.isUsable("w"))
+	is.Equal(w.sequence, uint64(9))
+	is.True(w.track.LastContact > w.knownSince) // it is in contact
+	s.recordContacts([]*jobpb.WorkerContact{{Id: "w", BornMs: 1, Sequence: 12, ClockMs: 500, Registered: 9}})
+	is.True(s.isUsable("w"))
+
+	c := &Control{o: s.c.o, group: followerLog{}, reports: newReportCollector(), store: s.c.store}
+	known := c.store.Workers()["w-0"]
+	known.Sequence = 5
+	is.NoErr(c.reportToLeader(t.Context(), Report{Worker: proto.Clone(known).(*jobpb.Worker), Sequence: 6}))
+	list := c.reports.take(c.o.Clock.Now(), time.Second, false)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Registered, uint64(5))
+}
+
+// followerLog is the log of a process that follows another one.
+type followerLog struct{ fixedLog }
+
+func (followerLog) Status() (s replica.Status) {
+	s.Leader = "leader"
+	return s
+}
+
 // Guards against a report that counts as recent although it has waited for seconds, at the
 // process that confirmed it, until a leader was known: the worker may have shrunk since.
 func TestReportThatWaitedForALeaderTellsItsAge(t *testing.T) {
--- a/process/jobs/report_forwarding.go
+++ b/process/jobs/report_forwarding.go
@@ -83,8 +83,9 @@
 	if leader == "" || leader == c.o.Name {
 		return &UnavailableError{Reason: "no leader is known"}
 	}
-	if c.reportsNoChange(r) {
-		c.reports.add(c.o.Clock.Now(), &jobpb.WorkerContact{Id: r.Worker.Id, BornMs: r.Worker.BornMs, Sequence: r.Sequence, ClockMs: r.ClockMs})
+	if registered, same := c.reportsNoChange(r); same {
+		c.reports.add(c.o.Clock.Now(), &jobpb.WorkerContact{Id: r.Worker.Id, BornMs: r.Worker.BornMs, Sequence: r.Sequence, ClockMs: r.ClockMs,
+			Registered: registered})
 		return nil
 	}
 	request := &jobpb.Request{Kind: jobpb.Request_REPORT, Report: &jobpb.WorkerReport{Worker: r.Worker, Sequence: r.Sequence, ClockMs: r.ClockMs}}
@@ -101,13 +102,15 @@
 	return nil
 }
 
-// reportsNoChange reports whether the applied state has a worker as it reports itself.
-func (c *Control) reportsNoChange(r Report) (same bool) {
+// reportsNoChange reports whether the applied state has a worker as it reports itself, and
+// the number of the report that registered it so.
+func (c *Control) reportsNoChange(r Report) (registered uint64, same bool) {
 	c.viewStore(func(st *state.Store) {
 		known := st.Workers()[r.Worker.Id]
 		same = known != nil && known.BornMs == r.Worker.BornMs && sameWorker(known, r.Worker)
+		registered = known.GetSequence()
 	})
-	return same
+	return registered, same
 }
 
 // forwardContacts tells the leader which workers have reported to this process.
@@ -143,6 +146,13 @@
 			continue
 		}
 		age := time.Duration(max(0, contact.AgeMs)) * time.Millisecond
+		if contact.Registered > 0 && contact.Registered < w.info.Sequence {
+			// The process that confirmed the report does not know the worker's last change.
+			if age == 0 {
+				w.track.SampleClock(now, contact.ClockMs)
+			}
+			continue
+		}
 		w.sequence = contact.Sequence
 		w.setReported(now-age, contact.ClockMs)
 		if age == 0 {
