--- a/process/jobs/relay.go
+++ b/process/jobs/relay.go
@@ -25,6 +25,7 @@
 // are not sent.
 type orderRelay struct {
 	ctx     context.Context
+	boot    string // boot id of this process
 	workers orders.Workers
 	send    func(leader string, m *jobpb.RelayMessage)
 	term    func() uint64 // the newest term that this process knows
@@ -39,12 +40,15 @@
 	inProgress int
 }
 
-func newOrderRelay(ctx context.Context, workers orders.Workers, send func(string, *jobpb.RelayMessage), term func() uint64, clock replica.Clock, log zerolog.Logger) *orderRelay {
-	return &orderRelay{ctx: ctx, workers: workers, send: send, term: term, clock: clock, log: log}
+func newOrderRelay(ctx context.Context, boot string, workers orders.Workers, send func(string, *jobpb.RelayMessage), term func() uint64, clock replica.Clock, log zerolog.Logger) *orderRelay {
+	return &orderRelay{ctx: ctx, boot: boot, workers: workers, send: send, term: term, clock: clock, log: log}
 }
 
 // handle takes a message of a leader. It does not block.
 func (r *orderRelay) handle(leader string, m *jobpb.RelayMessage) {
+	if r.ctx.Err() != nil {
+		return // this process ends; without a confirmation the sender stops using it
+	}
 	if m.Term < r.term() {
 		r.log.Info().Str("leader", leader).Uint64("term", m.Term).Uint64("newest_term", r.term()).Int("orders", len(m.Orders)).
 			Msg("orders not relayed: their term has ended")
@@ -64,7 +68,7 @@
 	reply := r.openReply()
 	reply.Received = max(reply.Received, m.Number)
 	for _, o := range m.Orders {
-		if err := r.reject(o, age); err != nil {
+		if err := r.reject(m, o, age); err != nil {
 			r.log.Info().Err(err).Str("worker", o.GetWorker()).Uint64("fence", o.GetFence()).Dur("age", age).Msg("order not relayed")
 			reply.Outcomes = append(reply.Outcomes, encodeOutcome(o.GetNumber(), 0, nil, &orders.NotSentError{Err: err}))
 			continue
@@ -75,8 +79,10 @@
 }
 
 // reject returns why an order is not sent, nil if it is.
-func (r *orderRelay) reject(o *jobpb.WorkerOrder, age time.Duration) error {
+func (r *orderRelay) reject(m *jobpb.RelayMessage, o *jobpb.WorkerOrder, age time.Duration) error {
 	switch {
+	case m.Boot != "" && m.Boot != r.boot: // a leader of an older build names none
+		return errors.New("the order is meant for an earlier process of this relay, and may have waited for long")
 	case !validOrder(o):
 		return errors.New("the order is incomplete")
 	case age > orderDuration(o):
@@ -95,7 +101,7 @@
 // with mu held.
 func (r *orderRelay) openReply() *jobpb.RelayMessage {
 	if r.reply == nil {
-		r.reply = &jobpb.RelayMessage{Term: r.leaderTerm}
+		r.reply = &jobpb.RelayMessage{Term: r.leaderTerm, Boot: r.boot}
 		time.AfterFunc(relayFlushDelay, r.flush)
 	}
 	return r.reply
@@ -111,13 +117,15 @@
 	}
 }
 
-// carryOut sends one order to its worker and adds the outcome to the reply.
+// carryOut sends one order to its worker and adds the outcome to the reply. The end of this
+// process breaks orders off, which says nothing about their workers: these have no outcome.
 func (r *orderRelay) carryOut(term uint64, o *jobpb.WorkerOrder, sentAt time.Duration) {
 	outcome := r.call(o, sentAt)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.inProgress--
-	if term == r.leaderTerm {
+	brokenOff := r.ctx.Err() != nil && outcome.Kind == jobpb.OrderOutcome_UNKNOWN
+	if term == r.leaderTerm && !brokenOff {
 		reply := r.openReply()
 		reply.Outcomes = append(reply.Outcomes, outcome)
 	}
--- a/process/jobs/report_forwarding.go
+++ b/process/jobs/report_forwarding.go
@@ -46,20 +46,22 @@
 }
 
 // take returns the reports that the leader has not been told of; a new leader is told of
-// all that are not older than maxAge. It forgets those that are.
+// all that are not older than maxAge. It forgets those that are. Reports that have waited
+// for longer than usual tell their age.
 func (c *reportCollector) take(now, maxAge time.Duration, newLeader bool) []*jobpb.WorkerContact {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []*jobpb.WorkerContact
 	for id, r := range c.contacts {
+		age := now - r.at
 		switch {
-		case now-r.at > maxAge:
+		case age > maxAge:
 			delete(c.contacts, id)
-		case r.told && newLeader:
-			aged := proto.Clone(r.contact).(*jobpb.WorkerContact)
-			aged.AgeMs = max(1, (now - r.at).Milliseconds())
-			list = append(list, aged)
-		case !r.told:
+		case r.told && !newLeader:
+		case r.told || age > 2*contactInterval:
+			r.told = true
+			list = append(list, r.aged(age))
+		default:
 			r.told = true
 			list = append(list, r.contact)
 		}
@@ -67,6 +69,13 @@
 	return list
 }
 
+// aged returns the report with its age.
+func (r *retainedContact) aged(age time.Duration) *jobpb.WorkerContact {
+	contact := proto.Clone(r.contact).(*jobpb.WorkerContact)
+	contact.AgeMs = max(1, age.Milliseconds())
+	return contact
+}
+
 // reportToLeader handles a report at a process that does not lead. Without a leader it
 // confirms nothing: the worker then reports to another process.
 func (c *Control) reportToLeader(ctx context.Context, r Report) error {
@@ -74,8 +83,9 @@
 	if leader == "" || leader == c.o.Name {
 		return &UnavailableError{Reason: "no leader is known"}
 	}
-	if c.reportsNoChange(r) {
-		c.reports.add(c.o.Clock.Now(), &jobpb.WorkerContact{Id: r.Worker.Id, BornMs: r.Worker.BornMs, Sequence: r.Sequence, ClockMs: r.ClockMs})
+	if registered, same := c.reportsNoChange(r); same {
+		c.reports.add(c.o.Clock.Now(), &jobpb.WorkerContact{Id: r.Worker.Id, BornMs: r.Worker.BornMs, Sequence: r.Sequence, ClockMs: r.ClockMs,
+			Registered: registered})
 		return nil
 	}
 	request := &jobpb.Request{Kind: jobpb.Request_REPORT, Report: &jobpb.WorkerReport{Worker: r.Worker, Sequence: r.Sequence, ClockMs: r.ClockMs}}
@@ -92,13 +102,15 @@
 	return nil
 }
 
-// reportsNoChange reports whether the applied state has a worker as it reports itself.
-func (c *Control) reportsNoChange(r Report) (same bool) {
+// reportsNoChange reports whether the applied state has a worker as it reports itself, and
+// the number of the report that registered it so.
+func (c *Control) reportsNoChange(r Report) (registered uint64, same bool) {
 	c.viewStore(func(st *state.Store) {
 		known := st.Workers()[r.Worker.Id]
 		same = known != nil && known.BornMs == r.Worker.BornMs && sameWorker(known, r.Worker)
+		registered = known.GetSequence()
 	})
-	return same
+	return registered, same
 }
 
 // forwardContacts tells the leader which workers have reported to this process.
@@ -134,6 +146,13 @@
 			continue
 		}
 		age := time.Duration(max(0, contact.AgeMs)) * time.Millisecond
+		if contact.Registered > 0 && contact.Registered < w.info.Sequence {
+			// The process that confirmed the report does not know the worker's last change.
+			if age == 0 {
+				w.track.SampleClock(now, contact.ClockMs)
+			}
+			continue
+		}
 		w.sequence = contact.Sequence
 		w.setReported(now-age, contact.ClockMs)
 		if age == 0 {
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -96,8 +96,17 @@
 	return s.relays.senders()
 }
 
+// failed reports whether a change has no known outcome. The session decides nothing from
+// then on: the state that it would read may lack that change.
 func (s *session) failed() bool { return s.broken.Load() }
 
+// leads reports whether this process leads the session's term under a valid lease. The
+// process may lead a later term before it has noticed the end of this one.
+func (s *session) leads() bool {
+	status := s.c.group.Status()
+	return status.LeaseValid && status.Term == s.term
+}
+
 func (s *session) now() time.Duration { return s.c.o.Clock.Now() }
 
 // nowMs returns the wall-clock Unix time in milliseconds. It is used for due times
@@ -126,6 +135,9 @@
 		case <-ticks:
 		}
 		s.runQueuedEvents()
+		if s.failed() {
+			return
+		}
 		s.round()
 	}
 }
@@ -137,10 +149,13 @@
 	s.proposing.Wait()
 }
 
-// runQueuedEvents runs queued events until the queue is empty, at most eventQueue
-// of them.
+// runQueuedEvents runs queued events until the queue is empty or the session has failed, at
+// most eventQueue of them.
 func (s *session) runQueuedEvents() {
 	for range eventQueue {
+		if s.failed() {
+			return
+		}
 		select {
 		case fn := <-s.events:
 			fn()
