Play reports through a follower that may be behind, and capacities that return, in the simulation

In the simulation every report went to the leader. With real processes most go to followers, which confirm them against their own state and tell the leader of them.

--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -43,6 +43,7 @@
 	machine     string
 	startedAt   time.Time
 	cpuMillis   uint64
+	firstMillis uint64    // capacity at its start
 	roomUntil   time.Time // until then starts are checked against roomMillis, if that is more
 	roomMillis  uint64    // capacity before it shrank
 	exited      bool      // its process has exited
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -109,6 +109,9 @@
 		if len(s.relays) > 0 && s.draw(3, "relay", n) == 0 {
 			s.relays[s.draw(simRelays, "which", n)].fail(n)
 		}
+		if s.draw(6, "follower", n) == 0 {
+			s.follower.fallBehind(n)
+		}
 		switch s.draw(6, "session", n) {
 		case 0:
 			s.leadership <- struct{}{}
