Make a relay healthy only by the confirmation of a probe

What callers would see: orders that a restarted relay carries out late. Its process may learn the age of messages from one that was late itself.

Cause: after a restart or a failure nothing counted as unconfirmed, so that any confirmation, also of a message from before, made the relay healthy.

Change: the first probe since the failure has to be confirmed.

TestOlderConfirmationDoesNotMakeARelayHealthy fails without the change ('not true: !r.Confirm("a", sentBefore)').

--- a/job/dispatch/dispatch.go
+++ b/job/dispatch/dispatch.go
@@ -41,6 +41,7 @@
 	hash        uint64 // of its name
 	boot        string // boot id of its process that was heard of last, empty if none was told
 	healthy     bool
+	probe       uint64 // number of the first probe since it was last healthy, 0 before one is sent
 	nextProbeAt time.Duration
 	lastNumber  uint64
 	unconfirmed []sentMessage // in ascending order of numbers
@@ -122,6 +123,9 @@
 	}
 	known.lastNumber = r.numbers.Next()
 	known.unconfirmed = append(known.unconfirmed, sentMessage{known.lastNumber, now})
+	if !known.healthy && known.probe == 0 {
+		known.probe = known.lastNumber
+	}
 	return known.lastNumber, known.boot
 }
 
@@ -137,11 +141,16 @@
 	restarted := known.boot != "" && known.healthy
 	known.boot = boot
 	if restarted {
-		known.healthy, known.unconfirmed, known.nextProbeAt = false, nil, 0
+		known.fail(0)
 	}
 	return restarted
 }
 
+// fail makes a relay get no orders until it has confirmed a probe, which is sent at a time.
+func (r *relay) fail(probeAt time.Duration) {
+	r.healthy, r.unconfirmed, r.probe, r.nextProbeAt = false, nil, 0, probeAt
+}
+
 // Confirm records that a relay has received all messages up to a number. It reports
 // whether the relay has become healthy by that.
 func (r *Relays) Confirm(name string, received uint64) (recovered bool) {
@@ -154,9 +163,9 @@
 		kept = len(known.unconfirmed)
 	}
 	known.unconfirmed = known.unconfirmed[kept:]
-	// A message older than a failure says nothing about the relay's health now: only
-	// the confirmation of everything that was sent does.
-	if known.healthy || len(known.unconfirmed) > 0 {
+	// A message older than a failure says nothing about the relay's health now: only the
+	// confirmation of a probe and of everything sent since does.
+	if known.healthy || known.probe == 0 || received < known.probe || len(known.unconfirmed) > 0 {
 		return false
 	}
 	known.healthy = true
@@ -173,9 +182,7 @@
 			failed = append(failed, name)
 		}
 		if overdue {
-			known.healthy = false
-			known.unconfirmed = nil
-			known.nextProbeAt = now + probeInterval
+			known.fail(now + probeInterval)
 		}
 		if !known.healthy && len(known.unconfirmed) == 0 && now >= known.nextProbeAt {
 			probes = append(probes, name)
--- a/job/dispatch/dispatch_test.go
+++ b/job/dispatch/dispatch_test.go
@@ -111,3 +111,29 @@
 		is.True(age < 20*time.Millisecond)
 	}
 }
+
+// Guards against orders to a relay's process that has confirmed no probe: a confirmation of
+// what was sent before its start, or before its failure, does not make it healthy.
+func TestOlderConfirmationDoesNotMakeARelayHealthy(t *testing.T) {
+	is := is.New(t)
+	r := New(&Numbers{})
+	r.SetNames([]string{"a"})
+	number, _ := r.Send(0, "a")
+	is.True(!r.Restarted("a", "first"))
+	is.True(r.Confirm("a", number))
+	r.Send(time.Second, "a")
+	sentBefore, _ := r.Send(time.Second, "a")
+	is.True(r.Restarted("a", "second"))
+	is.Equal(r.Healthy(), 0)
+	is.True(!r.Confirm("a", sentBefore))
+	_, probes := r.Check(time.Second)
+	is.Equal(probes, []string{"a"})
+	probe, boot := r.Send(time.Second, "a")
+	is.Equal(boot, "second")
+	is.True(r.Confirm("a", probe))
+
+	sentBefore, _ = r.Send(2*time.Second, "a")
+	failed, _ := r.Check(4 * time.Second)
+	is.Equal(failed, []string{"a"})
+	is.True(!r.Confirm("a", sentBefore))
+}
