Count no worker as silent because a hold reached another process of its relay

What callers would see: sound workers get no tasks and no leases for a while after a relay was restarted, and their runs count as possible causes of crashes.

Cause: a restarted relay answered a hold that was meant for its earlier process as not sent, which the leader takes for a worker that can't be reached.

Change: such a hold has no outcome; the relay's boot id ends it at the leader as an order of a lost relay. Starts and stops are still reported as not sent.

TestHoldAtARestartedRelayIsLost fails without the change.

--- a/process/jobs/relay.go
+++ b/process/jobs/relay.go
@@ -70,6 +70,9 @@
 	for _, o := range m.Orders {
 		if err := r.reject(m, o, age); err != nil {
 			r.log.Info().Err(err).Str("worker", o.GetWorker()).Uint64("fence", o.GetFence()).Dur("age", age).Msg("order not relayed")
+			if r.forEarlierProcess(m) && o.GetKind() == jobpb.WorkerOrder_HOLD {
+				continue // says nothing about the worker; the leader learns that the relay was restarted
+			}
 			reply.Outcomes = append(reply.Outcomes, encodeOutcome(o.GetNumber(), 0, nil, &orders.NotSentError{Err: err}))
 			continue
 		}
@@ -78,10 +81,16 @@
 	}
 }
 
+// forEarlierProcess reports whether the orders of a message are meant for an earlier process
+// of this relay. A leader of an older build names none.
+func (r *orderRelay) forEarlierProcess(m *jobpb.RelayMessage) bool {
+	return m.Boot != "" && m.Boot != r.boot
+}
+
 // reject returns why an order is not sent, nil if it is.
 func (r *orderRelay) reject(m *jobpb.RelayMessage, o *jobpb.WorkerOrder, age time.Duration) error {
 	switch {
-	case m.Boot != "" && m.Boot != r.boot: // a leader of an older build names none
+	case r.forEarlierProcess(m):
 		return errors.New("the order is meant for an earlier process of this relay, and may have waited for long")
 	case !validOrder(o):
 		return errors.New("the order is incomplete")
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -323,6 +323,19 @@
 	})
 }
 
+// Guards against sound workers that count as silent because their relay was restarted.
+func TestHoldAtARestartedRelayIsLost(t *testing.T) {
+	runRelayTest(t, func(ctx context.Context, is *is.I, p *relayPair) {
+		is.NoErr(p.start(ctx))
+		p.startRelay("second")
+		callCtx, cancel := context.WithTimeout(ctx, 2*orderTimeout)
+		defer cancel()
+		_, err := p.sender.Hold(callCtx, orders.Target{ID: "w", Address: "a"}, orders.HoldOrder{})
+		var lost *orders.RelayError
+		is.True(errors.As(err, &lost))
+	})
+}
+
 // Guards against a relay that ends and reports the orders that it breaks off, or takes
 // meanwhile, as orders that their workers have not answered.
 func TestRelayThatEndsReportsNoSilentWorkers(t *testing.T) {
