Ignore report contacts of an earlier term

What callers would see: tasks for a worker that is gone or has shrunk. A message of contacts that waited since an earlier term of the same leader made its workers count as heard of just now.

Change: the leader takes contacts of its own term only; a new leader is told of the recent ones again.

TestContactsOfAnEarlierTermAreIgnored fails without the change.

--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -211,12 +211,10 @@
 		return
 	}
 	s := c.currentSession()
-	if s == nil {
-		return
-	}
-	if m.Term == s.term {
-		s.relays.handle(peer, m)
+	if s == nil || m.Term != s.term {
+		return // contacts of an earlier term may have waited; they are told to a new leader again
 	}
+	s.relays.handle(peer, m)
 	if len(m.Contacts) > 0 {
 		s.post(func() { s.recordContacts(m.Contacts) })
 	}
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -408,3 +408,14 @@
 		s.recordContacts(m.Contacts)
 	})
 }
+
+// Guards against a worker that counts as heard of just now because of a message that has
+// waited since an earlier term of its leader.
+func TestContactsOfAnEarlierTermAreIgnored(t *testing.T) {
+	is := is.New(t)
+	s, _, _ := newReportFixture(t)
+	s.c.session, s.term = s, 3
+	contacts := []*jobpb.WorkerContact{{Id: "w", BornMs: 1, Sequence: 10}}
+	s.c.HandleRelay("c-1", &jobpb.RelayMessage{Term: 2, Contacts: contacts})
+	is.Equal(len(s.events), 0)
+}
