Leave folders that may not be opened to who has set them up

CreateFolder failed at the first start below a parent that may be written and not opened, and passed at the second without a sync; the comment gave a wrong reason. Both starts pass now, and the comment says that such a parent can't be synced by this process.

--- a/process/storage/folder.go
+++ b/process/storage/folder.go
@@ -18,11 +18,7 @@
 	if err != nil {
 		return fmt.Errorf("storage: create %s: %w", dir, err)
 	}
-	err = syncParent(fsys, existing)
-	if errors.Is(err, fs.ErrPermission) {
-		err = nil // this process can't have created a folder in one that it may not open
-	}
-	if err != nil {
+	if err := syncParent(fsys, existing); err != nil {
 		return err
 	}
 	for _, folder := range missing {
@@ -54,9 +50,11 @@
 	}
 }
 
+// syncParent makes a folder's entry in its parent durable. A parent that this process may not
+// open can't be synced by it, and is left to who has set it up.
 func syncParent(fsys FS, dir string) error {
 	parent := filepath.Dir(dir)
-	if err := fsys.SyncDir(parent); err != nil {
+	if err := fsys.SyncDir(parent); err != nil && !errors.Is(err, fs.ErrPermission) {
 		return syncDirError(parent, err)
 	}
 	return nil
