Give a worker no tasks while it has runs that are not placed on it

Change: a worker whose last list names a run that the log does not place there gets no tasks until a list is without one.

TestWorkerWithUnplacedRunsGetsNoTasks fails without the change.

--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -249,3 +249,18 @@
 		fences = next.endFences()
 	}
 }
+
+// Guards against a worker that is given more than its capacity: a run that the log does not
+// place on it uses capacity until it has stopped.
+func TestWorkerWithUnplacedRunsGetsNoTasks(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture(t)
+	fence := f.later.track.Fence()
+	f.list(fence, orders.RunList{EndsComplete: true})
+	f.applyBatch()
+	is.True(f.session.isUsable("w-0"))
+	f.list(fence, orders.RunList{EndsComplete: true, Running: []orders.Run{{Task: &jobpb.TaskRef{Job: "job"}, Run: 9}}})
+	is.True(!f.session.isUsable("w-0"))
+	f.list(fence, orders.RunList{EndsComplete: true})
+	is.True(f.session.isUsable("w-0"))
+}
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -202,10 +202,12 @@
 func (s *session) reconcileRuns(w *workerState, sent time.Duration, o orders.HoldOrder, list *orders.RunList, st *state.Store) {
 	placed := st.Placements(w.info.Id)
 	running := make(map[state.TaskKey]orders.Run, len(list.Running))
+	w.unplacedRuns = 0
 	for _, r := range list.Running {
 		key := state.Key(r.Task)
 		running[key] = r
 		if p := placed[key]; p == nil || p.Task.Run != r.Run {
+			w.unplacedRuns++
 			s.stopUnknownRun(w, r)
 		}
 	}
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -72,6 +72,7 @@
 	dropping           bool
 	runs               runSet
 	listedRuns         map[state.TaskKey]orders.Run // the runs in the worker's last list
+	unplacedRuns       int                          // of them, those that the log does not place on it: they use capacity until they have stopped
 	failures           []time.Duration
 	suspect            bool // too many of its runs are overdue
 	// suspectAt is when it was last suspect, 0 if never.
@@ -209,7 +210,7 @@
 	var list []*schedule.Worker
 	probation := len(st.Suspects()) > 0
 	for id, w := range s.workers {
-		if !w.track.RunsListed || w.draining || w.silent || w.dropping || w.leftAt > 0 || now < w.pausedUntil ||
+		if !w.track.RunsListed || w.draining || w.silent || w.dropping || w.leftAt > 0 || w.unplacedRuns > 0 || now < w.pausedUntil ||
 			w.info.Unreported || w.predecessor != nil || w.reportAge(now) > reportTimeout(s.c.o.Bounds) || s.upkeep.cordoned(id) || s.moves.movePending(id) {
 			continue
 		}
