Delay the drop of a silent worker by one suspension only

A process that was suspended, or too busy for its rounds, at least once in three report intervals never dropped a worker that had ended: each suspension began its silence anew.

Change: only the first suspension since the worker's last contact counts.

TestRepeatedSuspensionsDelayADropOnce fails without the change.

--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -178,6 +178,23 @@
 	is.True(s.dropped(w, now+1))
 }
 
+// Guards against a worker that has ended and is never dropped, because this process is
+// suspended, or too busy for its rounds, again and again.
+func TestRepeatedSuspensionsDelayADropOnce(t *testing.T) {
+	is := is.New(t)
+	s, w, now := newLeavingFixture(t, false)
+	w.announcedExit, w.leftAt = false, 0
+	s.suspension.observe(now)
+	for range 2 {
+		now += 2 * time.Second
+		s.suspension.observe(now)
+		is.True(!s.dropped(w, now))
+	}
+	now += 2 * time.Second
+	s.suspension.observe(now)
+	is.True(s.dropped(w, now))
+}
+
 // Guards against the tasks of a worker that start elsewhere because it has announced its
 // exit: the confirmation may be lost, and it serves on for seconds.
 func TestAnnouncedExitFreesNoRuns(t *testing.T) {
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -70,6 +70,7 @@
 	recentStarts       []recentStart  // the oldest first
 	draining           bool           // has announced that it is going to leave
 	dropping           bool
+	heardAgainAt       time.Duration // end of the first suspension of this process since its last contact, if that is later
 	runs               runSet
 	listedRuns         map[state.TaskKey]orders.Run // the runs in the worker's last list
 	unplacedRuns       int                          // of them, those that the log does not place on it: they use capacity until they have stopped
@@ -169,9 +170,13 @@
 }
 
 // silence returns for how long a worker has sent nothing although this process would have
-// received it.
+// received it. Only the first suspension since its last contact counts, so that a process
+// that is suspended again and again still drops workers that have ended.
 func (s *session) silence(now time.Duration, w *workerState) time.Duration {
-	return now - max(w.track.LastContact, s.suspension.endedAt)
+	if w.heardAgainAt <= w.track.LastContact && s.suspension.endedAt > w.track.LastContact {
+		w.heardAgainAt = s.suspension.endedAt
+	}
+	return now - max(w.track.LastContact, w.heardAgainAt)
 }
 
 // dropIfEnded drops a worker once it is proved that none of its runs is at work. It
