--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -264,3 +264,18 @@
 	f.list(fence, orders.RunList{EndsComplete: true})
 	is.True(f.session.isUsable("w-0"))
 }
+
+// Guards against tasks that run twice after the leadership has moved: a later process of a
+// worker, which the new leader does not reach, may hold leases of orders that were meant for
+// an earlier one.
+func TestForeignLeasesOutliveTheLeader(t *testing.T) {
+	is := is.New(t)
+	f := newRestartFixture(t)
+	c := f.session.c
+	c.ctx = t.Context()
+	c.o.Bounds.Lease = worker.LeaseTiming{Lease: 4 * time.Second, MaxLease: 10 * time.Second}
+	f.later.track = worker.New(c.o.Bounds.Lease, 1, 5, c.o.Clock.Now(), false)
+	f.later.track.ExpectForeignLeases(c.o.Clock.Now())
+	next := newSession(c, 2, nil).trackWorker(f.earlier.info, true)
+	is.True(next.track.LeasesExpireBy() >= f.later.track.LeasesExpireBy())
+}
