Ask a worker whether its unplaced runs have stopped, also if it has no others

Found by reading the diff; the worker is asked until a list is without such runs.

TestWorkerWithUnplacedRunsIsAskedAgain fails without the change ('not true: w.holding').

--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -265,6 +265,20 @@
 	is.True(f.session.isUsable("w-0"))
 }
 
+// Guards against a worker that gets no tasks for ever: without placed runs nobody would ask
+// it whether a run that was not placed on it has stopped.
+func TestWorkerWithUnplacedRunsIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newRestartFixture(t).session
+	w := s.trackWorker(&jobpb.Worker{Id: "idle", Pool: "pool"}, false)
+	w.track.RunsListed = true
+	s.maintainWorkers(s.now())
+	is.True(!w.holding)
+	w.unplacedRuns = 1
+	s.maintainWorkers(s.now())
+	is.True(w.holding)
+}
+
 // Guards against tasks that run twice after the leadership has moved: a later process of a
 // worker, which the new leader does not reach, may hold leases of orders that were meant for
 // an earlier one.
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -156,7 +156,7 @@
 			if len(placed) > 0 {
 				active++
 			}
-			ask := len(placed) > 0 || w.predecessor != nil || !w.track.RunsListed || s.timeSinceContact(now, w) > probeAfterReports*s.c.o.Bounds.ReportInterval
+			ask := len(placed) > 0 || w.unplacedRuns > 0 || w.predecessor != nil || !w.track.RunsListed || s.timeSinceContact(now, w) > probeAfterReports*s.c.o.Bounds.ReportInterval
 			if ask && !w.holding && w.pendingEnds == 0 && now >= w.nextHold {
 				s.sendHold(now, w, len(placed) > 0)
 			}
