Give the relays of the fault tests a loopback address of their own

The test closes the relays of its servers; a port that was freed so went to a stand-in of another test, which answered. The soak with relays opens hundreds of such ports beside it.

The relays of a fault test process now listen on a loopback address that nobody else uses, so that a freed port refuses connections. What the tests assert is unchanged. Keeping the port bound instead did not work: a listener may share it.

--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -31,8 +31,12 @@
 )
 
 // Open starts a relay that listens on a loopback address.
-func Open(target string) (*Relay, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func Open(target string) (*Relay, error) { return OpenAt("127.0.0.1", target) }
+
+// OpenAt starts a relay that listens on a loopback address of its own, so that a port that
+// it has freed does not go to another test's server.
+func OpenAt(ip, target string) (*Relay, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, err
 	}
--- a/tests/faults/cluster_test.go
+++ b/tests/faults/cluster_test.go
@@ -274,10 +274,14 @@
 	})
 }
 
+// relayIP is the loopback address of all relays of this test process: no other process
+// listens there, so a port that a closed relay has freed refuses connections.
+var relayIP = fmt.Sprintf("127.78.%d.%d", os.Getpid()/250%250, 1+os.Getpid()%250)
+
 // newRelay opens a relay that is closed when the test ends.
 func newRelay(t *testing.T, target string) *relay.Relay {
 	t.Helper()
-	r, err := relay.Open(target)
+	r, err := relay.OpenAt(relayIP, target)
 	if err != nil {
 		t.Fatal(err)
 	}
