--- a/tests/faults/cluster_test.go
+++ b/tests/faults/cluster_test.go
@@ -274,14 +274,26 @@
 	})
 }
 
-// relayIP is the loopback address of all relays of this test process: no other process
-// listens there, so a port that a closed relay has freed refuses connections.
-var relayIP = fmt.Sprintf("127.78.%d.%d", os.Getpid()/250%250, 1+os.Getpid()%250)
-
-// newRelay opens a relay that is closed when the test ends.
+// newRelay opens a relay between two processes that is closed when the test ends. It
+// listens and dials on the address at which the processes expect each other.
 func newRelay(t *testing.T, target string) *relay.Relay {
 	t.Helper()
-	r, err := relay.OpenAt(relayIP, target)
+	return openRelay(t, "127.0.0.1", target)
+}
+
+// serverRelayIP is the loopback address of all relays to servers of this test process: no
+// other process listens there, so a port that a closed relay has freed refuses connections.
+var serverRelayIP = fmt.Sprintf("127.78.%d.%d", os.Getpid()/250%250, 1+os.Getpid()%250)
+
+// newServerRelay opens a relay to a server that is closed when the test ends.
+func newServerRelay(t *testing.T, target string) *relay.Relay {
+	t.Helper()
+	return openRelay(t, serverRelayIP, target)
+}
+
+func openRelay(t *testing.T, ip, target string) *relay.Relay {
+	t.Helper()
+	r, err := relay.OpenAt(ip, target)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/tests/faults/server_test.go
+++ b/tests/faults/server_test.go
@@ -63,7 +63,7 @@
 	s := &server{c: c, name: "server-" + host, host: host, service: service, bootID: uuid.NewString(),
 		runs: make(map[string]int), holds: make(map[string]*hold)}
 	s.httpServer = httptest.NewServer(s)
-	s.relay = newRelay(c.t, s.httpServer.Listener.Addr().String())
+	s.relay = newServerRelay(c.t, s.httpServer.Listener.Addr().String())
 	ctx, cancel := context.WithCancel(context.Background())
 	var announcing sync.WaitGroup
 	announcing.Go(func() { s.announce(ctx) })
