Share the clock guard of the two lease states

Leader and EntryLeases each had the same copy of the current time, the first broken invariant and their three methods. No change of behaviour; go test ./connection/lease passes.

--- a/connection/lease/leader.go
+++ b/connection/lease/leader.go
@@ -24,24 +24,6 @@
 	ServerLease = 4 * time.Second
 )
 
-// InvariantError reports that the named invariant does not hold. After that the
-// leader grants no lease and the entry may send no work.
-type InvariantError struct {
-	Name   string
-	Detail string
-}
-
-func (e *InvariantError) Error() string {
-	return fmt.Sprintf("lease invariant %s is broken: %s; restart this process", e.Name, e.Detail)
-}
-
-// Names of the invariants.
-const (
-	InvariantTimeForward   = "lease-time-forward"
-	InvariantNotShortened  = "lease-not-shortened"
-	InvariantServingInside = "serving-inside-leases"
-)
-
 // SessionID identifies one boot of an entry. BootID is empty for an entry that may
 // hold a lease from an earlier leader and has not reported to this one.
 type SessionID struct {
@@ -78,8 +60,7 @@
 type Leader struct {
 	sessions map[SessionID]*Session
 	servers  map[string]*heartbeat
-	now      time.Duration
-	broken   *InvariantError
+	guard
 }
 
 // RegisteredServer is a backend server that the replicated state lists.
@@ -91,7 +72,7 @@
 // NewLeader starts a term. An earlier leader may have renewed the lease of any
 // entry or backend server just before, so all of them start with a full lease.
 func NewLeader(now time.Duration, entries []string, servers []RegisteredServer) *Leader {
-	l := &Leader{sessions: make(map[SessionID]*Session), servers: make(map[string]*heartbeat), now: now}
+	l := &Leader{sessions: make(map[SessionID]*Session), servers: make(map[string]*heartbeat), guard: guard{now: now}}
 	for _, name := range entries {
 		id := SessionID{Entry: name}
 		l.sessions[id] = &Session{ID: id, LeaseEnd: now + ConfigLease}
@@ -102,29 +83,6 @@
 	return l
 }
 
-// Broken returns the *InvariantError after which all calls fail, or nil.
-func (l *Leader) Broken() error {
-	if l.broken == nil {
-		return nil
-	}
-	return l.broken
-}
-
-func (l *Leader) fail(name, detail string) {
-	if l.broken == nil {
-		l.broken = &InvariantError{Name: name, Detail: detail}
-	}
-}
-
-// advanceClock sets the current time. It returns false if an invariant is broken.
-func (l *Leader) advanceClock(now time.Duration) bool {
-	if now < l.now {
-		l.fail(InvariantTimeForward, fmt.Sprintf("the clock went back from %v to %v", l.now, now))
-	}
-	l.now = max(l.now, now)
-	return l.broken == nil
-}
-
 // Report records an entry's sync request. It does not renew the lease; RenewLease
 // does. The first report of an entry replaces the session that was inherited from an
 // earlier leader. An earlier boot that has reported to this leader keeps its lease,
--- a/connection/lease/serving.go
+++ b/connection/lease/serving.go
@@ -1,7 +1,6 @@
 package lease
 
 import (
-	"fmt"
 	"time"
 )
 
@@ -68,13 +67,12 @@
 // EntryLeases holds an entry's configuration lease and its copies of the backend
 // servers' leases. It is not safe for concurrent use.
 type EntryLeases struct {
-	now          time.Duration
 	term         uint64
 	lastSyncSent time.Duration
 	synced       bool
 	configEnd    time.Duration
 	servers      map[string]*serverLease
-	broken       *InvariantError
+	guard
 }
 
 // NewEntryLeases returns a state in which no work may be sent.
@@ -82,29 +80,6 @@
 	return &EntryLeases{servers: make(map[string]*serverLease)}
 }
 
-// Broken returns the *InvariantError after which no work may be sent, or nil.
-func (s *EntryLeases) Broken() error {
-	if s.broken == nil {
-		return nil
-	}
-	return s.broken
-}
-
-func (s *EntryLeases) fail(name, detail string) {
-	if s.broken == nil {
-		s.broken = &InvariantError{Name: name, Detail: detail}
-	}
-}
-
-// advanceClock sets the current time. It returns false if an invariant is broken.
-func (s *EntryLeases) advanceClock(now time.Duration) bool {
-	if now < s.now {
-		s.fail(InvariantTimeForward, fmt.Sprintf("the clock went back from %v to %v", s.now, now))
-	}
-	s.now = max(s.now, now)
-	return s.broken == nil
-}
-
 // ApplySync applies a successful sync. Leases count from the time the request was
 // sent, which is before the leader answered, so they end before the leader's copies
 // do. ApplySync ignores a response that is older than one already applied, that is,
