Serve all HTTP interfaces of the daemons with one listener type

process/observe and process/operator each had the same server: listen, serve, shut down within a context. It stands in connection/httpserver now.

--- a/cmd/marjoramtiller-platform/main.go
+++ b/cmd/marjoramtiller-platform/main.go
@@ -21,6 +21,7 @@
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
 
+	"marjoramtiller.example/marjoramtiller/connection/httpserver"
 	"marjoramtiller.example/marjoramtiller/platform"
 	"marjoramtiller.example/marjoramtiller/process/observe"
 )
@@ -132,7 +133,7 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func openObserver(s *platform.Settings, log zerolog.Logger, registry *prometheus.Registry, api http.Handler, dump func(context.Context) ([]byte, error)) *observe.Server {
+func openObserver(s *platform.Settings, log zerolog.Logger, registry *prometheus.Registry, api http.Handler, dump func(context.Context) ([]byte, error)) *httpserver.Server {
 	address, err := netip.ParseAddrPort(s.Metrics)
 	if err != nil {
 		log.Warn().Err(err).Msg("metrics listener not started: its address is invalid; check ip-address in the settings")
--- a/process/observe/observe.go
+++ b/process/observe/observe.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime"
@@ -15,14 +14,15 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/connection/httpserver"
 )
 
 // Limits of the HTTP server.
 const (
-	readTimeout    = 5 * time.Second
-	writeTimeout   = 30 * time.Second
-	idleTimeout    = 60 * time.Second
-	maxHeaderBytes = 16 << 10
+	readTimeout  = 5 * time.Second
+	writeTimeout = 30 * time.Second
+	idleTimeout  = 60 * time.Second
 )
 
 // Build describes the running binary.
@@ -74,14 +74,7 @@
 	API     http.Handler                              // serves the paths under /v1/
 }
 
-// Server serves /metrics, /dump, /healthz and the API under /v1/.
-type Server struct {
-	listener net.Listener
-	server   *http.Server
-	done     chan struct{}
-}
-
-// Handler returns the handler of all paths that Server serves.
+// Handler returns the handler of all paths that Listen serves.
 func Handler(o Options) http.Handler {
 	mux := http.NewServeMux()
 	if o.Metrics != nil {
@@ -119,37 +112,11 @@
 	fmt.Fprintln(w, "ok")
 }
 
-// Listen starts a server on o.Address.
-func Listen(o Options) (*Server, error) {
-	listener, err := net.Listen("tcp", o.Address.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for metrics; correct [listeners] observe in the settings or free the port")
-	}
-	s := &Server{listener: listener, done: make(chan struct{}), server: &http.Server{
-		Handler: Handler(o), ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
-		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}}
-	go func() {
-		defer close(s.done)
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			o.Logger.Error().Err(err).Msg("the metrics listener has failed; restart the process")
-		}
-	}()
-	return s, nil
-}
-
-// Address returns the address that the server listens on.
-func (s *Server) Address() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
-// Close stops the listener and waits for requests in flight. If ctx is done
-// first, it closes their connections.
-func (s *Server) Close(ctx context.Context) error {
-	err := s.server.Shutdown(ctx)
-	if err != nil {
-		_ = s.server.Close()
-	}
-	<-s.done
-	return errors.Wrap(err, "stop the metrics listener")
+// Listen starts a server on o.Address. It serves /metrics, /dump, /healthz and the API under
+// /v1/.
+func Listen(o Options) (*httpserver.Server, error) {
+	return httpserver.Listen(httpserver.Options{
+		Name: "metrics", Setting: "[listeners] observe", Address: o.Address,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, Logger: o.Logger,
+	}, Handler(o))
 }
--- a/process/operator/http.go
+++ b/process/operator/http.go
@@ -1,11 +1,9 @@
 package operator
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"regexp"
@@ -16,13 +14,14 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
+
+	"marjoramtiller.example/marjoramtiller/connection/httpserver"
 )
 
 // Upper bounds of a request's size.
 const (
 	MaxBodyBytes      = 32 << 20 // configuration changes: a sheet of sheet.MaxBytes as JSON
 	MaxSmallBodyBytes = 16 << 10 // bodies of all other requests
-	maxHeaderBytes    = 16 << 10
 )
 
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
@@ -101,15 +100,7 @@
 	return nil
 }
 
-// Server is an HTTP server with one listener. It serves one of the two
-// interfaces of this package.
-type Server struct {
-	listener net.Listener
-	server   *http.Server
-	done     chan struct{}
-}
-
-// ListenOptions set the address, the time limits and the logger of a Server.
+// ListenOptions set the address, the time limits and the logger of a server.
 type ListenOptions struct {
 	Address        netip.AddrPort
 	RequestTimeout time.Duration // for reading a request; writing its response has twice this time
@@ -117,37 +108,10 @@
 	Logger         zerolog.Logger
 }
 
-// Listen starts a server that serves handler.
-func Listen(o ListenOptions, handler http.Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", o.Address.String())
-	if err != nil {
-		return nil, errors.Wrap(err, "listen; correct [listeners] in the settings or free the port")
-	}
-	s := &Server{listener: listener, done: make(chan struct{}), server: &http.Server{
-		Handler: handler, ReadTimeout: o.RequestTimeout, WriteTimeout: 2 * o.RequestTimeout,
-		IdleTimeout: o.IdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}}
-	go func() {
-		defer close(s.done)
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			o.Logger.Error().Err(err).Str("address", o.Address.String()).Msg("listener has failed; restart the process")
-		}
-	}()
-	return s, nil
-}
-
-// Address returns the address that the server listens on.
-func (s *Server) Address() netip.AddrPort {
-	return s.listener.Addr().(*net.TCPAddr).AddrPort()
-}
-
-// Close stops the listener and waits for requests in flight. If ctx is done
-// first, it closes their connections.
-func (s *Server) Close(ctx context.Context) error {
-	err := s.server.Shutdown(ctx)
-	if err != nil {
-		_ = s.server.Close()
-	}
-	<-s.done
-	return errors.Wrap(err, "stop the listener")
+// Listen starts a server that serves handler, one of the two interfaces of this package.
+func Listen(o ListenOptions, handler http.Handler) (*httpserver.Server, error) {
+	return httpserver.Listen(httpserver.Options{
+		Name: "operators and announcements", Setting: "[listeners]", Address: o.Address,
+		ReadTimeout: o.RequestTimeout, WriteTimeout: 2 * o.RequestTimeout, IdleTimeout: o.IdleTimeout, Logger: o.Logger,
+	}, handler)
 }
