Redirect a transfer of leadership whose receiver is silent, and repeat TIMEOUT_NOW

Its log: control-2, leader of ledger-0 for less than a second after control-1 had stopped and restarted, began its graceful stop, became a follower of its own term one second later, and nobody campaigned until an election timeout was over, 1.3 s after that.

Cause: the receiver of the transfer had acknowledged the last entry just before it ended, so that it counted as up. TIMEOUT_NOW was lost with it, or reached a process that knew no leader yet, and was repeated only when an acknowledgement of an append arrived, of which there are none while proposals are refused.

Change: TIMEOUT_NOW is repeated after each heartbeat that the receiver acknowledges. A receiver that is silent for three heartbeat intervals is replaced by the voter that was heard last. Two receivers may campaign in one term, of which a voter elects one.

TestLostTimeoutNowIsRepeated and TestTransferToASilentVoterIsRedirected fail without it.

--- a/process/consensus/core.go
+++ b/process/consensus/core.go
@@ -39,6 +39,7 @@
 	sentHeartbeats   []sentHeartbeat
 	pendingReads     []pendingRead
 	transferTo       string
+	transferSince    time.Duration
 	transferUntil    time.Duration
 	timeoutNowSent   bool // TIMEOUT_NOW was sent in this term; it ends the lease
 	uncommittedBytes int  // estimated size of the entries appended in this term and not yet committed
--- a/process/consensus/leader.go
+++ b/process/consensus/leader.go
@@ -133,6 +133,7 @@
 		}
 		c.transferTo = ""
 	}
+	c.redirectTransfer()
 	if c.now >= c.heartbeatDue {
 		c.heartbeatDue = c.now + c.cfg.HeartbeatInterval
 		c.heartbeatPending = true
@@ -299,6 +300,9 @@
 		p.probeSent = true
 	}
 	c.completeReads()
+	if m.From == c.transferTo {
+		c.maybeTransfer()
+	}
 }
 
 // maybeCommit advances the commit index to the last entry that a quorum has synced
--- a/process/consensus/membership.go
+++ b/process/consensus/membership.go
@@ -178,10 +178,14 @@
 	return nil
 }
 
+// transferSilence is the number of heartbeat intervals without an acknowledgement after
+// which the receiver of a transfer is taken for down.
+const transferSilence = 3
+
 // TransferLeader transfers leadership to a voter once that voter has all of the
 // leader's entries. Until then, for at most the minimum election timeout, proposals
-// are refused. A voter that was told to take over and has not done so by then ends the
-// leader's term as well.
+// are refused. A voter that becomes silent meanwhile is replaced by another one. If a voter
+// was told to take over and none has done so by then, that ends the leader's term as well.
 func (c *Core) TransferLeader(to string) error {
 	if c.err != nil {
 		return c.err
@@ -199,7 +203,7 @@
 		return &BusyError{Reason: "leadership is being transferred"}
 	}
 	c.transferTo = to
-	c.transferUntil = c.now + c.cfg.ElectionTimeoutMin
+	c.transferSince, c.transferUntil = c.now, c.now+c.cfg.ElectionTimeoutMin
 	c.maybeTransfer()
 	return nil
 }
@@ -214,3 +218,31 @@
 	c.timeoutNowSent = true
 	c.send(&wirepb.RaftMessage{Type: wirepb.RaftMessage_TYPE_TIMEOUT_NOW, To: c.transferTo})
 }
+
+// redirectTransfer chooses another receiver if the one of the current transfer has become
+// silent: it may have just ended. Both may then campaign, in one term, which elects one.
+func (c *Core) redirectTransfer() {
+	if c.transferTo == "" {
+		return
+	}
+	lastAck := func(name string) time.Duration {
+		if p := c.progress[name]; p != nil {
+			return p.lastAck
+		}
+		return 0
+	}
+	limit := transferSilence * c.cfg.HeartbeatInterval
+	if c.now-max(lastAck(c.transferTo), c.transferSince) < limit {
+		return
+	}
+	to := ""
+	for _, name := range c.voters().Voters {
+		if name != c.cfg.ID && name != c.transferTo && c.now-lastAck(name) < limit && (to == "" || lastAck(name) > lastAck(to)) {
+			to = name
+		}
+	}
+	if to != "" {
+		c.transferTo = to
+		c.maybeTransfer()
+	}
+}
--- a/process/consensus/rules_test.go
+++ b/process/consensus/rules_test.go
@@ -454,3 +454,51 @@
 		is.Equal(c.Status().LeaseUntil > c.now, !caughtUp)
 	}
 }
+
+// Guards against a transfer that ends the leadership without a successor because
+// TIMEOUT_NOW was lost, or reached a receiver that had just restarted and knew no leader.
+func TestLostTimeoutNowIsRepeated(t *testing.T) {
+	is := is.New(t)
+	c := newLeader(t)
+	processReady(c)
+	ack := messageFromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+	ack.Index = 1
+	is.NoErr(c.Step(c.now, ack))
+	is.NoErr(c.TransferLeader("b"))
+	is.Equal(len(ofType(processReady(c), wirepb.RaftMessage_TYPE_TIMEOUT_NOW)), 1) // lost
+	is.NoErr(c.Tick(c.now + c.cfg.HeartbeatInterval))
+	processReady(c)
+	answer := messageFromB(wirepb.RaftMessage_TYPE_HEARTBEAT_RESPONSE, 2)
+	answer.ReadContext = c.heartbeatSeq
+	is.NoErr(c.Step(c.now, answer))
+	is.Equal(len(ofType(processReady(c), wirepb.RaftMessage_TYPE_TIMEOUT_NOW)), 1)
+}
+
+// Guards against a transfer to a voter that has just ended: the others would elect a
+// leader only after an election timeout, and callers would get no answers meanwhile.
+func TestTransferToASilentVoterIsRedirected(t *testing.T) {
+	is := is.New(t)
+	for _, caughtUp := range []bool{true, false} {
+		c := newLeader(t)
+		processReady(c)
+		if caughtUp {
+			ack := messageFromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+			ack.Index = 1
+			is.NoErr(c.Step(c.now, ack)) // the last message of b
+		}
+		is.NoErr(c.TransferLeader("b"))
+		began := c.now
+		told := false
+		for !told && c.Status().Role == Leader && c.now < began+2*time.Second {
+			is.NoErr(c.Tick(c.now + 50*time.Millisecond))
+			ack := messageFromB(wirepb.RaftMessage_TYPE_APPEND_RESPONSE, 2)
+			ack.From, ack.Index = "c", 1
+			is.NoErr(c.Step(c.now, ack))
+			for _, m := range ofType(processReady(c), wirepb.RaftMessage_TYPE_TIMEOUT_NOW) {
+				told = told || m.To == "c"
+			}
+		}
+		is.True(told)
+		is.True(c.now-began < c.cfg.ElectionTimeoutMin*2/3) // time is left for the receiver
+	}
+}
