Leave the state as it is when a start is refused

A start that was refused when it was applied had already added the state of its occurrence to the job. A start of an occurrence that the job does not have would keep the job from being completed.

--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -114,11 +114,15 @@
 
 func (s *Store) findPlacement(ref *jobpb.TaskRef) *Placement {
 	j := s.jobs[ref.Job]
-	if j == nil || int(ref.Step) >= len(j.Steps) {
+	if j == nil {
 		return nil
 	}
-	o := OccurrenceOf(j, ref.Occurrence)
-	if o == nil || o.Steps == nil || int(ref.Index) >= len(o.Steps[ref.Step].Tasks) {
+	return placementIn(j, OccurrenceOf(j, ref.Occurrence), ref)
+}
+
+// placementIn returns a task of an occurrence of a job, nil if there is none.
+func placementIn(j *jobpb.Job, o *jobpb.Occurrence, ref *jobpb.TaskRef) *Placement {
+	if o == nil || int(ref.Step) >= min(len(j.Steps), len(o.Steps)) || int(ref.Index) >= len(o.Steps[ref.Step].Tasks) {
 		return nil
 	}
 	st := o.Steps[ref.Step]
@@ -131,13 +135,18 @@
 	if j == nil || ended(j.State) || w == nil || w.BornMs != c.BornMs {
 		return false
 	}
-	if OccurrenceOf(j, c.Task.Occurrence) == nil {
-		j.Occurrences = append(j.Occurrences, NewOccurrence(j, c.Task.Occurrence))
+	o := OccurrenceOf(j, c.Task.Occurrence)
+	begins := o == nil
+	if begins {
+		o = NewOccurrence(j, c.Task.Occurrence)
 	}
-	p := s.findPlacement(c.Task)
+	p := placementIn(j, o, c.Task)
 	if p == nil || !Waiting(p.Task) || c.Run <= p.Task.Run || !s.hasCapacity(w, p.Step) {
 		return false
 	}
+	if begins {
+		j.Occurrences = append(j.Occurrences, o)
+	}
 	p.Task.Run, p.Task.Worker, p.Task.BornMs = c.Run, c.Worker, c.BornMs
 	p.Task.StartedMs, p.Task.Survived = c.AtMs, false
 	if p.State.Run < c.Run {
--- a/job/state/state_test.go
+++ b/job/state/state_test.go
@@ -215,3 +215,21 @@
 		}
 	})
 }
+
+// Guards against a refused start that leaves the state of an occurrence behind: one that no
+// job has would keep the job from ever being completed.
+func TestRefusedStartChangesNothing(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	apply(t, s, register("w1", 1), accept("a", 2, &jobpb.Step{Count: 1}))
+	before, err := s.Snapshot()
+	is.NoErr(err)
+	absent := ref("a", 0, 7)
+	absent.Occurrence = 3
+	is.Equal(apply(t, s, start(absent, 1, "w1", 1), start(ref("a", 0, 0), 0, "w1", 1)), []bool{false, false})
+	after, err := s.Snapshot()
+	is.NoErr(err)
+	is.Equal(string(before), string(after))
+	is.Equal(apply(t, s, start(ref("a", 0, 0), 1, "w1", 1), end(ref("a", 0, 0), 1, "w1", jobpb.How_DONE)), []bool{true, true})
+	is.Equal(s.Job("a").State, jobpb.Job_COMPLETED)
+}
