Refuse incomplete changes of jobs when they are applied

An acceptance without a job, or a start or an end without a task, made every replica that applied it panic, and again after each restart, since it is in the log. No leader writes such changes; they are refused now.

--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -63,7 +63,8 @@
 }
 
 func (s *Store) accept(j *jobpb.Job) bool {
-	if s.jobs[j.Id] != nil {
+	// The state of a job's tasks comes from the changes after its acceptance only.
+	if j == nil || s.jobs[j.Id] != nil || j.State != jobpb.Job_QUEUED || len(j.Occurrences) > 0 {
 		return false
 	}
 	s.jobs[j.Id] = j
@@ -113,8 +114,8 @@
 }
 
 func (s *Store) findPlacement(ref *jobpb.TaskRef) *Placement {
-	j := s.jobs[ref.Job]
-	if j == nil {
+	j := s.jobs[ref.GetJob()]
+	if ref == nil || j == nil {
 		return nil
 	}
 	return placementIn(j, OccurrenceOf(j, ref.Occurrence), ref)
@@ -130,9 +131,9 @@
 }
 
 func (s *Store) start(c *jobpb.Start) bool {
-	j := s.jobs[c.Task.Job]
+	j := s.jobs[c.Task.GetJob()]
 	w := s.workers[c.Worker]
-	if j == nil || ended(j.State) || w == nil || w.BornMs != c.BornMs {
+	if c.Task == nil || j == nil || ended(j.State) || w == nil || w.BornMs != c.BornMs {
 		return false
 	}
 	o := OccurrenceOf(j, c.Task.Occurrence)
