--- a/job/state/fuzz_test.go
+++ b/job/state/fuzz_test.go
@@ -115,3 +115,45 @@
 		}
 	}, fuzzSeeds(f)...)
 }
+
+// Guards against a snapshot of a peer that makes a replica panic, against one that is
+// restored to a state whose own snapshot differs, and against a refused one that leaves
+// another state than before.
+func FuzzRestore(f *testing.F) {
+	var seeds [][]byte
+	for _, command := range fuzzSeeds(f)[:4] {
+		s := New()
+		s.Apply(0, command)
+		data, err := s.Snapshot()
+		if err != nil {
+			f.Fatal(err)
+		}
+		seeds = append(seeds, data)
+	}
+	// The state of a job has more steps and occurrences than the job.
+	odd := &jobpb.Snapshot{Jobs: []*jobpb.Job{{Id: "a", Steps: []*jobpb.Step{{Count: 1}}, Occurrences: []*jobpb.Occurrence{
+		{Steps: []*jobpb.StepState{{}, {Tasks: []*jobpb.Task{{Worker: "w1"}}}}}}}}}
+	data, err := proto.Marshal(odd)
+	if err != nil {
+		f.Fatal(err)
+	}
+	next := fuzzSeeds(f)[0]
+	randomtest.Fuzz(f, func(t *testing.T, data []byte) {
+		s := New()
+		s.Apply(0, next)
+		before := snapshotOf(t, s)
+		if s.Restore(data) != nil {
+			if !bytes.Equal(before, snapshotOf(t, s)) {
+				t.Fatal("a refused snapshot changes the state")
+			}
+			return
+		}
+		other := New()
+		if err := other.Restore(snapshotOf(t, s)); err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(s.Apply(0, next), other.Apply(0, next)) || !bytes.Equal(snapshotOf(t, s), snapshotOf(t, other)) {
+			t.Fatal("a replica that restores the snapshot of another continues differently")
+		}
+	}, append(seeds, data, nil)...)
+}
--- a/job/state/snapshot.go
+++ b/job/state/snapshot.go
@@ -29,32 +29,38 @@
 	return data, errors.Wrap(err, "encode the snapshot of jobs")
 }
 
-// Restore replaces the state with that of a snapshot.
+// Restore replaces the state with that of a snapshot. After an error it is unchanged.
 func (s *Store) Restore(data []byte) error {
 	snap := &jobpb.Snapshot{}
 	if err := proto.Unmarshal(data, snap); err != nil {
 		return errors.Wrap(err, "cannot decode the snapshot of jobs; replace this replica by a learner with an empty data folder")
 	}
-	*s = *New()
+	restored := New()
+	for _, j := range snap.Jobs {
+		if err := restored.restoreJob(j); err != nil {
+			return err
+		}
+	}
 	if snap.Configuration != nil {
-		s.configuration = snap.Configuration
+		restored.configuration = snap.Configuration
 	}
 	for _, w := range snap.Workers {
-		s.workers[w.Id] = w
+		restored.workers[w.Id] = w
 	}
 	for _, w := range snap.Waves {
-		s.waves[w.Number] = w
+		restored.waves[w.Number] = w
 	}
 	for _, m := range snap.Moves {
-		s.moves[m.Machine] = m
-	}
-	for _, j := range snap.Jobs {
-		s.restoreJob(j)
+		restored.moves[m.Machine] = m
 	}
+	*s = *restored
 	return nil
 }
 
-func (s *Store) restoreJob(j *jobpb.Job) {
+func (s *Store) restoreJob(j *jobpb.Job) error {
+	if s.jobs[j.Id] != nil {
+		return errors.Errorf("the snapshot of jobs has two jobs %q; replace this replica by a learner with an empty data folder", j.Id)
+	}
 	s.jobs[j.Id] = j
 	if !ended(j.State) {
 		s.openJobs[j.Id] = j
@@ -63,6 +69,9 @@
 		s.pending[j.Queue]++
 	}
 	for _, o := range j.Occurrences {
+		if len(o.Steps) > len(j.Steps) {
+			return errors.Errorf("the snapshot of jobs has the state of %d steps for job %q with %d; replace this replica by a learner with an empty data folder", len(o.Steps), j.Id, len(j.Steps))
+		}
 		for k, st := range o.Steps {
 			for i, t := range st.Tasks {
 				ref := &jobpb.TaskRef{Job: j.Id, Occurrence: o.Number, Step: uint32(k), Index: uint32(i)}
@@ -75,4 +84,5 @@
 			}
 		}
 	}
+	return nil
 }
