Refuse paths that are not UTF-8 before they are forwarded

Requests between the processes hold UTF-8 only. For a path such as /q/%ff the entry failed to encode the request, took that for a leader that does not answer, and answered 503, to be retried, after 163 ms; the same held for a queue or a job's id of the product's own interface.

--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"google.golang.org/protobuf/encoding/protojson"
 
@@ -91,6 +92,11 @@
 
 func (c callersAPI) answer(w http.ResponseWriter, r *http.Request, req *jobpb.Request) {
 	req.Queue, req.Id = r.PathValue("queue"), r.PathValue("id")
+	// The messages between the processes hold UTF-8 only.
+	if !utf8.ValidString(req.Queue) || !utf8.ValidString(req.Id) {
+		outcome.New(outcome.CauseInvalidRequest, "the queue or the job's id is not UTF-8").Write(w)
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout(r))
 	defer cancel()
 	resp := c.forwarder.Forward(ctx, req)
--- a/process/jobs/callers_test.go
+++ b/process/jobs/callers_test.go
@@ -121,3 +121,16 @@
 		is.Equal(requestTimeout(r), want)
 	}
 }
+
+// Guards against a path that no message between the processes can hold: the entry would take
+// each failed attempt for a leader that does not answer, until the caller's time has passed.
+func TestNamesThatAreNotUTF8AreRefused(t *testing.T) {
+	is := is.New(t)
+	p := forwarderFunc(func(context.Context, *jobpb.Request) *jobpb.Response {
+		t.Error("the request was forwarded")
+		return &jobpb.Response{}
+	})
+	for _, path := range []string{"/v1/queues/%ff/jobs/0123456789abcdef", "/v1/queues/ledger/jobs/%ff", "/v1/queues/%ff"} {
+		is.Equal(serveRequest(p, http.MethodGet, path, "").Code, http.StatusBadRequest)
+	}
+}
