Refuse jobs whose numbers are out of the range of the computations

Capacity and times of a job were taken as they came and converted to int64. Durations and due times above 2^63, before 1970 or of repetitions that overflow became others. Without the change TestInvalidJobsAreNotForwarded failed with its new cases.

--- a/process/jobs/callers_test.go
+++ b/process/jobs/callers_test.go
@@ -57,6 +57,10 @@
 	})
 	for _, body := range []string{``, `{`, `[]`, `{"steps":[]}`, `{"steps":[{"count":0}]}`, `{"steps":[null]}`, `{"steps":[{"count":1,"after":[0]}]}`,
 		`{"steps":[{"count":"many"}]}`, `{"unknown":1,"steps":[{"count":1}]}`, `{"spec":"` + strings.Repeat("x", maxSpecBytes+1) + `","steps":[{"count":1}]}`,
+		`{"steps":[{"count":1,"cpu_millis":"18446744073709551615"}]}`, `{"steps":[{"count":1,"memory_mb":"9223372036854775808"}]}`, `{"steps":[{"count":1,"gpus":"1099511627777"}]}`,
+		`{"steps":[{"count":1,"estimated_ms":"18446744073709551615"}]}`, `{"steps":[{"count":1,"target_ms":"9223372036854775808"}]}`,
+		`{"steps":[{"count":1}],"first_due_ms":"-1"}`, `{"steps":[{"count":1}],"repetitions":2,"interval_ms":"-1"}`,
+		`{"steps":[{"count":1}],"repetitions":4294967295,"first_due_ms":"1796000000000","interval_ms":"9223372036854775"}`,
 		strings.Repeat(" ", MaxJobBytes+1)} {
 		w := serveRequest(p, http.MethodPut, jobPath, body)
 		var problem outcome.Problem
@@ -134,3 +138,11 @@
 		is.Equal(serveRequest(p, http.MethodGet, path, "").Code, http.StatusBadRequest)
 	}
 }
+
+// Guards against limits of a job's numbers that refuse proper jobs.
+func TestLargestNumbersOfJobAreAccepted(t *testing.T) {
+	is := is.New(t)
+	is.NoErr(CheckJob(&jobpb.Job{Steps: []*jobpb.Step{{Count: maxTasks, CpuMillis: maxTaskCapacity, MemoryMb: maxTaskCapacity, Gpus: maxTaskCapacity, EstimatedMs: maxTimeMs}}}))
+	is.NoErr(CheckJob(&jobpb.Job{Steps: []*jobpb.Step{{Count: 1}}, Repetitions: 4294967295, FirstDueMs: 1_796_000_000_000, IntervalMs: 60_000}))
+	is.NoErr(CheckJob(&jobpb.Job{Steps: []*jobpb.Step{{Count: 1}}, Repetitions: 1, FirstDueMs: maxTimeMs, IntervalMs: maxTimeMs}))
+}
