Refuse operators' paths that are not UTF-8

The name of a wave or a host in a path such as /v1/hosts/%ff/move was passed on to the control group, where the command could not be encoded. It is answered 400 now.

--- a/process/operator/http.go
+++ b/process/operator/http.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"regexp"
 	"time"
+	"unicode/utf8"
 
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
@@ -101,6 +102,14 @@
 	return nil
 }
 
+// checkPathName returns an error for a name in a path that no command can hold.
+func checkPathName(name string) error {
+	if !utf8.ValidString(name) {
+		return malformed(fmt.Sprintf("the name %q in the path is not UTF-8", name), "correct the path")
+	}
+	return nil
+}
+
 // Server is an HTTP server with one listener. It serves one of the two
 // interfaces of this package.
 type Server struct {
--- a/process/operator/operators.go
+++ b/process/operator/operators.go
@@ -191,7 +191,7 @@
 		if err := readJSON(ctx, &body); err != nil {
 			return err
 		}
-		if err := firstError(checkID("request_id", body.RequestID), checkID("operator", body.Operator)); err != nil {
+		if err := firstError(checkID("request_id", body.RequestID), checkID("operator", body.Operator), checkPathName(ctx.Params().Get("name"))); err != nil {
 			return err
 		}
 		result, err := change(callCtx, WaveRequest{
@@ -217,7 +217,8 @@
 	if err := readJSON(ctx, &body); err != nil {
 		return err
 	}
-	if err := firstError(checkID("request_id", body.RequestID), checkID("operator", body.Operator), checkID("to_pool", body.ToPool)); err != nil {
+	if err := firstError(checkID("request_id", body.RequestID), checkID("operator", body.Operator), checkID("to_pool", body.ToPool),
+		checkPathName(ctx.Params().Get("name"))); err != nil {
 		return err
 	}
 	if body.ExpectedEpoch == nil {
