Refuse a damaged identity file

Any content of the file became the replica's identity. With bytes that are not UTF-8, no message of the replica could be encoded; with others it took part under a name that it never had. Only what newIdentity returns, or that of a founder, is accepted now; otherwise the process ends with an error that names the remedy.

--- a/process/members/identity.go
+++ b/process/members/identity.go
@@ -10,6 +10,7 @@
 	"io/fs"
 	"net"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -26,6 +27,8 @@
 
 const identityFile = "identity"
 
+var identityPattern = regexp.MustCompile(`^(` + founderIdentity + `|[0-9a-f]{16})$`)
+
 // Name returns the name of the replica that has the identity and is reached at the
 // address.
 func Name(address, identity string) string { return address + separator + identity }
@@ -89,7 +92,11 @@
 	if err != nil {
 		return "", err
 	}
-	return strings.TrimSpace(string(data)), fsys.SyncDir(dir)
+	identity := strings.TrimSpace(string(data))
+	if !identityPattern.MatchString(identity) {
+		return "", errors.Errorf("the file %s is damaged; remove the data folder, so that the replica joins under a new name", identityFile)
+	}
+	return identity, fsys.SyncDir(dir)
 }
 
 func newIdentity() string {
