--- a/process/jobs/check.go
+++ b/process/jobs/check.go
@@ -20,11 +20,11 @@
 // CheckJob returns an *InvalidError if a job can't be accepted in any state of the
 // scheduler.
 func CheckJob(j *jobpb.Job) error {
-	if len(j.Spec) > maxSpecBytes {
+	if len(j.GetSpec()) > maxSpecBytes {
 		return invalid("spec has %d bytes, %d are allowed", len(j.Spec), maxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return invalid("the job has %d steps, 1 to %d are allowed", len(j.Steps), maxSteps)
+	if len(j.GetSteps()) == 0 || len(j.Steps) > maxSteps {
+		return invalid("the job has %d steps, 1 to %d are allowed", len(j.GetSteps()), maxSteps)
 	}
 	for i, step := range j.Steps {
 		if step.GetCount() == 0 || step.Count > maxTasks {
