--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -63,7 +63,8 @@
 }
 
 func (s *Store) accept(j *jobpb.Job) bool {
-	if s.jobs[j.Id] != nil {
+	// The state of a job's tasks comes from the changes after its acceptance only.
+	if j == nil || s.jobs[j.Id] != nil || j.State != jobpb.Job_QUEUED || len(j.Occurrences) > 0 {
 		return false
 	}
 	s.jobs[j.Id] = j
@@ -113,12 +114,16 @@
 }
 
 func (s *Store) findPlacement(ref *jobpb.TaskRef) *Placement {
-	j := s.jobs[ref.Job]
-	if j == nil || int(ref.Step) >= len(j.Steps) {
+	j := s.jobs[ref.GetJob()]
+	if ref == nil || j == nil {
 		return nil
 	}
-	o := OccurrenceOf(j, ref.Occurrence)
-	if o == nil || o.Steps == nil || int(ref.Index) >= len(o.Steps[ref.Step].Tasks) {
+	return placementIn(j, OccurrenceOf(j, ref.Occurrence), ref)
+}
+
+// placementIn returns a task of an occurrence of a job, nil if there is none.
+func placementIn(j *jobpb.Job, o *jobpb.Occurrence, ref *jobpb.TaskRef) *Placement {
+	if o == nil || int(ref.Step) >= min(len(j.Steps), len(o.Steps)) || int(ref.Index) >= len(o.Steps[ref.Step].Tasks) {
 		return nil
 	}
 	st := o.Steps[ref.Step]
@@ -126,18 +131,23 @@
 }
 
 func (s *Store) start(c *jobpb.Start) bool {
-	j := s.jobs[c.Task.Job]
+	j := s.jobs[c.Task.GetJob()]
 	w := s.workers[c.Worker]
-	if j == nil || ended(j.State) || w == nil || w.BornMs != c.BornMs {
+	if c.Task == nil || j == nil || ended(j.State) || w == nil || w.BornMs != c.BornMs {
 		return false
 	}
-	if OccurrenceOf(j, c.Task.Occurrence) == nil {
-		j.Occurrences = append(j.Occurrences, NewOccurrence(j, c.Task.Occurrence))
+	o := OccurrenceOf(j, c.Task.Occurrence)
+	begins := o == nil
+	if begins {
+		o = NewOccurrence(j, c.Task.Occurrence)
 	}
-	p := s.findPlacement(c.Task)
+	p := placementIn(j, o, c.Task)
 	if p == nil || !Waiting(p.Task) || c.Run <= p.Task.Run || !s.hasCapacity(w, p.Step) {
 		return false
 	}
+	if begins {
+		j.Occurrences = append(j.Occurrences, o)
+	}
 	p.Task.Run, p.Task.Worker, p.Task.BornMs = c.Run, c.Worker, c.BornMs
 	p.Task.StartedMs, p.Task.Survived = c.AtMs, false
 	if p.State.Run < c.Run {
