Count a worker as unavailable while a list that shows its end is not settled

Cause, by the trace of a failing play: the upkeep of m-3 ended w-4 and was confirmed at 8.183 s. The next list of machines, requested at 8.207 s, showed m-3 without it. At 8.255 s a report of w-4 arrived through a follower, which had sent it on 200 ms late, so it was from 8.055 s. The first message of w-4 in this session, at 7.751 s, was such a report too, so that the lower bound of its clock was as late and this one counted as sent at its arrival, after the list was requested. markWorkerEnded therefore left the end to the next list. That is right for freeing runs. But the list counted as one that shows the upkeep, so that w-4 was no longer cordoned and its tasks counted as available. The next list had not arrived when the run was stopped at 9.655 s.

Now a worker that a list shows as ended, and that may have sent a message after the list was requested, gets no starts, and its tasks count as unavailable, until the next list that tells of its machine. Nothing frees its runs earlier than before. Bounding the time of contact from below was weighed: it would accept such a list as proof that runs have ended where a message may be later than the list.

--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -29,7 +29,7 @@
 			return true
 		}
 	}
-	if w := u.s.workers[listed.WorkerID]; w != nil && !w.draining && !w.silent && w.leftAt == 0 {
+	if w := u.s.workers[listed.WorkerID]; w != nil && !w.draining && !w.silent && !w.mayHaveLeft() {
 		return true
 	}
 	for id, w := range u.s.workers {
@@ -153,7 +153,7 @@
 			continue
 		}
 		w := u.s.workers[t.Worker]
-		if w == nil || w.silent || w.draining || w.leftAt > 0 || u.upkeepPending(t.Worker) {
+		if w == nil || w.silent || w.draining || w.mayHaveLeft() || u.upkeepPending(t.Worker) {
 			unavailable++
 			continue
 		}
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -264,6 +264,7 @@
 	258,  // a new leader stops the runs of a job whose cancellation was not confirmed
 	1159, // two machines with unanswered upkeep orders waited for each other
 	1117, // four workers crash under a lasting task, which is given up
+	123,  // a worker whose end was listed counted as up, because an earlier message of it arrived late
 }
 
 // simCapacitySeeds are seeds of TestStartsKeepToChangingCapacity that have failed.
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -148,11 +148,20 @@
 }
 
 // applyList stores a list of machines. A worker's process has ended if its machine is
-// listed as not up or with another worker, unless the worker was in contact after the
-// list was requested.
+// listed as not up or with another worker. If the worker was in contact after the list was
+// requested, the next list decides. A message that was delayed on its way may count as such
+// a contact although the worker sent it before.
 func (u *upkeepDriver) applyList(requestedAt time.Duration, list MachineList) {
+	if list.Unreadable == 0 {
+		for _, w := range u.s.workers {
+			w.endUnsettled = false
+		}
+	}
 	for _, m := range list.Machines {
 		previous := u.listed[m.Name].WorkerID
+		if w := u.s.workers[previous]; w != nil {
+			w.endUnsettled = false
+		}
 		if previous != "" && (m.WorkerID != previous || !m.Up) {
 			u.s.markWorkerEnded(previous, requestedAt, m)
 		}
@@ -387,7 +396,11 @@
 // machines that was requested at requestedAt.
 func (s *session) markWorkerEnded(id string, requestedAt time.Duration, m Machine) {
 	w := s.workers[id]
-	if w == nil || w.listedAsEnded || requestedAt < w.track.LastContact {
+	if w == nil || w.listedAsEnded {
+		return
+	}
+	if requestedAt < w.track.LastContact {
+		w.endUnsettled = true
 		return
 	}
 	s.log.Info().Str("worker", id).Str("machine", m.Name).Bool("up", m.Up).Str("listed_worker", m.WorkerID).
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -94,6 +94,46 @@
 	}
 }
 
+// Guards against a run that is stopped, and starts that are sent in vain, because a worker
+// whose end is listed counts as up until the next list: a message that it sent before its
+// end arrived late and counts as sent after the list was requested.
+func TestListedEndBeforeALateMessageCountsAsUnavailable(t *testing.T) {
+	up := []Machine{{Name: "m-0", Pool: "pool", Up: true, WorkerID: "w-0"}, {Name: "m-1", Pool: "pool", Up: true, WorkerID: "w-1"}}
+	for name, ended := range map[string]Machine{
+		"machine not up":       {Name: "m-0", Pool: "pool", WorkerID: "w-0"},
+		"machine not assigned": {Name: "m-0", Pool: "pool", Up: true},
+		"another worker":       {Name: "m-0", Pool: "pool", Up: true, WorkerID: "w-new"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newUpkeepFixture(t)
+			w, now := f.session.workers["w-0"], f.session.now()
+			for _, other := range f.session.workers {
+				other.track.RunsListed = true
+				other.setReported(now, 0)
+			}
+			// All messages take 200 ms, so that the first one does not show that.
+			w.track.SampleClock(now, 300)
+			w.track.SampleClock(now+500*time.Millisecond, 800)
+			requested := now + 450*time.Millisecond
+			is.Equal(len(f.session.usable(now, f.store)), 2)
+
+			f.driver.applyWhole(requested, []Machine{ended, up[1]})
+			is.True(f.driver.blockingRun(f.store, "w-1") != nil)
+			is.Equal(len(f.session.usable(now, f.store)), 1)
+			is.Equal(w.listedAsEnded, false) // the message may be later: this frees no run
+
+			// A list that does not tell of the machine settles nothing.
+			f.driver.applyList(requested+time.Millisecond, MachineList{Machines: up[1:], Unreadable: 1})
+			is.True(f.driver.blockingRun(f.store, "w-1") != nil)
+
+			f.driver.applyWhole(requested+2*time.Millisecond, up)
+			is.Equal(f.driver.blockingRun(f.store, "w-1"), nil)
+			is.Equal(len(f.session.usable(now, f.store)), 2)
+		})
+	}
+}
+
 // Guards against a second upkeep that affects a lasting step while the first one is
 // confirmed and has ended its worker, but no list of machines shows it yet.
 func TestUnlistedUpkeepCountsAsUnavailable(t *testing.T) {
--- a/process/jobs/worker_end.go
+++ b/process/jobs/worker_end.go
@@ -31,6 +31,10 @@
 	return endLapsed
 }
 
+// mayHaveLeft reports whether a worker has announced that it exits or is listed as ended,
+// also if a message of it may be from after that list.
+func (w *workerState) mayHaveLeft() bool { return w.leftAt > 0 || w.endUnsettled }
+
 // recordWorkerEnd logs the end of a worker's process and the runs that are lost with it,
 // and records those that may have caused it.
 func (s *session) recordWorkerEnd(now time.Duration, w *workerState, cause endCause, placed map[state.TaskKey]*state.Placement) {
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -60,8 +60,12 @@
 	endOrdered    bool
 	announcedExit bool
 	listedAsEnded bool // the machine service lists its machine without it
-	closedPorts   int  // calls in a row that found no process of its id at its address
-	endRecorded   bool
+	// endUnsettled reports that the last list shows its machine without it, and that it may
+	// have sent a message after that list was requested. This frees none of its runs, but
+	// they count as unavailable and it gets no new ones until the next list.
+	endUnsettled bool
+	closedPorts  int // calls in a row that found no process of its id at its address
+	endRecorded  bool
 	// predecessor is the registered process under the worker's id, nil if this one is.
 	predecessor        *workerState
 	registering        bool           // its registration is in the log's next entries
@@ -215,7 +219,7 @@
 	var list []*schedule.Worker
 	probation := len(st.Suspects()) > 0
 	for id, w := range s.workers {
-		if !w.track.RunsListed || w.draining || w.silent || w.dropping || w.leftAt > 0 || w.unplacedRuns > 0 || now < w.pausedUntil ||
+		if !w.track.RunsListed || w.draining || w.silent || w.dropping || w.mayHaveLeft() || w.unplacedRuns > 0 || now < w.pausedUntil ||
 			w.info.Unreported || w.predecessor != nil || w.reportAge(now) > reportTimeout(s.c.o.Bounds) || s.upkeep.cordoned(id) || s.moves.movePending(id) {
 			continue
 		}
