--- a/process/jobs/crash_test.go
+++ b/process/jobs/crash_test.go
@@ -151,6 +151,28 @@
 	is.Equal(len(jobs), 0) // all have survived until then
 }
 
+// Guards against a task that crashes one worker after the other under changing leaders or
+// sessions, and is never counted as a suspect: the earlier one logged other starts on the
+// worker until it noticed the crash, which say nothing about the earlier start.
+func TestStartsLoggedBeforeACrashIsNoticedClearNoEarlierOne(t *testing.T) {
+	is := is.New(t)
+	f := newCrashFixture(t)
+	f.worker.track.LastContact = f.session.began // none in this term
+	newest := f.session.nowMs() - (f.session.now() - f.session.began).Milliseconds()
+	started := func(job string, before time.Duration) {
+		f.placed[state.TaskKey{Job: job}].Task.StartedMs = newest - before.Milliseconds()
+	}
+	started("a", 0)
+	started("b", 920*time.Millisecond) // as in play of seed 703: it crashed the worker
+	started("c", 3*time.Second)        // a crash would have been noticed before the newest start
+	for _, cause := range []endCause{endCrashed, endLapsed} {
+		jobs, sole := f.suspects(cause)
+		is.Equal(jobs, map[string]bool{"a": true, "b": true})
+		is.True(!sole)
+	}
+	is.Equal(f.certain(endCrashed), map[string]bool{}) // the starts may not have been sent
+}
+
 // Guards against waiting for the leases of a worker that has crashed before a list named
 // its machine, or under an earlier leader, and against an end that one list alone tells.
 func TestUnlistedWorkerHasEnded(t *testing.T) {
