Let an upkeep wait while the listed worker has missed its report

Cause: workloadKnown took a listed worker for in contact until a hold to it had failed, which takes up to 1.9 s.

Now it counts as in contact only if it has been heard of within a report interval and the margin for reports. An upkeep then waits, at most until a list is requested a second after the unlisted worker registered, as before.

Before: the case 'unheard' of TestUpkeepWaitsWhileWorkloadUnknown failed, "upkeep_test.go:171: upkeep was recorded although an unlisted worker may be on the machine; the listed worker is unheard". The other cases now state that the listed worker has just been heard of. After: scripts/test of ./process/... and ./job/... passed. The effect on the time of waves was not measured.

--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -21,7 +21,8 @@
 // workloadKnown reports whether the runs on a machine are known. A new worker can
 // register and start tasks while the list of machines still names its predecessor.
 // Such an unlisted worker may be on any machine of its pool whose listed worker is
-// silent or leaving.
+// silent or leaving, or has missed a report: a hold without an answer shows its end
+// only when the hold times out.
 func (u *upkeepDriver) workloadKnown(st *state.Store, machine string) bool {
 	listed := u.listed[machine]
 	for _, p := range st.Configuration().Pools {
@@ -29,7 +30,8 @@
 			return true
 		}
 	}
-	if w := u.s.workers[listed.WorkerID]; w != nil && !w.draining && !w.silent && !w.mayHaveLeft() {
+	if w := u.s.workers[listed.WorkerID]; w != nil && !w.draining && !w.silent && !w.mayHaveLeft() &&
+		u.s.timeSinceContact(u.s.now(), w) <= u.s.c.o.Bounds.ReportInterval+reportMargin {
 		return true
 	}
 	for id, w := range u.s.workers {
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -146,7 +146,8 @@
 
 // Guards against the upkeep of a machine whose new worker has registered and runs
 // tasks that must stay available, while the list still names its predecessor, which
-// is gone, leaving or silent. Also guards against an upkeep that waits forever.
+// is gone, leaving or silent, or has missed its report. Also guards against an upkeep
+// that waits forever.
 func TestUpkeepWaitsWhileWorkloadUnknown(t *testing.T) {
 	is := is.New(t)
 	for name, change := range map[string]func(f *upkeepFixture){
@@ -154,8 +155,12 @@
 		"leaving": func(f *upkeepFixture) { f.session.workers["w-0"].draining = true },
 		"silent":  func(f *upkeepFixture) { f.session.workers["w-0"].silent = true },
 		"left":    func(f *upkeepFixture) { f.session.workers["w-0"].leftAt = time.Second },
+		"unheard": func(f *upkeepFixture) {
+			f.session.workers["w-0"].track.LastContact = f.session.now() - f.session.c.o.Bounds.ReportInterval - 2*reportMargin
+		},
 	} {
 		f := newUpkeepFixture(t)
+		f.session.workers["w-0"].track.LastContact = f.session.now()
 		wave := f.store.Waves()[1]
 		wave.Machines = wave.Machines[:1]
 		f.session.workers["w-new"] = &workerState{info: &jobpb.Worker{Id: "w-new", Pool: "pool"}, knownSince: 9 * time.Second}
