Log which starts are settled, so that a new leader waits for the longest lease where it may last

What callers could see: TWICE. A worker's process ends and another one starts under its id and carries out a start that was meant for the first one, under a lease of up to max-hold-ms. The leadership then moves to another process that does not reach the worker: it took the worker's leases for lapsed after 8.16 s and started the task elsewhere, while the run could last for 14.29 s.

Cause: that a worker may hold such leases was known to the leader that sent the orders, and to later sessions of its process, and to nobody else.

Change: the log names the starts that are settled: the registered process has answered them or lists the run, and the leader expects no lease of orders for an earlier process there. A leader waits for the longest lease at the workers that it inherits from another process, unless all runs placed on them are settled; without runs the log tells nothing. The entries go with the next commit, after 0.5 s at the latest.

Why it works: a later process runs only what it has started itself, and a start that the registered process has carried out is not carried out again. An unknown start counts as not settled, so that nothing depends on an entry that a leader has still to write when it sees a later process: it may end before, or may never see it. A process that leads again relies on its own knowledge only if no term lies between, which continueFences checks now.

Evidence, failed before: TestForeignLeasesOutliveTheLeader, unchanged (restart_test.go:294: not true: next.track.LeasesExpireBy() >= f.later.track.LeasesExpireBy()), and TestForeignLeasesOutliveTheLeaderAtEachPoint ("a later process has answered the start: the next leader counts leases for 8.163265306s, this one for 14.285714285s", at all its points). Taken out one at a time: the wait for the leases before a start is settled, the rule for workers without runs, the order of the settlement in handleStartAnswer, the check of the terms, the comparison of runs, settlement by lists; each fails a test.

Without a change of the leading process nothing waits longer.

--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -48,6 +48,8 @@
 		return s.recordMove(c.Move)
 	case *jobpb.Entry_Survived:
 		return s.recordSurvival(c.Survived)
+	case *jobpb.Entry_Settled:
+		return s.recordSettled(c.Settled)
 	case *jobpb.Entry_Forget:
 		return s.removeJob(c.Forget)
 	}
--- a/process/jobs/fences.go
+++ b/process/jobs/fences.go
@@ -17,6 +17,9 @@
 	// foreignLeases is the time until which another process under a worker's id may hold
 	// leases of orders that were not meant for it, by worker id.
 	foreignLeases map[string]time.Duration
+	// knowsLeases reports that no other process has led since this one did: foreignLeases
+	// then holds what any leader knew.
+	knowsLeases bool
 }
 
 // continueFences returns the record of a new session in a term. Fences of an earlier term
@@ -25,10 +28,11 @@
 	if earlier == nil {
 		return &fenceRecord{term: term, session: 1, next: map[string]uint64{}, foreignLeases: map[string]time.Duration{}}
 	}
-	if earlier.term != term {
-		return &fenceRecord{term: term, session: 1, next: map[string]uint64{}, foreignLeases: earlier.foreignLeases}
+	f := &fenceRecord{term: term, session: 1, next: map[string]uint64{}, foreignLeases: earlier.foreignLeases, knowsLeases: term-earlier.term <= 1}
+	if earlier.term == term {
+		f.session, f.next = earlier.session+1, earlier.next
 	}
-	return &fenceRecord{term: term, session: earlier.session + 1, next: earlier.next, foreignLeases: earlier.foreignLeases}
+	return f
 }
 
 // use records that a fence may be in an order to a worker.
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -221,6 +221,9 @@
 	}
 	for key, p := range placed {
 		if r, found := running[key]; found && r.Run == p.Task.Run {
+			if p.Task.SettledRun != r.Run {
+				s.settle(s.now(), w, p.Ref, r.Run)
+			}
 			continue
 		}
 		if listed[key] || s.pendingStarts.contains(key) {
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -54,6 +54,8 @@
 	queues          map[string]*jobpb.Queue
 	queuesVersion   uint64 // configuration version that queues was built from
 	pendingStarts   startSet
+	settled         []settledStart // not in batch yet
+	settledSince    time.Duration  // when the first of settled was added
 	estimate        *schedule.Estimates
 	upkeep          *upkeepDriver
 	moves           *moveDriver
@@ -182,6 +184,7 @@
 	if (s.dirty || now >= s.nextPlanAt) && s.batchHoldsPlan() {
 		s.plan(now)
 	}
+	s.addSettled(now)
 	s.commit()
 }
 
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -179,6 +179,9 @@
 		s.raiseFence(w)
 	case err == nil:
 		r.startConfirmed, r.startConfirmedAt = true, now
+		if clockMs > 0 {
+			s.settle(now, w, start.Task, start.Run)
+		}
 	case evidence.FromAnswer(err) != evidence.None:
 		w.pausedUntil = now + refusedPause
 		if errors.As(err, &refused) && refused.Reason == orders.RefusedFence {
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -73,6 +73,7 @@
 	heardAgainAt       time.Duration // end of the first suspension of this process since its last contact, if that is later
 	runs               runSet
 	listedRuns         map[state.TaskKey]orders.Run // the runs in the worker's last list
+	settling           startSet                     // settled starts that are not in the log yet
 	unplacedRuns       int                          // of them, those that the log does not place on it: they use capacity until they have stopped
 	failures           []time.Duration
 	suspect            bool // too many of its runs are overdue
@@ -90,12 +91,15 @@
 }
 
 // trackWorker starts tracking a worker's process. earlier reports that an earlier
-// leader may have granted it leases.
+// leader may have granted it leases; it is then called in a view of the state.
 func (s *session) trackWorker(info *jobpb.Worker, earlier bool) *workerState {
 	w := &workerState{info: info, inherited: earlier, sequence: info.Sequence, knownSince: s.now(), draining: info.Draining, runs: runSet{}, listedRuns: map[state.TaskKey]orders.Run{}}
 	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
 	w.track.RaiseFenceTo(s.fences.next[info.Id])
 	w.track.ExpectForeignLeasesUntil(s.fences.foreignLeases[info.Id])
+	if earlier && !s.fences.knowsLeases && !s.c.store.Settled(info.Id) {
+		w.track.ExpectForeignLeases(s.now())
+	}
 	s.workers[info.Id] = w
 	return w
 }
