Record only confirmed starts as survived by their worker

A report or an answer to another start reached the leader more than 250 ms after the start was sent, and removeSurvivedStarts wrote to the log that the worker had survived it. w-8 crashed after that. The next session of the term had no contact with w-8, and so the only reason for which it could clear a task with two counted crashes was that entry; the crash was not counted.

Now survival is recorded only of a start that was confirmed, and once the worker has been in contact 250 ms after the confirmation. Starts without an answer are forgotten as before, without an entry: a later leader may blame them.

Before: TestOnlyConfirmedStartsAreRecordedAsSurvived failed, "crash_test.go:206: 1 != 0". After: it passes, and so does scripts/test of ./process/... and ./job/...

--- a/process/jobs/crash.go
+++ b/process/jobs/crash.go
@@ -161,11 +161,18 @@
 }
 
 // removeSurvivedStarts removes the starts that a worker has survived. For tasks on
-// probation it writes that to the log, so that a later leader does not blame them.
+// probation it writes that to the log, so that a later leader does not blame them. A start
+// without an answer may be carried out later, and one may have been until it was confirmed.
 func (s *session) removeSurvivedStarts(w *workerState) {
 	n := 0
 	for ; n < len(w.recentStarts) && w.survived(w.recentStarts[n].sentAt); n++ {
-		if start := w.recentStarts[n]; start.onProbation {
+		start := w.recentStarts[n]
+		r := w.runs[state.Key(start.task)]
+		confirmed := r != nil && r.run == start.run && r.startConfirmed
+		if start.onProbation && confirmed && !w.survived(r.startConfirmedAt) {
+			break
+		}
+		if start.onProbation && confirmed {
 			survived := &jobpb.Survived{Task: start.task, Run: start.run, Worker: w.info.Id}
 			s.add(&jobpb.Entry{Change: &jobpb.Entry_Survived{Survived: survived}}, nil)
 		}
--- a/process/jobs/crash_test.go
+++ b/process/jobs/crash_test.go
@@ -173,6 +173,24 @@
 	is.Equal(f.certain(endCrashed), map[string]bool{}) // the starts may not have been sent
 }
 
+// Guards against a task that crashes its workers and is never blamed by a later session,
+// because the log says that the worker has survived its start: the start was carried out
+// late, and the worker was in contact before that.
+func TestOnlyConfirmedStartsAreRecordedAsSurvived(t *testing.T) {
+	survived := func(confirmedAt time.Duration) int {
+		f := newCrashFixture(t) // last in contact at 10 s
+		ref := &jobpb.TaskRef{Job: "a"}
+		f.worker.runs[state.Key(ref)] = &runState{run: 1, sentAt: 9 * time.Second, startConfirmed: confirmedAt > 0, startConfirmedAt: confirmedAt}
+		f.worker.recentStarts = []recentStart{{task: ref, run: 1, sentAt: 9 * time.Second, onProbation: true}}
+		f.session.removeSurvivedStarts(f.worker)
+		return len(f.session.batch)
+	}
+	is := is.New(t)
+	is.Equal(survived(0), 0)
+	is.Equal(survived(9990*time.Millisecond), 0)
+	is.Equal(survived(9100*time.Millisecond), 1)
+}
+
 // Guards against waiting for the leases of a worker that has crashed before a list named
 // its machine, or under an earlier leader, and against an end that one list alone tells.
 func TestUnlistedWorkerHasEnded(t *testing.T) {
