--- a/process/jobs/crash_test.go
+++ b/process/jobs/crash_test.go
@@ -173,6 +173,41 @@
 	is.Equal(f.certain(endCrashed), map[string]bool{}) // the starts may not have been sent
 }
 
+// Guards against a task that crashes its workers and is never counted as a suspect because
+// its start is old: as in a play of seed 737, sessions and leaders ended one after the other
+// for 11 s, none of which lasted until it had seen the worker's end.
+func TestStartBeforeSeveralChangesOfLeaderIsBlamed(t *testing.T) {
+	is := is.New(t)
+	f := newCrashFixture(t)
+	f.worker.track.LastContact = f.session.began // none in this term
+	began := f.session.nowMs() - (f.session.now() - f.session.began).Milliseconds()
+	for _, p := range f.placed {
+		p.Task.StartedMs = began - time.Minute.Milliseconds()
+	}
+	f.placed[state.TaskKey{Job: "a"}].Task.StartedMs = began - 11290
+	jobs, sole := f.suspects(endCrashed)
+	is.Equal(jobs, map[string]bool{"a": true})
+	is.True(!sole)
+}
+
+// Guards against a task that crashes its workers and is never blamed by a later session,
+// because the log says that the worker has survived its start: the start was carried out
+// late, and the worker was in contact before that.
+func TestOnlyConfirmedStartsAreRecordedAsSurvived(t *testing.T) {
+	survived := func(confirmedAt time.Duration) int {
+		f := newCrashFixture(t) // last in contact at 10 s
+		ref := &jobpb.TaskRef{Job: "a"}
+		f.worker.runs[state.Key(ref)] = &runState{run: 1, sentAt: 9 * time.Second, startConfirmed: confirmedAt > 0, startConfirmedAt: confirmedAt}
+		f.worker.recentStarts = []recentStart{{task: ref, run: 1, sentAt: 9 * time.Second, onProbation: true}}
+		f.session.removeSurvivedStarts(f.worker)
+		return len(f.session.batch)
+	}
+	is := is.New(t)
+	is.Equal(survived(0), 0)
+	is.Equal(survived(9990*time.Millisecond), 0)
+	is.Equal(survived(9100*time.Millisecond), 1)
+}
+
 // Guards against waiting for the leases of a worker that has crashed before a list named
 // its machine, or under an earlier leader, and against an end that one list alone tells.
 func TestUnlistedWorkerHasEnded(t *testing.T) {
