--- a/job/worker/worker_test.go
+++ b/job/worker/worker_test.go
@@ -103,3 +103,19 @@
 	w.SampleClock(time.Minute+5*time.Second, 51_400)
 	is.True(w.LastContact <= time.Minute+2*time.Second)
 }
+
+// Guards against leases that are taken for lapsed although a later order without an answer
+// may extend them, and against an order that counts after the worker can't carry it out.
+func TestLatestUnansweredOrderCounts(t *testing.T) {
+	is := is.New(t)
+	w := New(testTiming, 3, 1, 0, false)
+	bound := 2*time.Second + maxRealTime(2*testTiming.Lease)
+	w.RecordUnanswered(time.Second)
+	is.True(w.LeasesExpireBy() < bound)
+	w.RecordUnanswered(2 * time.Second)
+	is.Equal(w.LeasesExpireBy(), bound)
+	w.RecordUnanswered(time.Second) // its failure was noticed later
+	is.Equal(w.LeasesExpireBy(), bound)
+	w.ClearUnanswered()
+	is.Equal(w.LeasesExpireBy(), time.Duration(0))
+}
