Show that a start at a later process of a worker is not awaited

Found by the model of job/evidence: a worker's process ends and starts again under its id, and the later process receives a start that was meant for the earlier one. If its answer is lost or on its way, and the leader has not heard of the later process, the list of machines, a closed port after an announced exit, or the lapse of the earlier one's leases frees the run, and the task starts elsewhere as well. The first holds even after the leader has noticed that a later process answered.

No play has shown a second run; the later process must be unreachable, or its first report late, while the proof arrives.

--- /dev/null
+++ b/job/evidence/later_process_test.go
@@ -0,0 +1,39 @@
+package evidence
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against a run that is freed while a later process under the worker's id is at work
+// on it: it has received the start that was meant for the earlier one, and the leader takes
+// that one for ended before it has heard of the later one.
+func TestStartAtALaterProcessIsAwaited(t *testing.T) {
+	for name, play := range map[string][]event{
+		"machine listed without the earlier one": {{kind: refuseCall}, {kind: crash}, {kind: advance}, {kind: sendStart}, {kind: listMachine},
+			{kind: boot}, {kind: carryOut}, {kind: drop}},
+		"closed port of the earlier one": {{kind: announce}, {kind: exitArrives}, {kind: crash}, {kind: sendHold}, {kind: refuseCall, call: 1},
+			{kind: sendHold}, {kind: refuseCall, call: 1}, {kind: boot}, {kind: carryOut}, {kind: drop}},
+		"leases of the earlier one": {{kind: crash}, {kind: boot}, {kind: carryOut}, {kind: breakCall},
+			{kind: advance}, {kind: advance}, {kind: advance}, {kind: advance}, {kind: drop}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(false, modelLimits{tick: time.Second, processes: 2, runs: 2, sessions: 1, resets: 1, unheard: true})
+			w.apply(event{kind: sendStart})
+			for _, e := range play {
+				var buffer [32]event
+				if !slices.Contains(w.events(buffer[:0]), e) {
+					if e.kind == drop {
+						return // the leader waits
+					}
+					t.Fatalf("%s is not possible", e)
+				}
+				w.apply(e)
+			}
+			if w.violation != "" {
+				t.Fatal(w.violation)
+			}
+		})
+	}
+}
