Play what ends a session, and what the next one waits for

The log of session_identity_test.go guards its fields: the race detector reported that a test changed them while a session read them.

--- a/process/jobs/session_identity_test.go
+++ b/process/jobs/session_identity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -69,18 +70,25 @@
 // termLog is the log of a process that leads a term. Its proposals reach the log, and have
 // no known outcome if unconfirmed.
 type termLog struct {
-	leasedLog
-	unconfirmed bool
+	fixedLog
+	term        atomic.Uint64
+	unconfirmed atomic.Bool
 	proposals   chan *jobpb.Command
 }
 
+func (l *termLog) Status() replica.Status {
+	status := l.fixedLog.Status()
+	status.Term = l.term.Load()
+	return status
+}
+
 func (l *termLog) Propose(_ context.Context, data []byte) ([]byte, error) {
 	command := &jobpb.Command{}
 	if err := proto.Unmarshal(data, command); err != nil {
 		return nil, err
 	}
 	l.proposals <- command
-	if l.unconfirmed {
+	if l.unconfirmed.Load() {
 		return nil, &replica.OutcomeUnknownError{Err: context.DeadlineExceeded}
 	}
 	return proto.Marshal(&jobpb.Result{Applied: make([]bool, len(command.Entries))})
@@ -103,19 +111,20 @@
 				c.o.Clock, c.o.Workers, c.o.Advisor = replica.SystemClock(), lateWorkers{gate: g}, lateAdvisor{g}
 				c.o.Bounds.Lease = worker.LeaseTiming{Lease: 4 * time.Second, MaxLease: 10 * time.Second}
 				c.o.Bounds.ReportInterval = time.Minute
-				log := &termLog{leasedLog: leasedLog{term: 1}, proposals: make(chan *jobpb.Command, 64)}
+				log := &termLog{proposals: make(chan *jobpb.Command, 64)}
+				log.term.Store(1)
 				c.group = log
 				earlier := newSession(c, 1, nil)
 				c.session = earlier
 				go earlier.run()
 				earlier.post(func() { during(earlier) })
 				time.Sleep(100 * time.Millisecond)
-				if log.term = nextTerm; nextTerm == 1 {
-					log.unconfirmed = true
+				if log.term.Store(nextTerm); nextTerm == 1 {
+					log.unconfirmed.Store(true)
 					earlier.post(func() { earlier.add(forgetJob("job"), nil) })
 					time.Sleep(100 * time.Millisecond)
 					is.True(earlier.failed())
-					log.unconfirmed = false
+					log.unconfirmed.Store(false)
 				}
 				c.endSession()
 				later := newSession(c, nextTerm, c.usedFences)
@@ -190,3 +199,30 @@
 		is.Equal(later.advice.ticket(&jobpb.Start{Task: &jobpb.TaskRef{Job: "job"}, Worker: "w-0"}), "")
 	})
 }
+
+// Guards against a session that decides on while the next one begins, which takes over the
+// fences that it has used.
+func TestSessionEndsAfterItsLastRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newUpkeepFixture(t).session.c
+		c.ctx, c.o.Clock = t.Context(), replica.SystemClock()
+		s := newSession(c, 1, nil)
+		c.session = s
+		go s.run()
+		last := make(chan struct{})
+		s.post(func() { <-last })
+		time.Sleep(100 * time.Millisecond)
+		ended := false
+		go func() {
+			c.endSession()
+			ended = true
+		}()
+		synctest.Wait()
+		is.True(!ended)
+		is.True(c.currentSession() == nil) // it takes no more calls
+		close(last)
+		synctest.Wait()
+		is.True(ended)
+	})
+}
