Free no run whose start a later process has answered by the end of the earlier one

What callers could see: two runs of a task at once. A worker's process ends and starts again under its id. The later process receives a start that was meant for the earlier one and answers it; the leader notices from the clock in the answer. A list of machines that was requested before, or a closed port after an announced exit, shows the end of the earlier process, and freed the run.

--- a/job/evidence/evidence.go
+++ b/job/evidence/evidence.go
@@ -86,6 +86,9 @@
 // Process is what the leader knows of the end of a worker's process.
 type Process struct {
 	LeasesExpireBy time.Duration // until then its runs may be at work, if it is not reached
+	// LaterHoldsUntil is the time until which a later process under its id may be at work on
+	// its runs, after it has answered an order for one; 0 if none has.
+	LaterHoldsUntil time.Duration
 	SilentFor      time.Duration // since its last contact, or since the leader can hear it again
 	MaxSilence     time.Duration // a process that is silent for longer gets no more leases
 	ListedAsEnded  bool          // the machine service lists its machine without it
@@ -104,10 +107,12 @@
 // FromProcess returns what proves that none of the runs on a worker's process is at work.
 func FromProcess(p Process, now time.Duration) Kind {
 	lapsed := now > p.LeasesExpireBy
+	// The end of the process itself proves nothing of runs that a later one has begun.
+	ownEndCounts := now > p.LaterHoldsUntil
 	switch {
-	case p.ListedAsEnded:
+	case p.ListedAsEnded && ownEndCounts:
 		return MachineEnded
-	case p.ExitAnnounced && p.ClosedPortSeen >= closedPortCalls:
+	case p.ExitAnnounced && p.ClosedPortSeen >= closedPortCalls && ownEndCounts:
 		return PortClosed
 	case p.ExitAnnounced && p.Placed == 0 && p.AnnouncedFor > emptyExitDelay:
 		return NoRuns
--- a/job/evidence/evidence_test.go
+++ b/job/evidence/evidence_test.go
@@ -63,6 +63,9 @@
 		"silent and lapsed":        {change: func(p *Process) { p.SilentFor, p.LeasesExpireBy = time.Minute, now-1 }, want: LeasesLapsed},
 		"lapsed but in contact":    {change: func(p *Process) { p.LeasesExpireBy = now - 1 }},
 		"listed as ended":          {change: func(p *Process) { p.ListedAsEnded = true }, want: MachineEnded},
+		"listed, later answered":   {change: func(p *Process) { p.ListedAsEnded, p.LaterHoldsUntil = true, now }},
+		"listed, later lapsed":     {change: func(p *Process) { p.ListedAsEnded, p.LaterHoldsUntil = true, now-1 }, want: MachineEnded},
+		"closed, later answered":   {change: func(p *Process) { p.ExitAnnounced, p.ClosedPortSeen, p.LaterHoldsUntil = true, 2, now }},
 		"just announced, no runs":  {change: func(p *Process) { p.ExitAnnounced, p.Placed, p.AnnouncedFor = true, 0, time.Millisecond }},
 		"without runs, not silent": {change: func(p *Process) { p.Placed = 0 }},
 	} {
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -175,6 +175,7 @@
 		s.log.Warn().Str("request", key.Job).Uint32("run", start.Run).Str("worker", start.Worker).Int64("clock_ms", clockMs).
 			Msg("start answered by another process than the registered one: its list of runs is requested")
 		w.track.ExpectForeignLeases(now)
+		w.laterHoldsUntil = w.track.ForeignLeasesUntil()
 		w.track.RecordUnanswered(sent)
 		s.raiseFence(w)
 	case err == nil:
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -64,8 +64,11 @@
 	// have sent a message after that list was requested. This frees none of its runs, but
 	// they count as unavailable and it gets no new ones until the next list.
 	endUnsettled bool
-	closedPorts  int // calls in a row that found no process of its id at its address
-	endRecorded  bool
+	// laterHoldsUntil is the time until which a later process under its id, which has
+	// answered a start, may be at work on the run; 0 if none has.
+	laterHoldsUntil time.Duration
+	closedPorts     int // calls in a row that found no process of its id at its address
+	endRecorded     bool
 	// predecessor is the registered process under the worker's id, nil if this one is.
 	predecessor        *workerState
 	registering        bool           // its registration is in the log's next entries
@@ -194,7 +197,7 @@
 		return true
 	}
 	proof := evidence.FromProcess(evidence.Process{
-		LeasesExpireBy: w.track.LeasesExpireBy(), SilentFor: s.silence(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
+		LeasesExpireBy: w.track.LeasesExpireBy(), LaterHoldsUntil: w.laterHoldsUntil, SilentFor: s.silence(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
 		ListedAsEnded: w.listedAsEnded, ExitAnnounced: w.announcedExit, ClosedPortSeen: w.closedPorts, Placed: len(placed), AnnouncedFor: now - w.leftAt,
 	}, now)
 	if proof == evidence.None {
