--- a/job/evidence/evidence.go
+++ b/job/evidence/evidence.go
@@ -89,13 +89,13 @@
 	// LaterHoldsUntil is the time until which a later process under its id may be at work on
 	// its runs, after it has answered an order for one; 0 if none has.
 	LaterHoldsUntil time.Duration
-	SilentFor      time.Duration // since its last contact, or since the leader can hear it again
-	MaxSilence     time.Duration // a process that is silent for longer gets no more leases
-	ListedAsEnded  bool          // the machine service lists its machine without it
-	ExitAnnounced  bool          // it has said that it exits, which it does some time later
-	ClosedPortSeen int           // calls in a row that found no process of its id at its address
-	Placed         int           // runs that the log places on it
-	AnnouncedFor   time.Duration // since it announced its exit
+	SilentFor       time.Duration // since its last contact, or since the leader can hear it again
+	MaxSilence      time.Duration // a process that is silent for longer gets no more leases
+	ListedAsEnded   bool          // the machine service lists its machine without it
+	ExitAnnounced   bool          // it has said that it exits, which it does some time later
+	ClosedPortSeen  int           // calls in a row that found no process of its id at its address
+	Placed          int           // runs that the log places on it
+	AnnouncedFor    time.Duration // since it announced its exit
 }
 
 // Limits of the proof that a process has ended.
