Recognize a resubmitted job before its numbers are checked

A job that an older build has accepted with numbers out of the present range would be answered 400 when it is submitted again, although it runs. The id is looked up first now. Found by a reader of the change; without a test of its own.

--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -87,13 +87,13 @@
 	if !jobID.MatchString(id) {
 		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "the job's id does not have 16 lower-case hexadecimal digits"}
 	}
-	if err := CheckJob(r.Job); err != nil {
-		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: err.Error()}
-	}
 	key := state.QueueKey(q.Host, q.Prefix)
 	if existing := s.queueOfJob(id); existing != "" {
 		return answerTakenID(existing, key)
 	}
+	if err := CheckJob(r.Job); err != nil {
+		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: err.Error()}
+	}
 	j := proto.Clone(r.Job).(*jobpb.Job)
 	j.Id, j.Queue, j.Pool, j.MaxAttempts = id, key, q.Pool, q.MaxAttempts
 	j.AcceptedMs = s.nowMs()
