Take the longest lease for possible in each later session of an unsettled worker

A session ends while a start has no answer: its answer is dropped with it. The next session of the same process relied on what the earlier one knew of later processes under a worker's id, and took the leases for lapsed after 8.16 s, where a leader of another process waits for 14.29 s. It also forgot that a later process had answered, so that the end of the earlier one freed the run at once.

Now any later session waits for the longest lease at a worker with runs that are not settled, and what a session knew of a later process that answers goes to the next one. The first costs 6 s more for workers that are lost together with a session and had an open start; the usual case is unchanged.

--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -236,6 +236,11 @@
 	c.ctx = t.Context()
 	bounds := worker.LeaseTiming{Lease: 4 * time.Second, MaxLease: 10 * time.Second}
 	c.o.Bounds.Lease = bounds
+	// Runs that are not settled have a bound of their own, see settled_test.go.
+	for _, p := range f.store.Placements("w-0") {
+		applyEntries(t, f.store, &jobpb.Entry{Change: &jobpb.Entry_Settled{Settled: &jobpb.Settled{Task: p.Ref, Run: p.Task.Run}}})
+	}
+	is.True(f.store.Settled("w-0"))
 	earlier := newSession(c, 1, nil)
 	f.later.track = worker.New(bounds, 1, 5, c.o.Clock.Now(), false)
 	f.later.track.ExpectForeignLeases(c.o.Clock.Now())
--- a/process/jobs/settled.go
+++ b/process/jobs/settled.go
@@ -11,8 +11,8 @@
 // was meant for the earlier process, under leases of the longest kind. Only the leader that
 // sent such a start can know of it, and it may end before it can log that. The log therefore
 // tells which starts are settled: the registered process has carried them out, and holds no
-// such lease. A leader of another process takes the longest lease for possible at a worker
-// whose starts are not all settled.
+// such lease. A later session takes the longest lease for possible at a worker whose starts
+// are not all settled.
 
 // settleDelay is the longest time for which settled starts wait for an entry that is
 // committed anyway.
@@ -42,6 +42,13 @@
 	s.settled = append(s.settled, settledStart{w, &jobpb.Settled{Task: task, Run: run}})
 }
 
+// mayBeUnsettled reports whether a later process under a worker's id may hold leases of
+// starts that an earlier session sent. Without runs there, only a leader in between may have
+// known of one: what sessions of this process knew is in the record of fences.
+func (s *session) mayBeUnsettled(worker string) bool {
+	return !s.c.store.Settled(worker) && (!s.fences.knowsLeases || len(s.c.store.Placements(worker)) > 0)
+}
+
 // addSettled puts the settled starts of runs that have not ended into the next log entry, if
 // there is one or if they have waited for settleDelay.
 func (s *session) addSettled(now time.Duration) {
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -104,7 +104,8 @@
 	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
 	w.track.RaiseFenceTo(s.fences.next[info.Id])
 	w.track.ExpectForeignLeasesUntil(s.fences.foreignLeases[info.Id])
-	if earlier && !s.fences.knowsLeases && !s.c.store.Settled(info.Id) {
+	w.laterHoldsUntil = s.fences.foreignLeases[info.Id]
+	if earlier && s.mayBeUnsettled(info.Id) {
 		w.track.ExpectForeignLeases(s.now())
 	}
 	s.workers[info.Id] = w
