--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -424,7 +424,9 @@
 	"pending":  pendingCase,
 	"gang":     gangCase,
 	"reserved": reservedCase,
+	"late":     lateCase,
 	"one":      oneCase,
+	"reborn":   rebornCase,
 	"advisor":  advisorCase,
 	"silent":   silentCase,
 }
