--- a/review/rig-2/executor.go
+++ b/review/rig-2/executor.go
@@ -65,51 +65,38 @@
 	server  *http.Server
 	proxy   *proxy
 
-	mu       sync.Mutex
-	sequence int
-	draining bool
-	closed   bool
-	fence    uint64
-	leaseMs  int64
-	ends     []end
-	endCount uint64
-	running  map[string]*run
-	highest  map[string]uint32
-	failsAll bool // all that it starts fails
-	// late is the delay after which the next start is carried out, without an answer, by the
-	// process that its machine has then; 0 if it is carried out at once.
-	late time.Duration
+	mu        sync.Mutex
+	sequence  int
+	confirmed int // reports that were confirmed
+	draining  bool
+	closed    bool
+	fence     uint64
+	leaseMs   int64
+	ends      []end
+	endCount  uint64
+	running   map[string]*run
+	highest   map[string]uint32
+	failsAll  bool // all that it starts fails
 }
 
 // newExecutor starts an executor behind a proxy on loopback addresses.
-func (r *rig) newExecutor(id string, m *machine) *executor { return r.startExecutor(id, m, nil, 0) }
-
-// startExecutor starts an executor behind a proxy, a new one if it is nil, and sends its first
-// report after a time.
-func (r *rig) startExecutor(id string, m *machine, p *proxy, firstReport time.Duration) *executor {
+func (r *rig) newExecutor(id string, m *machine) *executor {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		r.cannotRun("listen for an executor: %v", err)
 	}
 	e := &executor{rig: r, id: id, machine: m, opened: time.Now(), born: time.Now().UnixMilli(), running: map[string]*run{}, highest: map[string]uint32{}}
-	if e.proxy = p; p == nil {
-		e.proxy = newProxy(r, l.Addr().String())
-	} else {
-		p.retarget(l.Addr().String())
-	}
+	e.proxy = newProxy(r, l.Addr().String())
 	e.address = e.proxy.address()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", e.lateOr(e.handler(e.start)))
+	mux.HandleFunc("POST /run-start", e.handler(e.start))
 	mux.HandleFunc("POST /run-stop", e.handler(e.stop))
 	mux.HandleFunc("POST /pace", e.handler(func(orderBody) string { return "" }))
 	mux.HandleFunc("POST /hold", e.hold)
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	e.server = &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = e.server.Serve(l) }()
-	go func() {
-		time.Sleep(firstReport)
-		e.report()
-	}()
+	go e.report()
 	r.mu.Lock()
 	r.executors = append(r.executors, e)
 	r.mu.Unlock()
@@ -195,36 +182,6 @@
 	}
 }
 
-// lateOr returns a handler of starts: one that is to be carried out late gets no answer.
-func (e *executor) lateOr(handle http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, req *http.Request) {
-		e.mu.Lock()
-		late := e.late
-		e.late = 0
-		e.mu.Unlock()
-		if late == 0 {
-			handle(w, req)
-			return
-		}
-		var b orderBody
-		if err := json.NewDecoder(req.Body).Decode(&b); err != nil {
-			return
-		}
-		e.rig.note("start of run %s %d for %s gets no answer, and is carried out %v later", b.Task, b.Run, e.id, late)
-		time.AfterFunc(late, func() {
-			e.rig.platform.mu.Lock()
-			now := e.machine.executor
-			e.rig.platform.mu.Unlock()
-			if now == nil || now.id != e.id {
-				e.rig.note("late start of %s: no process of its id", b.Task)
-				return
-			}
-			e.rig.note("late start of run %s %d at %s: %q", b.Task, b.Run, now.id, now.apply(b, now.start))
-		})
-		<-req.Context().Done()
-	}
-}
-
 // decode reads an order. It answers orders for another life.
 func (e *executor) decode(w http.ResponseWriter, req *http.Request) (b orderBody, ok bool) {
 	if err := json.NewDecoder(req.Body).Decode(&b); err != nil {
@@ -389,6 +346,9 @@
 		*to = ""
 		return false
 	}
+	e.mu.Lock()
+	e.confirmed++
+	e.mu.Unlock()
 	var a struct {
 		Address string `json:"heartbeat-address"`
 	}
--- a/review/rig-2/one.go
+++ b/review/rig-2/one.go
@@ -15,7 +15,7 @@
 func oneCase(record string) {
 	const (
 		machines   = 48
-		due        = 26 // of a wave
+		due        = 24 // of a wave, all of them at once
 		freeze     = 7 * time.Second
 		orderTime  = 300 * time.Millisecond // of the platform, for the answer to an order
 		rounds     = 4
@@ -33,7 +33,7 @@
 			names = append(names, strconv.Quote(fmt.Sprintf("m-%02d", (round*due+n)%machines+1)))
 		}
 		before := len(r.platform.sentOrders())
-		r.operate(http.MethodPost, "/wave-start", fmt.Sprintf(`{"wave":%d,"machines":[%s],"duration-s":26,"maximum":%d}`, round+1, strings.Join(names, ","), due), 10*time.Second)
+		r.operate(http.MethodPost, "/wave-start", fmt.Sprintf(`{"wave":%d,"machines":[%s],"duration-s":10,"maximum":%d}`, round+1, strings.Join(names, ","), due), 10*time.Second)
 		r.eventually("first orders of the wave", 10*time.Second, func() bool { return len(r.platform.sentOrders()) >= before+6 })
 		r.freeze(r.platform.sentOrders()[before].holder, freeze)
 		for time.Since(began) < roundTime {
--- a/review/rig-2/proxy.go
+++ b/review/rig-2/proxy.go
@@ -38,13 +38,6 @@
 
 func (p *proxy) setBlocked(b bool) { p.cut.Store(b) }
 
-// retarget forwards later connections to another address.
-func (p *proxy) retarget(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.target = address
-}
-
 // setRefused closes all connections and refuses new ones, or accepts them again.
 func (p *proxy) setRefused(refused bool) {
 	p.refused.Store(refused)
@@ -89,10 +82,7 @@
 }
 
 func (p *proxy) connect(in net.Conn) {
-	p.mu.Lock()
-	target := p.target
-	p.mu.Unlock()
-	out, err := net.Dial("tcp", target)
+	out, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = in.Close()
 		return
--- a/review/rig-2/rig.go
+++ b/review/rig-2/rig.go
@@ -426,7 +426,6 @@
 	"reserved": reservedCase,
 	"late":     lateCase,
 	"one":      oneCase,
-	"reborn":   rebornCase,
 	"advisor":  advisorCase,
 	"silent":   silentCase,
 }
--- a/review/rig-2/wave.go
+++ b/review/rig-2/wave.go
@@ -12,7 +12,8 @@
 	lostIdle     = 3 * time.Second // without a run
 	calmBefore   = 4 * time.Second
 	waveTime     = 26 * time.Second
-	watchTime    = 45 * time.Second // after the wave was confirmed
+	finishTime   = 14 * time.Second // finish_s, after the wave's duration
+	smallAfter   = 10 * time.Second // after the wave, a small job is handed in
 )
 
 // waveCase: a wave over the two machines of a small pool, one at a time, while each of them
@@ -44,17 +45,20 @@
 	if r.trouble {
 		r.operate(http.MethodPost, "/wave-start", fmt.Sprintf(`{"wave":1,"machines":["m-01","m-02"],"duration-s":%v,"maximum":1}`, waveTime.Seconds()), 10*time.Second)
 	}
-	for until := time.Now().Add(watchTime); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
-		r.checkLasting(id, tasks)
-	}
-	r.note("tasks at work at the end: %v", r.runningOf(id))
+	began := time.Now()
+	time.Sleep(smallAfter)
+	small, _ := r.submit("batch", `{"count":1,"cpu":1000,"mem-mb":1000,"estimated-ms":6000}`)
+	time.Sleep(time.Until(began.Add(waveTime + finishTime)))
+	r.note("tasks at work at the end: %v; runs of the small job: %d", r.runningOf(id), len(r.runsOf(small)))
 	r.request(http.MethodGet, "/lasting/"+id, "")
-	r.held("each of the %d lasting tasks was at work but for short times", tasks)
+	r.request(http.MethodGet, "/batch/"+small, "")
+	r.checkLasting(id, tasks, small)
+	r.held("each of the %d lasting tasks is at work", tasks)
 }
 
 // checkLasting checks that no lasting task has been without a run for too long while there is
 // room for it.
-func (r *rig) checkLasting(id string, tasks int) {
+func (r *rig) checkLasting(id string, tasks int, small string) {
 	last := map[string]time.Time{}
 	running := r.runningOf(id)
 	for _, x := range r.runsOf(id) {
@@ -83,7 +87,7 @@
 		}
 		code, answer := r.call(http.MethodGet, r.controls[0].address(portControl), "", "/wave-get/1", "", time.Second)
 		r.note("wave-get/1: %d %s", code, answer)
-		r.broken("LOST: task %s has had no run for %v, although the executors %v of its service are up with at most %d of %d cores in use; %d calls to the platform so far",
-			task, time.Since(last[task]).Round(time.Millisecond), up, len(running)*2, len(up)*executorCPU/1000, orders)
+		r.broken("LOST: task %s has had no run for %v, although the executors %v of its service are up with at most %d of %d cores in use; %d calls to the platform so far; runs of the small job: %d",
+			task, time.Since(last[task]).Round(time.Millisecond), up, len(running)*2, len(up)*executorCPU/1000, orders, len(r.runsOf(small)))
 	}
 }
