Leave a wave's tasks a worker on which they can start

Cause: processWave cordoned every machine that may be out and one more, and spreadRun stopped a run for its step although every worker that could take the task was cordoned. The stopped task blocked both upkeeps, and no cordon was ever lifted without an upkeep.

Change: a run is stopped for its step only if a worker that gets tasks can take its task; a cordon gives way to tasks that can start nowhere else, and ends after a time without an upkeep. The same on related paths: recorded upkeeps, draining workers, slow runs, a machine that never comes back.

The tests of process/jobs and job pass. The fixture of the upkeep tests now has workers that may get tasks; without that, the checks that no run is spread would pass for want of another worker.

--- a/job/schedule/probation.go
+++ b/job/schedule/probation.go
@@ -78,10 +78,10 @@
 	var best *Worker
 	bestFits := false
 	for _, w := range p.byPool[c.job.Pool] {
-		if w.reservedFor != "" || w.probationJob != "" || step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
+		if w.reservedFor != "" || w.probationJob != "" || !HasLabel(w.Labels, step) {
 			continue
 		}
-		fits := p.eligible(w, key, step, nil)
+		fits := Eligible(w, key, step, nil)
 		if best == nil || fits && !bestFits || fits == bestFits && w.LastStart < best.LastStart {
 			best, bestFits = w, fits
 		}
--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -279,7 +279,7 @@
 			continue
 		}
 		// The chosen worker is the fullest that fits, and stays so until it is full.
-		if w == nil || step.Lasting || step.Fill || !p.eligible(w, key, step, tickets) || !w.admits(key.Job, false) {
+		if w == nil || step.Lasting || step.Fill || !Eligible(w, key, step, tickets) || !w.admits(key.Job, false) {
 			w = p.chooseSpreadWorker(c.job.Pool, key, step, tickets)
 		}
 		if w == nil {
@@ -397,7 +397,7 @@
 func (p *planner) chooseWorker(pool string, key state.StepKey, step *jobpb.Step, tickets map[string]string, rack string, probation bool) *Worker {
 	var best *Worker
 	for _, w := range p.byPool[pool] {
-		if rack != "" && w.Rack != rack || !p.eligible(w, key, step, tickets) || !w.admits(key.Job, probation) {
+		if rack != "" && w.Rack != rack || !Eligible(w, key, step, tickets) || !w.admits(key.Job, probation) {
 			continue
 		}
 		switch {
@@ -410,13 +410,13 @@
 	return best
 }
 
-// eligible reports whether one more task of a step may start on a worker. Without
+// Eligible reports whether one more task of a step may start on a worker. Without
 // tickets (nil) every worker is allowed.
-func (p *planner) eligible(w *Worker, key state.StepKey, step *jobpb.Step, tickets map[string]string) bool {
+func Eligible(w *Worker, key state.StepKey, step *jobpb.Step, tickets map[string]string) bool {
 	if fittingTasks(w, step) == 0 {
 		return false
 	}
-	if step.RequiredLabel != "" && !slices.Contains(w.Labels, step.RequiredLabel) {
+	if !HasLabel(w.Labels, step) {
 		return false
 	}
 	if step.MaxPerWorker > 0 && w.taskCount(key) >= int(step.MaxPerWorker) {
@@ -429,6 +429,11 @@
 	return allowed
 }
 
+// HasLabel reports whether a worker with the given labels may run a step.
+func HasLabel(labels []string, step *jobpb.Step) bool {
+	return step.RequiredLabel == "" || slices.Contains(labels, step.RequiredLabel)
+}
+
 // better reports whether a is a better worker than b for a task of a step.
 func better(a, b *Worker, step *jobpb.Step) bool {
 	if a.Penalty != b.Penalty {
--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"iter"
 	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
@@ -45,16 +46,27 @@
 // blockingRun returns a run on a worker whose lasting step would exceed its limit
 // of unavailable tasks if all runs of the worker ended now; nil if there is none.
 func (u *upkeepDriver) blockingRun(st *state.Store, workerID string) *state.Placement {
-	ending := map[*jobpb.StepState]int{}
-	for _, p := range st.Placements(workerID) {
-		if p.Step.Lasting && p.Step.MaxUnavailable > 0 && !state.Ended(p.Job) {
+	for p := range u.blockingRuns(st, workerID) {
+		return p
+	}
+	return nil
+}
+
+// blockingRuns returns the runs by which lasting steps would exceed their limits of
+// unavailable tasks if all runs of a worker ended now.
+func (u *upkeepDriver) blockingRuns(st *state.Store, workerID string) iter.Seq[*state.Placement] {
+	return func(yield func(*state.Placement) bool) {
+		ending := map[*jobpb.StepState]int{}
+		for _, p := range st.Placements(workerID) {
+			if !p.Step.Lasting || p.Step.MaxUnavailable == 0 || state.Ended(p.Job) {
+				continue
+			}
 			ending[p.State]++
-			if u.unavailableElsewhere(p)+ending[p.State] > int(p.Step.MaxUnavailable) {
-				return p
+			if u.unavailableElsewhere(p)+ending[p.State] > int(p.Step.MaxUnavailable) && !yield(p) {
+				return
 			}
 		}
 	}
-	return nil
 }
 
 // blockedByLastingStep reports whether a lasting step blocks a machine's upkeep. If
@@ -67,14 +79,15 @@
 		return false
 	}
 	u.logBlocked(w, machine, run)
-	u.spreadRun(now, run)
+	u.spreadRun(now, st, run)
 	return true
 }
 
 // spreadRun stops a run whose step has more tasks on one machine than may be
-// unavailable, so that the task restarts on another machine before the upkeep. A stop
-// that has not ended the run is sent again.
-func (u *upkeepDriver) spreadRun(now time.Duration, p *state.Placement) {
+// unavailable, so that the task restarts on another machine before the upkeep. A run whose
+// task can start on no other machine serves on. A stop that has not ended the run is sent
+// again.
+func (u *upkeepDriver) spreadRun(now time.Duration, st *state.Store, p *state.Placement) {
 	w, key := u.s.workers[p.Task.Worker], state.Key(p.Ref)
 	if w == nil || w.silent || !w.listedFull(key, p.Task.Run) {
 		return
@@ -83,10 +96,11 @@
 		return
 	}
 	if !w.stopping(key, p.Task.Run) {
-		if now < u.nextSpreadAt {
+		if now < u.nextSpreadAt || !u.s.hasHost(now, st, p, w.info.Id) {
 			return
 		}
 		u.nextSpreadAt = now + spreadInterval
+		u.machine(u.byWorker[w.info.Id]).cordon.progressAt = now
 		u.s.log.Info().Str("request", p.Ref.Job).Uint32("step", p.Ref.Step).Uint32("task", p.Ref.Index).Str("worker", w.info.Id).
 			Msg("run stopped to spread its step: too many of its tasks are on one machine that is due for upkeep")
 	}
--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -227,7 +227,7 @@
 	for _, draining := range []bool{true, false} {
 		is := is.New(t)
 		s, w, now := newLeavingFixture(t, draining)
-		s.view(func(st *state.Store) { s.stopEnded(now, w, st.Placements("w-0")) })
+		s.view(func(st *state.Store) { s.stopEnded(now, st, w, st.Placements("w-0")) })
 		is.Equal(len(w.runs) == 1, draining)
 		s.sendHold(now+2*time.Second, w, true)
 		is.True(w.track.LeasesExpireBy() < now+4200*time.Millisecond) // no lease is granted
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -61,6 +61,7 @@
 	moves           *moveDriver
 	orderGate       *orderGate
 	advice          *adviceDriver
+	hosts           usableList
 	expiryCheckedAt time.Duration
 	nextStopCheck   time.Duration // time of the next check for runs to stop
 	holdInterval    time.Duration // between two hold orders to one worker
--- a/process/jobs/simulation_capacity_test.go
+++ b/process/jobs/simulation_capacity_test.go
@@ -36,7 +36,7 @@
 	for n := 0; s.faultsActive(); n++ {
 		time.Sleep(s.drawDuration(50*time.Millisecond, 500*time.Millisecond, "change", n))
 		s.mu.Lock()
-		w := s.machines[fmt.Sprint("m-", s.draw(simWorkers, "changed", n))].worker
+		w := s.machines[fmt.Sprint("m-", s.draw(s.options.machines(), "changed", n))].worker
 		capacity := simCPUMillis/2 + s.draw(simCPUMillis/2+1, "changed capacity", n)
 		if s.draw(2, "back", n) == 0 {
 			capacity = w.firstMillis
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -332,9 +332,18 @@
 	lateCrashes      bool // they do so long after they have started
 	withoutFaults    bool // there are no other faults
 	changingCapacity bool // the capacity of workers shrinks and grows
+	wholePool        bool // two workers with more tasks of a lasting step than may be away, all due for upkeep
 	sameIDs          bool // some processes start under the id of their predecessor; soon, and with late reports, if capacities stay
 }
 
+// machines returns the number of machines.
+func (o simOptions) machines() uint64 {
+	if o.wholePool {
+		return 2
+	}
+	return simWorkers
+}
+
 // simulate plays one seed.
 func simulate(t *testing.T, seed uint64, o simOptions) {
 	s := &sim{t: t, seed: seed, began: time.Now(), workers: map[string]*simWorker{}, machines: map[string]*simMachine{},
@@ -353,7 +362,7 @@
 	s.elect()
 	go s.watchSessions()
 	go s.follower.run()
-	for i := range simWorkers {
+	for i := range s.options.machines() {
 		m := &simMachine{name: fmt.Sprint("m-", i)}
 		s.machines[m.name] = m
 		s.startProcess(m)
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -105,7 +105,7 @@
 func (s *sim) injectFaults() {
 	for n := 0; s.faultsActive(); n++ {
 		time.Sleep(s.drawDuration(200*time.Millisecond, 3*time.Second, "trouble", n))
-		m := s.machines[fmt.Sprint("m-", s.draw(simWorkers, "whom", n))]
+		m := s.machines[fmt.Sprint("m-", s.draw(s.options.machines(), "whom", n))]
 		if len(s.relays) > 0 && s.draw(3, "relay", n) == 0 {
 			s.relays[s.draw(simRelays, "which", n)].fail(n)
 		}
@@ -123,7 +123,7 @@
 		switch s.draw(5, "what", n) {
 		case 4: // several workers drain at once
 			for k := range 1 + s.draw(4, "leaving", n) {
-				name := fmt.Sprint("m-", s.draw(simWorkers, "whom", n, k))
+				name := fmt.Sprint("m-", s.draw(s.options.machines(), "whom", n, k))
 				s.drain(s.machines[name], s.drawDuration(2*time.Second, 5*time.Second, "drain", n, k))
 			}
 		case 0:
@@ -202,7 +202,9 @@
 	random := rand.New(rand.NewPCG(s.seed, uint64(i)))
 	id := fmt.Sprintf("%016x", i+1)
 	j := &jobpb.Job{Spec: "spec of " + id}
-	if i%10 == 0 {
+	if s.options.wholePool && i == 0 {
+		j.Steps = []*jobpb.Step{{Count: 8, CpuMillis: 100, Lasting: true, MaxUnavailable: 1}}
+	} else if !s.options.wholePool && i%10 == 0 {
 		j.Steps = []*jobpb.Step{{Count: 5, CpuMillis: 500, Lasting: true, MaxUnavailable: 1, MaxPerWorker: 2 * uint32(random.IntN(2))}}
 	} else {
 		for k := range 1 + random.IntN(3) {
@@ -249,8 +251,8 @@
 // startWave starts a wave over all machines, with at most two out at once.
 func (s *sim) startWave() {
 	time.Sleep(s.drawDuration(time.Second, 8*time.Second, "wave"))
-	w := &jobpb.Wave{Number: 1, Maximum: 2, DueMs: time.Now().Add(simFaultPhase).UnixMilli()}
-	for i := range simWorkers {
+	w := &jobpb.Wave{Number: 1, Maximum: uint32(min(2, s.options.machines()-1)), DueMs: time.Now().Add(simFaultPhase).UnixMilli()}
+	for i := range s.options.machines() {
 		w.Machines = append(w.Machines, &jobpb.WaveMachine{Machine: fmt.Sprint("m-", i)})
 	}
 	for {
--- a/process/jobs/slow.go
+++ b/process/jobs/slow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/job/schedule"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
@@ -59,8 +60,8 @@
 }
 
 // restartable reports whether a run of a suspect worker may be stopped to be restarted
-// on another. The pool must have another worker that is neither suspect nor silent nor
-// leaving. As long as no run times have been learned for the queue, only the first
+// on another. The pool must have another worker that may get the task and is neither suspect
+// nor silent nor leaving nor cordoned. As long as no run times have been learned for the queue, only the first
 // maxUnlearnedRuns runs of a task may be stopped: with a declared run time that is too
 // short, the task would be stopped again and again and never finish.
 func (s *session) restartable(w *workerState, p *state.Placement) bool {
@@ -70,9 +71,9 @@
 	if !s.estimate.HasEnoughRuns(p.Job.Queue) && p.Task.Run > maxUnlearnedRuns {
 		return false
 	}
-	for _, other := range s.workers {
+	for id, other := range s.workers {
 		if other != w && other.info.Pool == w.info.Pool && other.track.RunsListed && !other.suspect && !other.silent &&
-			!other.draining && !other.dropping && other.leftAt == 0 {
+			!other.draining && !other.dropping && other.leftAt == 0 && schedule.HasLabel(other.info.Labels, p.Step) && !s.upkeep.cordoned(id) {
 			return true
 		}
 	}
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -14,16 +14,23 @@
 )
 
 // stopEnded stops the runs of jobs that have ended, the runs of lasting steps on workers
-// that are draining, and all runs on a draining worker that has announced its exit.
-func (s *session) stopEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) {
+// that are draining, if their tasks can start elsewhere, and all runs on a draining worker
+// that has announced its exit.
+func (s *session) stopEnded(now time.Duration, st *state.Store, w *workerState, placed map[state.TaskKey]*state.Placement) {
 	for key, p := range placed {
-		leaves := w.draining && (w.announcedExit || p.Step.Lasting && s.upkeep.mayStop(p))
+		leaves := w.draining && (w.announcedExit || p.Step.Lasting && s.upkeep.mayStop(p) && s.mayRestart(now, st, w, key, p))
 		if state.Ended(p.Job) || leaves {
 			s.stopRun(now, w, key, p)
 		}
 	}
 }
 
+// mayRestart reports whether a run was stopped already, or its task can start on another
+// worker.
+func (s *session) mayRestart(now time.Duration, st *state.Store, w *workerState, key state.TaskKey, p *state.Placement) bool {
+	return w.stopping(key, p.Task.Run) || s.hasHost(now, st, p, w.info.Id)
+}
+
 // stopRun stops a placed run, unless its start is still in flight or a stop was
 // sent less than stopRetry ago.
 func (s *session) stopRun(now time.Duration, w *workerState, key state.TaskKey, p *state.Placement) {
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -20,10 +20,9 @@
 	upkeepRetryDelay   = 500 * time.Millisecond
 	// upkeepCycle is the time from the order of an upkeep to the order of the next
 	// one that replaces it among the machines that may be out at once.
-	upkeepCycle     = 3500 * time.Millisecond
-	shortTaskGrace  = 1500 * time.Millisecond // for the short tasks of a cordoned machine to end
-	upkeepInterval  = 50 * time.Millisecond   // between two rounds over the waves
-	upkeepLookahead = 1                       // machines cordoned in advance, beyond those that may be out
+	upkeepCycle    = 3500 * time.Millisecond
+	shortTaskGrace = 1500 * time.Millisecond // for the short tasks of a cordoned machine to end
+	upkeepInterval = 50 * time.Millisecond   // between two rounds over the waves
 	// absentLists is the number of whole lists in a row without a machine or a worker from
 	// which it counts as gone. A list is read in pages and may change between them.
 	absentLists = 2
@@ -39,8 +38,11 @@
 	attemptedAt time.Duration // when the last order was sent; the start of the term if none was
 	confirmedAt time.Duration // when the platform confirmed the upkeep; the start of the term if it has not
 	blockLogged bool          // the log line about a blocking step was written
-	cordonedAt  time.Duration // since when it gets no new tasks, 0 if it does
-	absent      int           // lists in a row that do not name it
+	cordon      cordon
+	absent      int // lists in a row that do not name it
+	// released reports that it gets tasks although an order for its upkeep is in the log: none
+	// can be carried out any more, and tasks that block the next one can start nowhere else.
+	released bool
 }
 
 // upkeepDriver carries out waves: it cordons their machines and orders the upkeeps.
@@ -73,14 +75,6 @@
 	return m
 }
 
-// cordoned reports whether a worker gets no new tasks because its machine is due for
-// upkeep, or its upkeep was confirmed and no list of machines shows its end yet.
-func (u *upkeepDriver) cordoned(worker string) bool {
-	name := u.byWorker[worker]
-	m := u.machines[name]
-	return m != nil && (m.cordonedAt > 0 || u.upkeepNotListed(m)) || u.unconfirmed[name]
-}
-
 // due reports whether a worker's machine has its upkeep ahead.
 func (u *upkeepDriver) due(worker string) bool { return u.dueMachines[u.byWorker[worker]] }
 
@@ -263,25 +257,18 @@
 		}
 	}
 	allowed := int(w.Maximum) - out
+	free := allowed + upkeepLookahead
 	u.sortByLoad(st, waiting)
 	rounds := (remaining + int(w.Maximum) - 1) / max(1, int(w.Maximum))
 	urgent := w.DueMs-u.s.nowMs() < int64(rounds)*upkeepCycle.Milliseconds()
-	for i, wm := range waiting {
+	for _, wm := range waiting {
 		m := u.machine(wm.Machine)
-		if i < allowed+upkeepLookahead && m.cordonedAt == 0 {
-			m.cordonedAt = now
-		}
-		if allowed <= 0 || m.cordonedAt == 0 || now < m.retryAt || u.s.moves.moving[wm.Machine] != nil {
-			continue
-		}
-		if !u.workloadKnown(st, wm.Machine) {
-			continue
-		}
-		idle := countShortTasks(st, u.listed[wm.Machine].WorkerID) == 0
-		if !idle && !urgent && now < m.cordonedAt+shortTaskGrace {
+		if !u.updateCordon(now, st, wm.Machine, free > 0) {
 			continue
 		}
-		if u.blockedByLastingStep(now, st, w, wm.Machine) {
+		free--
+		if allowed <= 0 || now < m.retryAt || !u.upkeepPossible(now, st, w, wm.Machine, urgent) {
+			u.expireCordon(now, wm.Machine)
 			continue
 		}
 		allowed--
@@ -289,10 +276,24 @@
 	}
 }
 
+// upkeepPossible reports whether the upkeep of a cordoned machine may be ordered now. An
+// urgent one does not wait for short tasks.
+func (u *upkeepDriver) upkeepPossible(now time.Duration, st *state.Store, w *jobpb.Wave, machine string, urgent bool) bool {
+	if u.s.moves.moving[machine] != nil || !u.workloadKnown(st, machine) {
+		return false
+	}
+	idle := countShortTasks(st, u.listed[machine].WorkerID) == 0
+	if !idle && !urgent && now < u.machine(machine).cordon.since+shortTaskGrace {
+		return false
+	}
+	return !u.blockedByLastingStep(now, st, w, machine)
+}
+
 // sendRecordedOrder sends or repeats an order that is in the log and not confirmed. The
 // conditions are checked again: if no earlier attempt was carried out, this one ends
 // whatever runs on the machine by now.
 func (u *upkeepDriver) sendRecordedOrder(now time.Duration, st *state.Store, w *jobpb.Wave, machine string) {
+	u.machine(machine).released = !u.upkeepPending(u.listed[machine].WorkerID) && u.hostlessRun(now, st, machine) != nil
 	if !u.workloadKnown(st, machine) || u.blockedByLastingStep(now, st, w, machine) {
 		return
 	}
@@ -311,7 +312,7 @@
 		for _, p := range st.Placements(u.listed[wm.Machine].WorkerID) {
 			load[wm.Machine] += p.Step.CpuMillis + 1
 		}
-		if u.machine(wm.Machine).cordonedAt == 0 {
+		if !u.machine(wm.Machine).cordon.set() {
 			load[wm.Machine] += 1 << 40 // larger than any real load: cordoned machines come first
 		}
 	}
@@ -335,7 +336,7 @@
 // ordered, or a confirmed upkeep is not in the list of machines yet.
 func (u *upkeepDriver) inUpkeep(machine string) bool {
 	m := u.machines[machine]
-	return m != nil && (m.ordering || m.cordonedAt > 0 || u.upkeepNotListed(m))
+	return m != nil && (m.ordering || m.cordon.set() || u.upkeepNotListed(m))
 }
 
 // recordUpkeep writes to the log that a machine's upkeep is ordered, and sends the
@@ -387,7 +388,7 @@
 		return
 	}
 	m.confirmedAt = now
-	m.cordonedAt = 0
+	m.cordon = cordon{}
 	u.recordUpkeep(w, machine, true)
 	u.nextListAt = now // the next list shows which process has ended
 }
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -27,7 +27,13 @@
 
 func newUpkeepFixture(t *testing.T) *upkeepFixture {
 	t.Helper()
-	step := &jobpb.Step{Count: 2, Lasting: true, MaxUnavailable: 1}
+	return newUpkeepFixtureWith(t, 1)
+}
+
+// newUpkeepFixtureWith returns a fixture whose workers run a number of tasks each.
+func newUpkeepFixtureWith(t *testing.T, tasksPerWorker int) *upkeepFixture {
+	t.Helper()
+	step := &jobpb.Step{Count: uint32(2 * tasksPerWorker), Lasting: true, MaxUnavailable: 1}
 	entries := []*jobpb.Entry{
 		{Change: &jobpb.Entry_Configure{Configure: &jobpb.Configuration{Version: 1, Pools: []*jobpb.Pool{{Name: "pool"}, {Name: "off", Standby: true}}}}},
 		{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: &jobpb.Job{Id: "job", Pool: "pool", Steps: []*jobpb.Step{step}}}}},
@@ -38,12 +44,17 @@
 	s := &session{sender: &recordingWorkers{}, c: &Control{o: ControlOptions{Clock: replica.BootClock(), Machines: machines}, metrics: newControlMetrics()},
 		ctx: t.Context(), events: make(chan func(), 8), log: zerolog.Nop(), workers: map[string]*workerState{}, fences: continueFences(nil, 1)}
 	for i, id := range []string{"w-0", "w-1"} {
-		ref := &jobpb.TaskRef{Job: "job", Index: uint32(i)}
 		info := &jobpb.Worker{Id: id, Pool: "pool"}
-		entries = append(entries, &jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: info}},
-			&jobpb.Entry{Change: &jobpb.Entry_Start{Start: &jobpb.Start{Task: ref, Run: 1, Worker: id}}})
-		s.workers[id] = &workerState{info: info, runs: runSet{}, track: worker.New(worker.LeaseTiming{}, 1, 0, 0, false),
-			listedRuns: map[state.TaskKey]orders.Run{state.Key(ref): {Task: ref, Run: 1, Percent: fullPercent}}}
+		w := &workerState{info: info, runs: runSet{}, track: worker.New(worker.LeaseTiming{}, 1, 0, 0, false), listedRuns: map[state.TaskKey]orders.Run{}}
+		w.track.RunsListed = true
+		w.setReported(s.now(), 0)
+		s.workers[id] = w
+		entries = append(entries, &jobpb.Entry{Change: &jobpb.Entry_Worker{Worker: info}})
+		for k := range tasksPerWorker {
+			ref := &jobpb.TaskRef{Job: "job", Index: uint32(2*k + i)}
+			entries = append(entries, &jobpb.Entry{Change: &jobpb.Entry_Start{Start: &jobpb.Start{Task: ref, Run: 1, Worker: id}}})
+			w.listedRuns[state.Key(ref)] = orders.Run{Task: ref, Run: 1, Percent: fullPercent}
+		}
 	}
 	st := storeOf(t, entries...)
 	s.c.store, s.c.group = st, fixedLog{}
@@ -231,7 +242,7 @@
 	w := f.session.workers["w-1"]
 	w.draining = true
 	stops := func() int {
-		f.session.stopEnded(time.Second, w, f.store.Placements("w-1"))
+		f.session.stopEnded(time.Second, f.store, w, f.store.Placements("w-1"))
 		return len(w.runs)
 	}
 	f.driver.machine("m-0").ordering = true
@@ -269,7 +280,8 @@
 	starting.Worker = "w-0"
 	w := f.session.workers["w-0"]
 	is.Equal(f.driver.unavailableOnSameWorker(w, p), 1)
-	f.driver.spreadRun(time.Second, p)
+	is.True(f.session.hasHost(time.Second, f.store, p, "w-0"))
+	f.driver.spreadRun(time.Second, f.store, p)
 	is.Equal(len(w.runs), 0)
 	w.listedRuns[state.TaskKey{Job: "job", Index: 1}] = orders.Run{Run: 1, Percent: fullPercent}
 	is.Equal(f.driver.unavailableOnSameWorker(w, p), 0)
@@ -286,15 +298,16 @@
 	w := f.session.workers["w-0"]
 	w.listedRuns[stopped] = orders.Run{Run: 1, Percent: fullPercent}
 	w.runs[stopped] = &runState{run: 1, stopSentAt: time.Second}
-	f.driver.spreadRun(time.Second, p)
+	is.True(f.session.hasHost(time.Second, f.store, p, "w-0"))
+	f.driver.spreadRun(time.Second, f.store, p)
 	is.Equal(len(w.runs), 1)
 	other := *p
 	other.Ref, other.Task = &jobpb.TaskRef{Job: "job", Index: 1}, p.State.Tasks[1]
-	f.driver.spreadRun(2*time.Second, &other) // a stop without effect is sent again
+	f.driver.spreadRun(2*time.Second, f.store, &other) // a stop without effect is sent again
 	is.Equal(w.runs[stopped].stopSentAt, 2*time.Second)
 	delete(w.runs, stopped)
 	w.silent = true
-	f.driver.spreadRun(time.Minute, p)
+	f.driver.spreadRun(time.Minute, f.store, p)
 	is.Equal(len(w.runs), 0)
 }
 
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -160,7 +160,7 @@
 				continue
 			}
 			if stops {
-				s.stopEnded(now, w, placed)
+				s.stopEnded(now, st, w, placed)
 				if w.predecessor == nil {
 					s.checkSpeed(now, w, placed)
 				}
