Reserve a worker for a task on probation only where it can start, and for a time

Cause: reserveForProbation kept a worker free of all other jobs for a task that may have crashed its worker, also if the task can never start there, without an end, and without regard to how few workers have the label that jobs require.

--- a/job/schedule/probation_test.go
+++ b/job/schedule/probation_test.go
@@ -121,3 +121,80 @@
 	starts := plan(s, 0, list)
 	is.Equal(len(starts), 4) // the sound job's, on the two workers that are not reserved
 }
+
+// kindStore returns a store in which a worker of kind b runs a lasting task of 2 cores, a task
+// of 3 cores that requires kind b waits on probation, and so does a small sound one.
+func kindStore(t *testing.T) *state.Store {
+	t.Helper()
+	s := newStore(t, register("w0"), register("w1"))
+	apply(t, s, job("lasting", 0, &jobpb.Step{Count: 1, CpuMillis: 2000, Lasting: true, RequiredLabel: "b"}))
+	apply(t, s, job("large", 0, &jobpb.Step{Count: 1, CpuMillis: 3000, EstimatedMs: 500, RequiredLabel: "b"}))
+	apply(t, s, job("small", 0, &jobpb.Step{Count: 1, CpuMillis: 1000, EstimatedMs: 500, RequiredLabel: "b"}))
+	crashed(t, s, "large", 1)
+	start := &jobpb.Start{Task: &jobpb.TaskRef{Job: "lasting"}, Run: 1, Worker: "w1", BornMs: 1}
+	apply(t, s, &jobpb.Entry{Change: &jobpb.Entry_Start{Start: start}})
+	return s
+}
+
+// kindWorkers returns four workers of 4 cores, of which w1 is of kind b.
+func kindWorkers(s *state.Store) []*Worker {
+	list := workers(4, 4000)
+	list[1].Labels = []string{"b"}
+	list[1].AddLoad(s.Load("w1"))
+	return list
+}
+
+// Guards against jobs that wait for good because the only worker of their kind is reserved
+// for a task that does not fit there beside a lasting one.
+func TestNoWorkerIsReservedOnWhichTheTaskNeverFits(t *testing.T) {
+	is := is.New(t)
+	s := kindStore(t)
+	on := startedOn(plan(s, 0, kindWorkers(s)))
+	is.Equal(on["small"], "w1")
+	is.Equal(on["large"], "")
+}
+
+// Guards against a worker that is reserved for good for a task that could start there, but
+// does not: other tasks that need the worker start after reservationLimit, and the task on
+// probation gets another turn after them.
+func TestReservationEnds(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t, register("w0"), register("w1"))
+	apply(t, s, job("short", 0, &jobpb.Step{Count: 1, CpuMillis: 2000, EstimatedMs: 60_000, RequiredLabel: "b"}))
+	apply(t, s, job("large", 0, &jobpb.Step{Count: 1, CpuMillis: 3000, EstimatedMs: 500, RequiredLabel: "b"}))
+	apply(t, s, job("small", 0, &jobpb.Step{Count: 1, CpuMillis: 1000, EstimatedMs: 500, RequiredLabel: "b"}))
+	crashed(t, s, "large", 1)
+	start := &jobpb.Start{Task: &jobpb.TaskRef{Job: "short"}, Run: 1, Worker: "w1", BornMs: 1}
+	apply(t, s, &jobpb.Entry{Change: &jobpb.Entry_Start{Start: start}})
+	held := &Reservations{}
+	smallStarts := func(now time.Duration) bool {
+		starts := Plan(Input{Now: now, Store: s, Queues: map[string]*jobpb.Queue{"q": {Stretch: 1.6, TargetMs: 600}}, Workers: kindWorkers(s),
+			Estimates: NewEstimates(), Reservations: held})
+		return startedOn(starts)["small"] == "w1"
+	}
+	is.True(!smallStarts(time.Second))
+	is.True(!smallStarts(time.Second + reservationLimit - 1))
+	is.True(smallStarts(time.Second + reservationLimit))
+	is.True(smallStarts(time.Second + reservationLimit + reservationPause - 1))
+	is.True(!smallStarts(time.Second + reservationLimit + reservationPause))
+}
+
+// Guards against all workers of a kind being reserved at once in a pool with many others.
+func TestReservedWorkersOfAKindAreLimited(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t, register("w0"))
+	for i := range 3 {
+		id := fmt.Sprint("crashing", i)
+		apply(t, s, job(id, 0, &jobpb.Step{Count: 1, CpuMillis: 1000, RequiredLabel: "b"}))
+		crashed(t, s, id, 2)
+	}
+	apply(t, s, job("sound", 0, &jobpb.Step{Count: 1, CpuMillis: 1000, RequiredLabel: "b"}))
+	list := workers(9, 4000)
+	for i, w := range list {
+		w.AddRecentStart("other", false)
+		if i < 2 {
+			w.Labels = []string{"b"}
+		}
+	}
+	is.Equal(len(plan(s, 0, list)), 1) // the sound task, on the worker of its kind that is not reserved
+}
--- a/job/schedule/schedule.go
+++ b/job/schedule/schedule.go
@@ -33,7 +33,8 @@
 
 // Input is the snapshot from which Plan computes starts.
 type Input struct {
-	NowMs   int64 // Unix time
+	NowMs   int64         // Unix time
+	Now     time.Duration // on a clock that never jumps
 	Store   *state.Store
 	Queues  map[string]*jobpb.Queue // by state.QueueKey
 	Workers []*Worker
@@ -41,6 +42,8 @@
 	// with the tickets for them. ok is false while no answer of the advisor is available.
 	Advice    func(step state.StepKey) (tickets map[string]string, ok bool)
 	Estimates *Estimates
+	// Reservations are those of the last plan, which this one renews. It must not be nil.
+	Reservations *Reservations
 }
 
 // candidate is a step with tasks to start.
@@ -66,6 +69,7 @@
 	starts []*jobpb.Start
 	// probation reports that tasks of open jobs may have crashed workers.
 	probation bool
+	vacated   map[string]*Worker // by worker ID, see withoutShortRuns
 }
 
 // Plan returns the starts to order now, and deducts their tasks from the free capacity
@@ -86,6 +90,8 @@
 	p.probation = len(input.Store.Suspects()) > 0
 	if p.probation {
 		p.reserveForProbation(list)
+	} else {
+		input.Reservations.clear()
 	}
 	for _, c := range list {
 		p.startStep(c)
--- a/job/schedule/schedule_test.go
+++ b/job/schedule/schedule_test.go
@@ -49,7 +49,7 @@
 
 func plan(s *state.Store, nowMs int64, list []*Worker) []*jobpb.Start {
 	queue := &jobpb.Queue{Stretch: 1.6, TargetMs: 600}
-	return Plan(Input{NowMs: nowMs, Store: s, Queues: map[string]*jobpb.Queue{"q": queue}, Workers: list, Estimates: NewEstimates()})
+	return Plan(Input{NowMs: nowMs, Store: s, Queues: map[string]*jobpb.Queue{"q": queue}, Workers: list, Estimates: NewEstimates(), Reservations: &Reservations{}})
 }
 
 // Guards against a gang of which only some tasks start, and against a rack-local gang
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -57,6 +57,7 @@
 	settled         []settledStart // not in batch yet
 	settledSince    time.Duration  // when the first of settled was added
 	estimate        *schedule.Estimates
+	reservations    schedule.Reservations
 	upkeep          *upkeepDriver
 	moves           *moveDriver
 	orderGate       *orderGate
@@ -226,8 +227,8 @@
 	s.dirty, s.nextPlanAt = false, now+replanInterval
 	s.view(func(st *state.Store) {
 		s.refreshQueues(st)
-		in := schedule.Input{NowMs: s.nowMs(), Store: st, Queues: s.queues, Workers: s.usable(now, st),
-			Advice: s.advice.tickets, Estimates: s.estimate}
+		in := schedule.Input{NowMs: s.nowMs(), Now: now, Store: st, Queues: s.queues, Workers: s.usable(now, st),
+			Advice: s.advice.tickets, Estimates: s.estimate, Reservations: &s.reservations}
 		starts := schedule.Plan(in)
 		s.logStarts(starts, len(in.Workers))
 		for _, start := range starts {
