Ask a worker that did not answer until it does

Cause: a failed hold marks a worker as silent, and silent workers get no tasks. One without runs was asked again only if nothing was heard of it, and its reports counted as being heard of.

Change: a silent worker is asked until it answers. The simulation's workers also refuse orders while their reports arrive, and at its end each worker that serves must get tasks.

The tests of process/jobs pass.

--- a/process/jobs/run_lists_test.go
+++ b/process/jobs/run_lists_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
@@ -32,3 +34,24 @@
 	is.Equal(decodeRunList(encodeRunList(&orders.RunList{EndsComplete: true})).EndsComplete, true)
 	is.Equal(decodeRunList(&jobpb.RunList{}).EndsComplete, false) // from a relay that does not say so
 }
+
+// Guards against a worker that gets no work for as long as its reports arrive, because an
+// order to it once failed while nothing ran there: nobody asks it again.
+func TestUnreachableWorkerWithoutRunsIsAskedAgain(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	s := f.session
+	s.c.o.Bounds.ReportInterval = time.Second
+	info := &jobpb.Worker{Id: "idle", Pool: "pool"}
+	w := s.trackWorker(info, false)
+	w.track.RunsListed = true
+	w.setReported(s.now(), 0)
+	is.True(s.isUsable("idle"))
+	is.True(!s.wantsList(s.now(), w, nil))
+	s.handleRunList(w, s.now(), orders.HoldOrder{}, nil, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true})
+	w.track.SampleClock(s.now(), 1000) // a report
+	is.True(!s.isUsable("idle"))
+	is.True(s.wantsList(s.now(), w, nil))
+	s.handleRunList(w, s.now(), orders.HoldOrder{}, &orders.RunList{ClockMs: 1001}, nil)
+	is.True(s.isUsable("idle"))
+}
--- a/process/jobs/simulation_rules_test.go
+++ b/process/jobs/simulation_rules_test.go
@@ -1,10 +1,12 @@
 package jobs
 
 import (
+	"slices"
 	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
+	"marjoramtiller.example/marjoramtiller/job/schedule"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
@@ -146,6 +148,31 @@
 	}
 }
 
+// checkWorkersServe checks that all workers which serve get tasks again.
+func (s *sim) checkWorkersServe() {
+	s.mu.Lock()
+	var serving []string
+	for _, m := range s.machines {
+		if w := m.worker; !m.out && !w.unreachable() && !w.refused() && !w.draining {
+			serving = append(serving, w.id)
+		}
+	}
+	current := s.control.currentSession()
+	s.mu.Unlock()
+	left := make(chan []string, 1)
+	current.post(func() {
+		current.view(func(st *state.Store) {
+			left <- slices.DeleteFunc(serving, func(id string) bool {
+				usable := slices.ContainsFunc(current.usable(current.now(), st), func(w *schedule.Worker) bool { return w.ID == id })
+				return usable || current.upkeep.cordoned(id) // of a wave that waits
+			})
+		})
+	})
+	for _, id := range <-left {
+		s.fail("worker %s serves and gets no tasks", id)
+	}
+}
+
 // lastingTaskGivenUp reports whether a task of a lasting job that goes on was given up, so
 // that upkeeps wait for the job's cancellation.
 func (s *sim) lastingTaskGivenUp() bool {
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -264,6 +264,7 @@
 	258,  // a new leader stops the runs of a job whose cancellation was not confirmed
 	1159, // two machines with unanswered upkeep orders waited for each other
 	1117, // four workers crash under a lasting task, which is given up
+	1004, // a worker without runs that was unreachable for a while got no tasks any more
 	123,  // a worker whose end was listed counted as up, because an earlier message of it arrived late
 }
 
@@ -378,6 +379,7 @@
 	s.injectFaults()
 	clients.Wait()
 	time.Sleep(time.Until(s.began.Add(simFaultPhase + simRecoveryPhase)))
+	s.checkWorkersServe()
 	s.checkFinalState()
 	s.logCounts()
 	s.leadership <- struct{}{}
--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -49,13 +49,16 @@
 	exited      bool      // its process has exited
 	draining    bool      // its reports announce that it is leaving
 	silentUntil time.Time // until then it answers nothing; its runs go on
-	fence       uint64
-	deadline    time.Time // of the lease of all its runs
-	lapsedAt    time.Time // when the lease last lapsed
-	runs        map[state.TaskKey]*simRun
-	ended       []*simRun // by number, from 1
-	lastSeen    uint64    // highest end number that the leader has acknowledged
-	highestRun  map[state.TaskKey]uint32
+	// refusedUntil is the time until which connections to it are refused and those that are
+	// open break; its runs and its reports go on.
+	refusedUntil time.Time
+	fence        uint64
+	deadline     time.Time // of the lease of all its runs
+	lapsedAt     time.Time // when the lease last lapsed
+	runs         map[state.TaskKey]*simRun
+	ended        []*simRun // by number, from 1
+	lastSeen     uint64    // highest end number that the leader has acknowledged
+	highestRun   map[state.TaskKey]uint32
 }
 
 func (w *simWorker) clockMs() int64 {
@@ -104,6 +107,9 @@
 // unreachable reports whether the worker receives no orders and sends no reports.
 func (w *simWorker) unreachable() bool { return w.exited || time.Now().Before(w.silentUntil) }
 
+// refused reports whether connections to the worker are refused.
+func (w *simWorker) refused() bool { return time.Now().Before(w.refusedUntil) }
+
 // handleOrder carries out an order and answers it, unless an injected fault loses or
 // delays the order, or loses the answer.
 func (w *simWorker) handleOrder(ctx context.Context, kind string, fence uint64, do func() orders.Reason) (int64, error) {
@@ -112,6 +118,9 @@
 	fault := s.draw(100, kind+"fate", w.id, fence)
 	s.mu.Lock()
 	switch {
+	case w.refused():
+		s.mu.Unlock()
+		return 0, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
 	case w.unreachable() && w.exited && fault%2 == 0:
 		s.mu.Unlock()
 		return 0, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
@@ -252,14 +261,14 @@
 	for until := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond); ; time.Sleep(simPollInterval) {
 		s.mu.Lock()
 		w.advance()
-		unreachable, exited := w.unreachable(), w.exited
+		unreachable, exited, refused := w.unreachable(), w.exited, w.refused()
 		if !unreachable && (uint64(len(w.ended)) > w.lastSeen || !time.Now().Before(until)) {
 			list := w.listRuns()
 			s.mu.Unlock()
 			return list, nil
 		}
 		s.mu.Unlock()
-		if exited && s.options.crashingTasks {
+		if refused || exited && s.options.crashingTasks {
 			return nil, errors.New("EOF") // the connection ends with the process
 		}
 		if unreachable || ctx.Err() != nil {
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -109,6 +109,9 @@
 		if len(s.relays) > 0 && s.draw(3, "relay", n) == 0 {
 			s.relays[s.draw(simRelays, "which", n)].fail(n)
 		}
+		if s.draw(3, "refused", n) == 0 {
+			s.refuseOrders(n)
+		}
 		if s.draw(6, "follower", n) == 0 {
 			s.follower.fallBehind(n)
 		}
@@ -145,6 +148,14 @@
 	}
 }
 
+// refuseOrders cuts a worker off from orders for a while, but not from sending reports.
+func (s *sim) refuseOrders(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w := s.machines[fmt.Sprint("m-", s.draw(s.options.machines(), "refusing", n))].worker
+	w.refusedUntil = time.Now().Add(s.drawDuration(200*time.Millisecond, 2*time.Second, "refusal", n))
+}
+
 // drain makes a machine's worker announce that it is leaving. After the given time
 // the worker announces its exit, and a new process starts on the machine. The worker exits
 // with the confirmation, or, if that is lost, some time later.
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -168,8 +168,7 @@
 			if len(placed) > 0 {
 				active++
 			}
-			ask := len(placed) > 0 || w.unplacedRuns > 0 || w.predecessor != nil || !w.track.RunsListed || s.timeSinceContact(now, w) > probeAfterReports*s.c.o.Bounds.ReportInterval
-			if ask && !w.holding && w.pendingEnds == 0 && now >= w.nextHold {
+			if s.wantsList(now, w, placed) && !w.holding && w.pendingEnds == 0 && now >= w.nextHold {
 				s.sendHold(now, w, len(placed) > 0)
 			}
 		}
@@ -177,6 +176,15 @@
 	})
 }
 
+// wantsList reports whether a worker is asked for its list of runs: it may run something, it
+// has not listed its runs to this leader, or it is not known to be reachable. The reports of
+// a worker don't tell whether orders reach it.
+func (s *session) wantsList(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) bool {
+	mayRun := len(placed) > 0 || w.unplacedRuns > 0 || w.predecessor != nil
+	unheard := s.timeSinceContact(now, w) > probeAfterReports*s.c.o.Bounds.ReportInterval
+	return mayRun || !w.track.RunsListed || w.silent || unheard
+}
+
 func (s *session) timeSinceContact(now time.Duration, w *workerState) time.Duration {
 	return now - w.track.LastContact
 }
