--- a/job/evidence/evidence.go
+++ b/job/evidence/evidence.go
@@ -86,37 +86,70 @@
 // Process is what the leader knows of the end of a worker's process.
 type Process struct {
 	LeasesExpireBy time.Duration // until then its runs may be at work, if it is not reached
-	// LaterHoldsUntil is the time until which a later process under its id may be at work on
-	// its runs, after it has answered an order for one; 0 if none has.
-	LaterHoldsUntil time.Duration
-	SilentFor       time.Duration // since its last contact, or since the leader can hear it again
-	MaxSilence      time.Duration // a process that is silent for longer gets no more leases
-	ListedAsEnded   bool          // the machine service lists its machine without it
-	ExitAnnounced   bool          // it has said that it exits, which it does some time later
-	ClosedPortSeen  int           // calls in a row that found no process of its id at its address
-	Placed          int           // runs that the log places on it
-	AnnouncedFor    time.Duration // since it announced its exit
+	SilentFor      time.Duration // since its last contact, or since the leader can hear it again
+	MaxSilence     time.Duration // a process that is silent for longer gets no more leases
+	ListedAsEnded  bool          // the machine service lists its machine without it
+	ExitAnnounced  bool          // it has said that it exits, which it does some time later
+	ClosedPortSeen int           // calls in a row that found no process of its id at its address
+	Placed         int           // runs that the log places on it
+	AnnouncedFor   time.Duration // since it announced its exit
 }
 
 // Limits of the proof that a process has ended.
 const (
 	closedPortCalls = 2           // one reset may be a fault of the network
 	emptyExitDelay  = time.Second // from its announcement until a worker without runs is forgotten
+	// ListLag is the longest time by which a list of machines may be behind when it is
+	// requested.
+	ListLag = time.Second
 )
 
-// FromProcess returns what proves that none of the runs on a worker's process is at work.
+// FromProcess returns what proves that none of the runs is at work which a worker's process
+// has itself begun.
 func FromProcess(p Process, now time.Duration) Kind {
-	lapsed := now > p.LeasesExpireBy
-	// The end of the process itself proves nothing of runs that a later one has begun.
-	ownEndCounts := now > p.LaterHoldsUntil
 	switch {
-	case p.ListedAsEnded && ownEndCounts:
+	case p.ListedAsEnded:
 		return MachineEnded
-	case p.ExitAnnounced && p.ClosedPortSeen >= closedPortCalls && ownEndCounts:
+	case p.ExitAnnounced && p.ClosedPortSeen >= closedPortCalls:
 		return PortClosed
 	case p.ExitAnnounced && p.Placed == 0 && p.AnnouncedFor > emptyExitDelay:
 		return NoRuns
-	case lapsed && (p.ExitAnnounced || p.SilentFor > p.MaxSilence):
+	case now > p.LeasesExpireBy && (p.ExitAnnounced || p.SilentFor > p.MaxSilence):
+		return LeasesLapsed
+	}
+	return None
+}
+
+// Start is what the leader knows of the order for the start of a run on a process that has
+// ended. An order names the worker's id, so that a later process under it may have received
+// the order without the leader's knowledge.
+type Start struct {
+	Received bool // the process itself has received it: it has answered it, or listed the run
+	Open     bool // its sender still waits for an answer
+	// EndedAt is when its sender stopped waiting. No process that begins afterwards receives it.
+	EndedAt time.Duration
+}
+
+// Later is what the leader knows of later processes under the id of one that has ended.
+type Later struct {
+	// AbsentAt is when the latest list of machines was requested that shows the machine
+	// without any process under the id; 0 if none does.
+	AbsentAt time.Duration
+	// LeasesUntil is the time until which one may be at work on what was sent to the earlier
+	// process.
+	LeasesUntil time.Duration
+}
+
+// FromEnd returns what the proof that a process has ended says about a run on it.
+func FromEnd(proof Kind, start Start, later Later, now time.Duration) Kind {
+	switch {
+	case proof == None, start.Received:
+		return proof
+	case start.Open:
+		return None
+	case proof == MachineEnded && later.AbsentAt >= start.EndedAt+ListLag:
+		return MachineEnded
+	case now > later.LeasesUntil:
 		return LeasesLapsed
 	}
 	return None
--- a/job/evidence/evidence_test.go
+++ b/job/evidence/evidence_test.go
@@ -63,9 +63,6 @@
 		"silent and lapsed":        {change: func(p *Process) { p.SilentFor, p.LeasesExpireBy = time.Minute, now-1 }, want: LeasesLapsed},
 		"lapsed but in contact":    {change: func(p *Process) { p.LeasesExpireBy = now - 1 }},
 		"listed as ended":          {change: func(p *Process) { p.ListedAsEnded = true }, want: MachineEnded},
-		"listed, later answered":   {change: func(p *Process) { p.ListedAsEnded, p.LaterHoldsUntil = true, now }},
-		"listed, later lapsed":     {change: func(p *Process) { p.ListedAsEnded, p.LaterHoldsUntil = true, now-1 }, want: MachineEnded},
-		"closed, later answered":   {change: func(p *Process) { p.ExitAnnounced, p.ClosedPortSeen, p.LaterHoldsUntil = true, 2, now }},
 		"just announced, no runs":  {change: func(p *Process) { p.ExitAnnounced, p.Placed, p.AnnouncedFor = true, 0, time.Millisecond }},
 		"without runs, not silent": {change: func(p *Process) { p.Placed = 0 }},
 	} {
@@ -77,6 +74,35 @@
 	}
 }
 
+// Guards against the end of a process that frees a run which a later process under its id has
+// begun: the end proves that only for runs whose starts the process has itself received.
+func TestEndOfAProcessProvesNothingOfALaterOne(t *testing.T) {
+	const now = 20 * time.Second
+	const ended = 10 * time.Second // when the sender of the start stopped waiting
+	for name, c := range map[string]struct {
+		proof Kind
+		start Start
+		later Later
+		want  Kind
+	}{
+		"no end":                              {start: Start{Received: true}},
+		"received, listed":                    {proof: MachineEnded, start: Start{Received: true}, want: MachineEnded},
+		"received, lapsed":                    {proof: LeasesLapsed, start: Start{Received: true}, want: LeasesLapsed},
+		"open":                                {proof: MachineEnded, start: Start{Open: true}, later: Later{AbsentAt: now}},
+		"listed before the start ended":       {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended - 1, LeasesUntil: now}},
+		"listed by a list that may lag":       {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended + ListLag - 1, LeasesUntil: now}},
+		"listed after the start ended":        {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended + ListLag, LeasesUntil: now}, want: MachineEnded},
+		"closed port":                         {proof: PortClosed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now}},
+		"lapsed, a later one may be at work":  {proof: LeasesLapsed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now}},
+		"lapsed, also those of a later one":   {proof: LeasesLapsed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now - 1}, want: LeasesLapsed},
+		"closed port, a later one has lapsed": {proof: PortClosed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now - 1}, want: LeasesLapsed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(FromEnd(c.proof, c.start, c.later, now), c.want)
+		})
+	}
+}
+
 // Guards against a run that is taken for never begun because its start has no answer.
 func TestStartWithoutAnswerProvesNothing(t *testing.T) {
 	is := is.New(t)
--- a/job/evidence/exhaustive_test.go
+++ b/job/evidence/exhaustive_test.go
@@ -92,7 +92,7 @@
 		}
 		w.apply(event{kind: report})
 		w.settleAll()
-		if w.processProof() != None {
+		if w.endProof() != None {
 			w.apply(event{kind: drop})
 		}
 		if w.mayStart() {
@@ -129,7 +129,7 @@
 		if w.placed == 0 {
 			return w.violation
 		}
-		if w.processProof() != None {
+		if w.endProof() != None {
 			w.apply(event{kind: drop})
 			continue
 		}
--- a/job/evidence/later_process_test.go
+++ b/job/evidence/later_process_test.go
@@ -19,7 +19,7 @@
 			{kind: advance}, {kind: advance}, {kind: advance}, {kind: advance}, {kind: drop}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(false, modelLimits{tick: time.Second, processes: 2, runs: 2, sessions: 1, resets: 1, unheard: true})
+			w := newWorld(false, modelLimits{tick: time.Second, processes: 2, runs: 2, sessions: 1, resets: 1})
 			w.apply(event{kind: sendStart})
 			for _, e := range play {
 				var buffer [32]event
@@ -37,3 +37,30 @@
 		})
 	}
 }
+
+// Guards against a run that is freed while it is at work, because its process holds a longer
+// lease than the leader has granted: it has carried out a hold that was meant for the earlier
+// process under its id, whose deadline is far ahead on its clock. The leader forgot the
+// earlier one before it heard of the later one.
+func TestLeaseMeantForTheEarlierProcessIsAwaited(t *testing.T) {
+	w := newWorld(false, modelLimits{tick: 300 * time.Millisecond, processes: 2, runs: 2, sessions: 1})
+	for _, e := range []event{{kind: sendStart}, {kind: carryOut}, {kind: deliverAnswer}, {kind: sendHold},
+		{kind: crash}, {kind: listMachine}, {kind: drop}, {kind: boot}, {kind: carryOut}, // of the hold
+		{kind: report}, {kind: sendHold}, {kind: carryOut}, {kind: deliverAnswer}, {kind: sendStart}, {kind: carryOut}, {kind: deliverAnswer}} {
+		var buffer [32]event
+		if !slices.Contains(w.events(buffer[:0]), e) {
+			t.Fatalf("%s is not possible", e)
+		}
+		w.apply(e)
+	}
+	for w.placed > 0 && w.violation == "" {
+		if w.endProof() != None {
+			w.apply(event{kind: drop})
+			break
+		}
+		w.apply(event{kind: advance}) // the worker is cut off
+	}
+	if w.violation != "" {
+		t.Fatal(w.violation)
+	}
+}
--- a/job/evidence/model_test.go
+++ b/job/evidence/model_test.go
@@ -15,13 +15,12 @@
 // that is at work although the log does not place it is a violation: its task may be at
 // work elsewhere as well. It assumes that
 //   - commits are immediate, and an earlier leader sends nothing once a later one leads,
-//   - a call whose sender has stopped waiting is carried out by the process that it had
-//     reached, if at all, and an order is carried out at most once,
+//   - a call is received by a process that lives before its sender stops waiting, which may
+//     be a later one than the one it was meant for,
+//   - an order is carried out at most once, and within the worker's OrderDelay,
 //   - one connection may be refused between two answers although the process lives,
-//   - a session knows the foreign leases that the last one expected (KNOWN-RED.txt,
-//     TestForeignLeasesOutliveTheLeader),
-//   - unless modelLimits.unheard is set, the leader hears of a later process that has
-//     received a start for the earlier one before it takes that one for ended.
+//   - a new session of a term belongs to the process of the last one, and a new term to
+//     another process.
 
 // Times of the model. Their ratios are those of the product, but shorter, so that few
 // steps pass a lease.
@@ -31,7 +30,7 @@
 	modelCalls      = 4 // calls in transit at once
 )
 
-var modelTiming = worker.LeaseTiming{Lease: time.Second, MaxLease: 2500 * time.Millisecond}
+var modelTiming = worker.LeaseTiming{Lease: time.Second, MaxLease: 2500 * time.Millisecond, OrderDelay: 2500 * time.Millisecond}
 
 type callKind uint8
 
@@ -106,18 +105,25 @@
 	orderRun      uint8 // the run that order is about, 0 if none is known
 	order         Order
 	pendingStart  uint8
+	start         modelStart
+	trackedAt     time.Duration
+	absentAt      time.Duration
 	holding       bool
 	stopping      bool
 	loggedEnd     uint8
 }
 
+// modelStart is what the leader knows of the start of the placed run.
+type modelStart struct {
+	run            uint8 // 0 if an earlier session has sent it
+	sentAt, ended  time.Duration
+	received, open bool
+}
+
 // modelLimits bounds what happens in a play.
 type modelLimits struct {
 	tick            time.Duration // the longest step of time
 	processes, runs uint8
-	// unheard lets a later process carry out a start that was meant for the earlier one
-	// without the leader's knowledge, which takes the earlier one for ended.
-	unheard  bool
 	sessions uint64
 	resets   uint8 // refused connections between two answers although the process lives
 }
@@ -141,6 +147,9 @@
 	// What a session leaves for the next one of its process:
 	nextFence    uint64
 	foreignUntil time.Duration
+	knowsLeases  bool // the process of the session has led last
+	settledRun   uint8
+	sessionBegan time.Duration
 
 	violation string
 	freedBy   Kind // the last proof that freed a run
@@ -232,17 +241,21 @@
 	add(alive, crash)
 	add(!alive && w.processes < w.limits.processes, boot)
 	add(alive && !w.process.exiting, report)
-	add(!alive && l.process > 0 && !l.listedAsEnded && w.now >= w.diedAt+modelTimeout, listMachine)
-	add(w.processProof() != None && (w.limits.unheard || !w.unheardStart()), drop)
+	add(w.mayListAbsence() && (!l.listedAsEnded || l.absentAt < w.now), listMachine)
+	add(w.endProof() != None, drop)
 	add(w.sessions < w.limits.sessions, newSession)
 	add(w.sessions < w.limits.sessions, newTerm)
 	return list
 }
 
-// unheardStart reports whether the placed run is at work at a process that the leader does
-// not know of.
-func (w *world) unheardStart() bool {
-	return w.process.running > 0 && w.process.number != w.leader.process
+// mayListAbsence reports whether a list of machines that is requested now may show the machine
+// without a process: it may lag behind the begin of one.
+func (w *world) mayListAbsence() bool {
+	l := &w.leader
+	if l.process == 0 || l.process == w.process.number {
+		return false
+	}
+	return w.process.number == 0 || w.now < w.process.bornAt+ListLag && w.diedAt < w.process.bornAt
 }
 
 func (w *world) mayStart() bool {
@@ -334,15 +347,10 @@
 	case boot:
 		w.processes++
 		w.process = modelProcess{number: w.processes, bornAt: w.now}
-		for i := range w.calls {
-			if c := &w.calls[i]; !w.limits.unheard && c.receiver == 0 && c.meantFor+1 < w.processes {
-				*c = call{} // a worker does not start twice within the timeout of an order
-			}
-		}
 	case report:
 		w.handleReport()
 	case listMachine:
-		l.listedAsEnded, l.leftAt = true, w.now
+		l.listedAsEnded, l.leftAt, l.absentAt = true, w.now, w.now
 	case drop:
 		w.drop()
 	case newSession, newTerm:
@@ -362,6 +370,7 @@
 		}
 	}
 	if w.leader.process > 0 {
+		consider(w.leader.track.LaterLeasesUntil() + time.Nanosecond)
 		consider(w.leader.track.LeasesExpireBy() + time.Nanosecond)
 		consider(w.leader.track.LastContact + modelMaxSilence + time.Nanosecond)
 	}
@@ -379,8 +388,8 @@
 		} else {
 			w.closeCall(c)
 		}
-		if c.receiver != c.meantFor && w.now > c.sentAt+modelTiming.Lease {
-			*c = call{} // ExpectForeignLeases counts with no later arrival
+		if c.receiver != c.meantFor && w.now > c.sentAt+modelTiming.OrderDelay {
+			*c = call{}
 		}
 	}
 }
@@ -462,6 +471,7 @@
 	w.nextRun++
 	l.pendingStart, l.orderRun = w.placed, w.placed
 	l.order = Order{Tracked: true, Fence: l.track.Fence()}
+	l.start = modelStart{run: w.placed, sentAt: w.now, open: true}
 	*w.freeCall() = call{kind: startCall, open: true, meantFor: l.process, sentAt: w.now, fence: l.track.Fence(), run: w.placed, deadlineMs: deadline}
 }
 
@@ -508,6 +518,9 @@
 	switch l := &w.leader; c.kind {
 	case startCall:
 		l.pendingStart = 0
+		if l.start.run == c.run {
+			l.start.open, l.start.ended = false, w.now
+		}
 	case stopCall:
 		l.stopping = false
 	case holdCall:
@@ -572,6 +585,8 @@
 			w.raiseFence()
 		case l.orderRun == c.run:
 			l.order.StartConfirmedAt = w.now
+			l.start.received = true
+			w.settle(c.run)
 		}
 	case stopCall:
 		l.track.SampleClock(w.now, a.clockMs)
@@ -598,6 +613,13 @@
 	if c.fence == l.track.Fence() && !l.track.RunsListed {
 		l.track.RunsListed = true
 		l.track.ClearUnanswered()
+		l.track.SettleForeignOrders(w.now)
+	}
+	if a.running == w.placed && w.placed > 0 {
+		l.start = modelStart{run: w.placed, received: true}
+		if l.predecessor == 0 {
+			w.settle(w.placed)
+		}
 	}
 	if a.ended > 0 {
 		l.loggedEnd = max(l.loggedEnd, a.ended)
@@ -623,6 +645,13 @@
 	}
 }
 
+// settle follows its namesake in process/jobs; commits are immediate.
+func (w *world) settle(run uint8) {
+	if w.now > w.leader.track.ForeignLeasesUntil() && run == w.placed {
+		w.settledRun = run
+	}
+}
+
 // settlePredecessor follows its namesake in process/jobs.
 func (w *world) settlePredecessor(a callAnswer, proof Kind) {
 	switch {
@@ -648,7 +677,7 @@
 		w.violation = fmt.Sprintf("run %d has completed and its end is not in the log, but it was freed (proof: %q)", w.placed, proof)
 	}
 	w.placed = 0
-	w.leader.orderRun, w.leader.order = 0, Order{}
+	w.leader.orderRun, w.leader.order, w.leader.start = 0, Order{}, modelStart{}
 }
 
 func (w *world) handleReport() {
@@ -671,9 +700,16 @@
 // track has the leader track a process. Calls of the last one have no effect.
 func (w *world) track(number uint8, earlier bool) {
 	term := w.leader.term
-	w.leader = modelLeader{term: term, process: number, track: *worker.New(modelTiming, term, int64(number), w.now, earlier)}
+	w.leader = modelLeader{term: term, process: number, trackedAt: w.now, track: *worker.New(modelTiming, term, int64(number), w.now, earlier)}
 	w.leader.track.RaiseFenceTo(w.nextFence)
 	w.leader.track.ExpectForeignLeasesUntil(w.foreignUntil)
+	settled := w.placed > 0 && w.settledRun == w.placed
+	switch {
+	case earlier && !settled && (!w.knowsLeases || w.placed > 0):
+		w.leader.track.ExpectForeignLeases(w.now)
+	case !earlier && !w.knowsLeases:
+		w.leader.track.ExpectForeignLeases(w.sessionBegan)
+	}
 	w.ignoreAnswers()
 }
 
@@ -694,8 +730,13 @@
 		registered = w.leader.predecessor
 	}
 	w.useFence()
+	start := w.leader.start
+	if start.open {
+		start.open, start.ended = false, start.sentAt+modelTimeout
+	}
 	w.track(number, false)
 	l := &w.leader
+	l.start = start
 	l.track.ExpectForeignLeases(w.now)
 	l.track.SampleClock(w.now, clockMs)
 	l.predecessor = registered
@@ -717,9 +758,22 @@
 		ListedAsEnded: l.listedAsEnded, ExitAnnounced: l.exitAnnounced, ClosedPortSeen: int(l.closedPorts), Placed: placed, AnnouncedFor: w.now - l.leftAt}, w.now)
 }
 
+// endProof returns what frees the placed run, if there is one, when the process has ended.
+func (w *world) endProof() Kind {
+	l, proof := &w.leader, w.processProof()
+	if w.placed == 0 {
+		return proof
+	}
+	start := Start{Received: w.settledRun == w.placed, EndedAt: l.trackedAt + modelTimeout}
+	if l.start.run == w.placed {
+		start = Start{Received: l.start.received, Open: l.start.open, EndedAt: l.start.ended}
+	}
+	return FromEnd(proof, start, Later{AbsentAt: l.absentAt, LeasesUntil: l.track.LaterLeasesUntil()}, w.now)
+}
+
 // drop follows dropIfEnded of process/jobs.
 func (w *world) drop() {
-	proof := w.processProof()
+	proof := w.endProof()
 	l := w.leader
 	if proof == LeasesLapsed && w.process.number == l.process && !l.exitAnnounced && l.track.LastContact == w.now {
 		w.violation = "a process was dropped as silent at the time of its contact"
@@ -728,17 +782,10 @@
 		w.free(proof)
 	}
 	w.useFence()
+	w.foreignUntil = max(w.foreignUntil, l.track.LaterLeasesUntil())
 	w.leader = modelLeader{term: l.term}
 	w.registered = 0
 	w.ignoreAnswers()
-	if w.limits.unheard {
-		return
-	}
-	for i := range w.calls {
-		if w.calls[i].receiver != l.process {
-			w.calls[i] = call{}
-		}
-	}
 }
 
 // beginSession ends the session and begins the next one.
@@ -749,9 +796,10 @@
 		w.foreignUntil = max(w.foreignUntil, l.track.ForeignLeasesUntil())
 	}
 	w.sessions++
+	w.knowsLeases, w.sessionBegan = !laterTerm, w.now
 	if laterTerm {
 		l.term++
-		w.nextFence = 0
+		w.nextFence, w.foreignUntil = 0, 0
 	}
 	for i := range w.calls {
 		if c := &w.calls[i]; c.kind != noCall {
--- a/job/worker/worker.go
+++ b/job/worker/worker.go
@@ -22,6 +22,10 @@
 type LeaseTiming struct {
 	Lease    time.Duration // granted by each order
 	MaxLease time.Duration // the longest lease that a worker accepts
+	// OrderDelay is the longest time after the sending of an order in which a process that
+	// has seen no higher fence may carry it out, unless its deadline passes before. To a
+	// process that begins later its deadline says nothing.
+	OrderDelay time.Duration
 }
 
 // Tracker holds the leader's view of one process of a worker.
@@ -42,7 +46,8 @@
 	clockMs    int64         // worker's clock when it answered, at or before sampledAt
 	sampledAt  time.Duration // when the answer with clockMs was received
 
-	maxDeadlineMs int64 // latest deadline, on the worker's clock, granted in this term
+	maxDeadlineMs int64         // latest deadline, on the worker's clock, granted in this term
+	lastGrantAt   time.Duration // of the latest order with a lease, an earlier leader's included
 	// lastUnansweredAt is the time at which the latest order without an answer was sent.
 	lastUnansweredAt time.Duration
 	hasUnanswered    bool
@@ -56,7 +61,7 @@
 // New returns the tracker of a process that the leader of the given term tracks from
 // now on. earlierLeases reports that an earlier leader may have granted it leases.
 func New(timing LeaseTiming, term uint64, startedMs int64, now time.Duration, earlierLeases bool) *Tracker {
-	w := &Tracker{timing: timing, term: term, StartedMs: startedMs, fence: term * FencesPerTerm, firstFence: term * FencesPerTerm, trackedSince: now, LastContact: now}
+	w := &Tracker{timing: timing, term: term, StartedMs: startedMs, fence: term * FencesPerTerm, firstFence: term * FencesPerTerm, trackedSince: now, lastGrantAt: now, LastContact: now}
 	if earlierLeases {
 		w.inheritedLeases = 2 * timing.Lease
 	}
@@ -123,6 +128,7 @@
 	}
 	deadlineMs = w.clockAt(now) + w.timing.Lease.Milliseconds()
 	w.maxDeadlineMs = max(w.maxDeadlineMs, deadlineMs)
+	w.lastGrantAt = max(w.lastGrantAt, now)
 	return deadlineMs, true
 }
 
@@ -138,14 +144,29 @@
 // ClearUnanswered records that no unanswered order can take effect any more.
 func (w *Tracker) ClearUnanswered() { w.hasUnanswered = false }
 
-// ExpectForeignLeases records that orders which were sent until now may have been carried
-// out by another process under the id than the one they were meant for. Their deadlines are
-// times on the clock of that one, so that only the longest lease bounds them, counted from
-// when such an order arrives.
+// ExpectForeignLeases records that orders which were sent until now may be carried out by
+// another process under the id than the one they were meant for. Their deadlines are times
+// on the clock of that one, so that only the longest lease bounds them.
 func (w *Tracker) ExpectForeignLeases(now time.Duration) {
-	w.ExpectForeignLeasesUntil(now + maxRealTime(w.timing.MaxLease+w.timing.Lease))
+	w.ExpectForeignLeasesUntil(w.timing.foreignLeaseEnd(now))
 }
 
+// foreignLeaseEnd returns the time until which a process may hold a lease of an order that
+// was sent at a time and meant for an earlier process.
+func (t LeaseTiming) foreignLeaseEnd(sent time.Duration) time.Duration {
+	return sent + t.OrderDelay + maxRealTime(t.MaxLease)
+}
+
+// SettleForeignOrders records that the process has listed its runs under the fence of this
+// tracker by now, so that it carries out no order any more that was meant for another one.
+func (w *Tracker) SettleForeignOrders(now time.Duration) {
+	w.foreignLeasesUntil = min(w.foreignLeasesUntil, now+maxRealTime(w.timing.MaxLease))
+}
+
+// LaterLeasesUntil returns the time until which a later process under the id that has not
+// been heard of may be at work on what was sent to this one.
+func (w *Tracker) LaterLeasesUntil() time.Duration { return w.timing.foreignLeaseEnd(w.lastGrantAt) }
+
 // ForeignLeasesUntil returns the time until which another process under the id may hold
 // leases of orders that were not meant for it, 0 if none does.
 func (w *Tracker) ForeignLeasesUntil() time.Duration { return w.foreignLeasesUntil }
--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -4,6 +4,7 @@
 	"iter"
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/job/evidence"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
@@ -16,7 +17,7 @@
 	spreadInterval = 2500 * time.Millisecond
 	// listLag is the longest delay between a worker's registration and the first
 	// list of machines that names it.
-	listLag = time.Second
+	listLag = evidence.ListLag
 )
 
 // workloadKnown reports whether the runs on a machine are known. A new worker can
--- a/process/jobs/crash.go
+++ b/process/jobs/crash.go
@@ -113,9 +113,10 @@
 }
 
 // recordCrash writes to the log which runs may have crashed a worker that has ended, so
-// that a later leader knows it too. It must precede the entry that removes the worker.
-func (s *session) recordCrash(w *workerState, cause endCause, placed map[state.TaskKey]*state.Placement) {
-	for key, p := range placed {
+// that a later leader knows it too. It must precede the entry that removes the worker. Runs
+// that are not over yet are recorded once they are.
+func (s *session) recordCrash(w *workerState, cause endCause, placed, over map[state.TaskKey]*state.Placement) {
+	for key, p := range over {
 		if s.provenSound(w, key, p, w.track.LastContact) {
 			s.addEnd(w, p, jobpb.How_LOST, "", true)
 		}
@@ -124,12 +125,26 @@
 		return
 	}
 	suspects, sole := s.crashSuspects(w, cause, placed)
+	w.heldCrashes = make(map[state.TaskKey]*jobpb.End, len(suspects))
 	for _, suspect := range suspects {
 		p := suspect.placement
-		end := &jobpb.End{Task: p.Ref, Run: p.Task.Run, How: jobpb.How_CRASHED, Worker: w.info.Id, AtMs: s.nowMs(), Sole: sole, Certain: suspect.certain}
+		w.heldCrashes[state.Key(p.Ref)] = &jobpb.End{Task: p.Ref, Run: p.Task.Run, How: jobpb.How_CRASHED, Worker: w.info.Id, AtMs: s.nowMs(), Sole: sole, Certain: suspect.certain}
+	}
+	s.recordHeldCrashes(w, over)
+}
+
+// recordHeldCrashes writes to the log which of the runs that are over may have crashed their
+// worker.
+func (s *session) recordHeldCrashes(w *workerState, over map[state.TaskKey]*state.Placement) {
+	for key, p := range over {
+		end := w.heldCrashes[key]
+		if end == nil || end.Run != p.Task.Run {
+			continue
+		}
+		delete(w.heldCrashes, key)
 		s.add(&jobpb.Entry{Change: &jobpb.Entry_End{End: end}}, func(applied bool, _ error) {
 			if applied {
-				s.logCrash(p, sole)
+				s.logCrash(p, end.Sole)
 			}
 		})
 	}
--- a/process/jobs/restart.go
+++ b/process/jobs/restart.go
@@ -104,12 +104,8 @@
 	if len(lost) == 0 {
 		return
 	}
-	s.recordWorkerEnd(s.now(), w.predecessor, endRestarted, lost)
-	for _, p := range lost {
-		s.addEnd(w.predecessor, p, jobpb.How_LOST, "", false)
-	}
-	w.pendingEnds++ // the next list is compared with the state after these ends
-	s.add(&jobpb.Entry{}, func(bool, error) { w.pendingEnds-- })
+	s.recordWorkerEnd(s.now(), w.predecessor, endRestarted, lost, lost)
+	s.loseRuns(w, lost)
 }
 
 // registerSuccessor puts the registration of a later process into the log, which frees the
@@ -119,7 +115,7 @@
 		return
 	}
 	w.registering = true
-	s.recordWorkerEnd(s.now(), w.predecessor, endRestarted, lost)
+	s.recordWorkerEnd(s.now(), w.predecessor, endRestarted, lost, lost)
 	waiting := w.takeReports()
 	s.addRegistration(w.info, func(err error) {
 		w.registering = false
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -69,12 +69,14 @@
 		s.log.Info().Str("worker", w.info.Id).Msg("worker answers again")
 	}
 	w.silent, w.disconnected = false, false
+	w.endRecorded, w.heldCrashes = false, nil
 	w.listedAt = now
 	w.track.SampleClock(now, list.ClockMs)
 	w.nextHold = sent + s.holdInterval
 	if o.Fence == w.track.Fence() && !w.track.RunsListed {
 		w.track.RunsListed = true
 		w.track.ClearUnanswered()
+		w.track.SettleForeignOrders(now)
 		s.dirty = true
 	}
 	s.view(func(st *state.Store) {
@@ -88,9 +90,8 @@
 
 func (s *session) handleHoldError(w *workerState, sent, now time.Duration, o orders.HoldOrder, err error) {
 	var refused *orders.RefusedError
-	var lost *orders.RelayError
 	switch {
-	case errors.As(err, &lost):
+	case isRelayError(err):
 		// The worker may be sound. It is asked again at once, through another relay.
 		if o.DeadlineMs > 0 {
 			w.track.RecordUnanswered(sent)
--- a/process/jobs/runs.go
+++ b/process/jobs/runs.go
@@ -29,6 +29,8 @@
 	ticket           string        // of the start order, empty if it needed none
 	sentAt           time.Duration // when the start order was sent, 0 if this leader has only stopped the run
 	startConfirmed   bool          // the worker confirmed the start
+	received         bool          // the tracked process itself has received the start
+	startEndedAt     time.Duration // when the sender of the start stopped waiting, 0 while it waits
 	startBrokenOff   bool          // the connection of the start order ended before its answer and its timeout
 	startConfirmedAt time.Duration // when the worker confirmed the start
 	stopSentAt       time.Duration // when the last stop was sent, 0 if none was
--- a/process/jobs/settled_test.go
+++ b/process/jobs/settled_test.go
@@ -14,10 +14,10 @@
 )
 
 // Bounds of leases with the timing of settledFixture: an order of an earlier leader that
-// arrives late, and one that another process of the worker carries out, as late.
+// arrives late, and one that another process of the worker receives and carries out late.
 const (
 	lateLease    = 2 * simLease * 100 / 98
-	foreignLease = (simLease + 10*time.Second) * 100 / 98
+	foreignLease = orderTimeout + holdWait + maxOrderDelay + 10*time.Second*100/98
 )
 
 // settledFixture is a leader's session, in virtual time, whose changes are applied when
--- a/process/jobs/simulation_capacity_test.go
+++ b/process/jobs/simulation_capacity_test.go
@@ -76,7 +76,7 @@
 
 // processID returns the id of the next process on a machine.
 func (s *sim) processID(m *simMachine) string {
-	if s.options.sameIDs && m.worker != nil && s.draw(2, "same id", s.processCount) == 0 {
+	if s.options.sameIDs && m.worker != nil && (s.options.recut || s.draw(2, "same id", s.processCount) == 0) {
 		return m.worker.id
 	}
 	return fmt.Sprint("w-", s.processCount)
--- a/process/jobs/simulation_leader_test.go
+++ b/process/jobs/simulation_leader_test.go
@@ -86,7 +86,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Control{group: &simGroup{s: s}, store: s.store, ctx: ctx, cancel: cancel, metrics: newControlMetrics(), log: s.logger(),
 		o: ControlOptions{Name: fmt.Sprint("c-", s.term.Load()), Workers: s, Machines: s, Clock: simClock{s.began},
-			Bounds: Bounds{Lease: worker.LeaseTiming{Lease: simLease, MaxLease: 10 * time.Second}, ReportInterval: simReportInterval,
+			Bounds: Bounds{Lease: worker.LeaseTiming{Lease: simLease, MaxLease: simMaxLease}, ReportInterval: simReportInterval,
 				JobRetention: time.Hour, OrderGap: simLeaderGap}}}
 }
 
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -35,6 +35,7 @@
 	simRecoveryPhase = 40 * time.Second // after the faults, for all jobs and waves to end
 	simLeaderGap     = 3 * time.Second  // required between orders of two leaders for a machine
 	simLease         = 4 * time.Second
+	simMaxLease      = 10 * time.Second
 	simCancelDelay   = 3 * time.Second // after a confirmed cancellation, until no task of the job may start
 	simHost          = "h"
 	simPrefix        = "/q/"
@@ -333,6 +334,7 @@
 	lateCrashes      bool // they do so long after they have started
 	withoutFaults    bool // there are no other faults
 	changingCapacity bool // the capacity of workers shrinks and grows
+	recut            bool // processes start under the id of their predecessor, and are cut off soon after, while long tasks run
 	wholePool        bool // two workers with more tasks of a lasting step than may be away, all due for upkeep
 	sameIDs          bool // some processes start under the id of their predecessor; soon, and with late reports, if capacities stay
 }
@@ -376,6 +378,9 @@
 	if o.changingCapacity {
 		clients.Go(s.changeCapacities)
 	}
+	if o.recut {
+		clients.Go(s.restartAndCutOff)
+	}
 	s.injectFaults()
 	clients.Wait()
 	time.Sleep(time.Until(s.began.Add(simFaultPhase + simRecoveryPhase)))
--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -112,7 +112,7 @@
 
 // handleOrder carries out an order and answers it, unless an injected fault loses or
 // delays the order, or loses the answer.
-func (w *simWorker) handleOrder(ctx context.Context, kind string, fence uint64, do func() orders.Reason) (int64, error) {
+func (w *simWorker) handleOrder(ctx context.Context, kind string, fence uint64, do func(w *simWorker) orders.Reason) (int64, error) {
 	s := w.sim
 	time.Sleep(s.drawDuration(time.Millisecond, 4*time.Millisecond, kind, w.id, fence))
 	fault := s.draw(100, kind+"fate", w.id, fence)
@@ -124,13 +124,20 @@
 	case w.unreachable() && w.exited && fault%2 == 0:
 		s.mu.Unlock()
 		return 0, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
+	case w.exited && s.options.sameIDs:
+		s.mu.Unlock()
+		later := w.awaitSuccessor(ctx)
+		if later == nil {
+			return 0, ctx.Err()
+		}
+		return later.handleOrder(ctx, kind, fence, do)
 	case w.unreachable(), s.faultsActive() && fault < 2: // lost
 		s.mu.Unlock()
 		<-ctx.Done()
 		return 0, ctx.Err()
 	case s.faultsActive() && fault < 5: // executed late
 		s.mu.Unlock()
-		late := s.drawDuration(0, simMaxOrderDelay, kind+"late", w.id, fence)
+		late := s.drawDuration(0, s.options.orderDelay(), kind+"late", w.id, fence)
 		time.AfterFunc(late, func() {
 			s.mu.Lock()
 			defer s.mu.Unlock()
@@ -158,16 +165,35 @@
 	return clock, nil
 }
 
-func (w *simWorker) execute(fence uint64, do func() orders.Reason) orders.Reason {
+// awaitSuccessor returns the process that starts under the id of one that has exited while a
+// sender waits, nil if none does: it receives what was meant for its predecessor.
+func (w *simWorker) awaitSuccessor(ctx context.Context) *simWorker {
+	for ctx.Err() == nil {
+		w.sim.mu.Lock()
+		later := w.sim.workers[w.id]
+		reached := later != w && !later.exited && !later.unreachable()
+		w.sim.mu.Unlock()
+		if reached {
+			return later
+		}
+		time.Sleep(simPollInterval)
+	}
+	return nil
+}
+
+func (w *simWorker) execute(fence uint64, do func(w *simWorker) orders.Reason) orders.Reason {
 	w.advance()
 	if fence < w.fence {
 		return orders.RefusedFence
 	}
 	w.fence = fence
-	return do()
+	return do(w)
 }
 
+// extendLease extends the lease to a time on the worker's clock, which a process that began
+// later than the order expected takes for one of its own.
 func (w *simWorker) extendLease(deadlineMs int64) {
+	deadlineMs = min(deadlineMs, w.clockMs()+simMaxLease.Milliseconds())
 	if at := w.wallTime(deadlineMs); deadlineMs > 0 && at.After(w.deadline) {
 		w.recordLapse()
 		w.deadline = at
@@ -224,7 +250,7 @@
 	if w == nil {
 		return 0, &orders.NotSentError{Err: errors.New("no such worker")}
 	}
-	return w.handleOrder(ctx, "start"+o.Task.Job, o.Fence, func() orders.Reason { return w.start(o) })
+	return w.handleOrder(ctx, "start"+o.Task.Job, o.Fence, func(w *simWorker) orders.Reason { return w.start(o) })
 }
 
 // Stop implements Workers.
@@ -233,7 +259,7 @@
 	if w == nil {
 		return 0, &orders.NotSentError{Err: errors.New("no such worker")}
 	}
-	return w.handleOrder(ctx, "stop"+o.Task.Job, o.Fence, func() orders.Reason { return w.stop(o) })
+	return w.handleOrder(ctx, "stop"+o.Task.Job, o.Fence, func(w *simWorker) orders.Reason { return w.stop(o) })
 }
 
 // Pace implements Workers.
@@ -247,7 +273,9 @@
 	if w == nil {
 		return nil, &orders.NotSentError{Err: errors.New("no such worker")}
 	}
-	_, err := w.handleOrder(ctx, "hold", o.Fence, func() orders.Reason {
+	receiver := w
+	_, err := w.handleOrder(ctx, "hold", o.Fence, func(w *simWorker) orders.Reason {
+		receiver = w
 		w.extendLease(o.DeadlineMs)
 		for i := w.lastSeen; i < o.LastSeen && i < uint64(len(w.ended)); i++ {
 			w.acknowledge(w.ended[i])
@@ -258,6 +286,7 @@
 	if err != nil {
 		return nil, err
 	}
+	w = receiver
 	for until := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond); ; time.Sleep(simPollInterval) {
 		s.mu.Lock()
 		w.advance()
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -26,7 +26,7 @@
 	s.mu.Lock()
 	var list MachineList
 	for _, m := range s.machines {
-		lm := Machine{Name: m.name, Pool: "pool", Up: !m.out, Cores: simCPUMillis / 1000}
+		lm := Machine{Name: m.name, Pool: "pool", Up: !m.out && m.worker != nil && !m.worker.exited, Cores: simCPUMillis / 1000}
 		if m.worker != nil {
 			lm.WorkerID = m.worker.id
 		}
@@ -220,6 +220,9 @@
 	} else {
 		for k := range 1 + random.IntN(3) {
 			step := &jobpb.Step{Count: 1 + random.Uint32N(5), CpuMillis: 500 + random.Uint64N(3000), EstimatedMs: 50 + random.Uint64N(800)}
+			if s.options.recut {
+				step.EstimatedMs *= 3
+			}
 			if k > 0 {
 				step.After = []uint32{uint32(k - 1)}
 			}
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -121,7 +121,7 @@
 		onProbation = p.Task.Crashes > 0
 	})
 	deadline, known := w.track.Grant(s.now())
-	if !ok || !known || !s.leads() || w.draining {
+	if !ok || !known || !s.leads() || w.draining || w.mayHaveLeft() {
 		s.pendingStarts.removeRun(key, start.Run)
 		w.runs.remove(key, start.Run)
 		s.addNeverStarted(start.Worker, start.Task, start.Run)
@@ -167,6 +167,20 @@
 	}
 }
 
+// startEnd returns when the sender of a start has stopped waiting for its answer. That of a
+// relay which is lost may wait on until the timeout.
+func startEnd(sent, now time.Duration, err error) time.Duration {
+	if err == nil || brokenOff(now-sent, orderTimeout) && !isRelayError(err) {
+		return now
+	}
+	return max(now, sent+orderTimeout)
+}
+
+func isRelayError(err error) bool {
+	var lost *orders.RelayError
+	return errors.As(err, &lost)
+}
+
 func (s *session) handleStartAnswer(w *workerState, start *jobpb.Start, r *runState, sent time.Duration, clockMs int64, err error) {
 	key := state.Key(start.Task)
 	now := s.now()
@@ -175,6 +189,7 @@
 	s.sampleAnswerClock(w, clockMs, err)
 	s.logOrder("start", w, start.Task, start.Run, err)
 	s.c.metrics.startSeconds.Observe((now - sent).Seconds())
+	r.startEndedAt = startEnd(sent, now, err)
 	var refused *orders.RefusedError
 	switch {
 	case err == nil && clockMs > 0 && w.track.AnsweredByLater(sent, clockMs):
@@ -182,12 +197,12 @@
 		s.log.Warn().Str("request", key.Job).Uint32("run", start.Run).Str("worker", start.Worker).Int64("clock_ms", clockMs).
 			Msg("start answered by another process than the registered one: its list of runs is requested")
 		w.track.ExpectForeignLeases(now)
-		w.laterHoldsUntil = w.track.ForeignLeasesUntil()
 		w.track.RecordUnanswered(sent)
 		s.raiseFence(w)
 	case err == nil:
 		r.startConfirmed, r.startConfirmedAt = true, now
 		if clockMs > 0 {
+			r.received = true
 			s.settle(now, w, start.Task, start.Run)
 		}
 	case evidence.FromAnswer(err) != evidence.None:
@@ -200,9 +215,8 @@
 		}
 		s.addNeverStarted(start.Worker, start.Task, start.Run)
 	default:
-		var lost *orders.RelayError
 		w.track.RecordUnanswered(sent)
-		if !errors.As(err, &lost) {
+		if !isRelayError(err) {
 			r.startBrokenOff = brokenOff(now-sent, orderTimeout)
 			w.markSilent(r.startBrokenOff)
 		}
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -164,6 +164,7 @@
 	u.listed = make(map[string]Machine, len(list.Machines))
 	if list.Unreadable == 0 {
 		u.endUnlistedWorkers(requestedAt, list.Machines)
+		u.recordAbsence(requestedAt, list.Machines)
 		u.countAbsent(list.Machines)
 	} else {
 		for name, m := range earlier {
@@ -184,6 +185,24 @@
 	}
 }
 
+// recordAbsence notes which of the workers that have ended have no process under their id:
+// their machine is listed without it, or several lists in a row lack the machine.
+func (u *upkeepDriver) recordAbsence(requestedAt time.Duration, list []Machine) {
+	listed := make(map[string]Machine, len(list))
+	for _, m := range list {
+		listed[m.Name] = m
+	}
+	for id, w := range u.s.workers {
+		if !w.listedAsEnded {
+			continue
+		}
+		m, named := listed[w.machine]
+		if named && (!m.Up || m.WorkerID != id) || !named && w.absent >= absentLists {
+			w.absentAt = requestedAt
+		}
+	}
+}
+
 // countAbsent counts the lists in a row that do not name a machine of a wave.
 func (u *upkeepDriver) countAbsent(list []Machine) {
 	named := make(map[string]bool, len(list))
--- a/process/jobs/worker_end.go
+++ b/process/jobs/worker_end.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/job/evidence"
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
@@ -31,14 +33,109 @@
 	return endLapsed
 }
 
+// dropIfEnded drops a worker once it is proved that none of its runs is at work, and frees
+// those of which it is proved before. It reports whether the worker is being dropped.
+func (s *session) dropIfEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) bool {
+	if w.dropping {
+		return true
+	}
+	proof := evidence.FromProcess(evidence.Process{
+		LeasesExpireBy: w.track.LeasesExpireBy(), SilentFor: s.silence(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
+		ListedAsEnded: w.listedAsEnded, ExitAnnounced: w.announcedExit, ClosedPortSeen: w.closedPorts, Placed: len(placed), AnnouncedFor: now - w.leftAt,
+	}, now)
+	if proof == evidence.None {
+		return false
+	}
+	if over := s.runsOver(now, w, proof, placed); len(over) < len(placed) {
+		s.freeEnded(now, w, placed, over)
+		return false
+	}
+	w.dropping = true
+	registered := w.registered()
+	s.recordWorkerEnd(now, registered, s.endCauseOf(w), placed, placed)
+	s.log.Warn().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Dur("silent", s.timeSinceContact(now, w)).Bool("left", w.leftAt > 0).Str("proof", string(proof)).Int("runs", len(placed)).
+		Msg("worker dropped: its leases have lapsed or it has ended")
+	id, born := w.info.Id, registered.info.BornMs
+	s.add(&jobpb.Entry{Change: &jobpb.Entry_Gone{Gone: &jobpb.WorkerGone{Id: id, BornMs: born, AtMs: s.nowMs()}}}, func(bool, error) {
+		if s.workers[id] == w {
+			s.fences.use(id, w.track.Fence())
+			s.fences.foreignLeases[id] = w.track.LaterLeasesUntil()
+			delete(s.workers, id)
+		}
+	})
+	return true
+}
+
+// runsOver returns the runs on a process that has ended which are certainly over.
+func (s *session) runsOver(now time.Duration, w *workerState, proof evidence.Kind, placed map[state.TaskKey]*state.Placement) map[state.TaskKey]*state.Placement {
+	later := evidence.Later{AbsentAt: w.absentAt, LeasesUntil: w.track.LaterLeasesUntil()}
+	over := make(map[state.TaskKey]*state.Placement, len(placed))
+	for key, p := range placed {
+		if evidence.FromEnd(proof, startOf(w, key, p), later, now) != evidence.None {
+			over[key] = p
+		}
+	}
+	return over
+}
+
+// startOf returns what is known of the order for the start of a placed run.
+func startOf(w *workerState, key state.TaskKey, p *state.Placement) evidence.Start {
+	for _, process := range []*workerState{w, w.predecessor} {
+		if process == nil {
+			continue
+		}
+		if process.listedRuns[key].Run == p.Task.Run {
+			return evidence.Start{Received: true}
+		}
+		if r := process.ownRun(key, p); r != nil {
+			return evidence.Start{Received: r.received, Open: r.startEndedAt == 0, EndedAt: r.startEndedAt}
+		}
+	}
+	// An earlier leader has sent it.
+	return evidence.Start{Received: p.Task.SettledRun == p.Task.Run, EndedAt: w.knownSince + orderTimeout}
+}
+
+// freeEnded frees the runs on a process that has ended which are over, while a later process
+// under its id may be at work on the others.
+func (s *session) freeEnded(now time.Duration, w *workerState, placed, over map[state.TaskKey]*state.Placement) {
+	if w.pendingEnds > 0 || len(over) == 0 && w.registered().endRecorded {
+		return
+	}
+	s.log.Info().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Int("over", len(over)).Int("runs", len(placed)).Dur("absent", w.absentAt).
+		Dur("later_leases", w.track.LaterLeasesUntil()-now).Msg("worker not dropped yet: a later process under its id may have received starts that it has not answered")
+	s.recordWorkerEnd(now, w.registered(), s.endCauseOf(w), placed, over)
+	s.loseRuns(w, over)
+}
+
+// loseRuns puts the ends of runs that are over into the log, before the worker is dropped.
+func (s *session) loseRuns(w *workerState, over map[state.TaskKey]*state.Placement) {
+	if len(over) == 0 {
+		return
+	}
+	for _, p := range over {
+		s.addEnd(w.registered(), p, jobpb.How_LOST, "", false)
+	}
+	w.pendingEnds++ // the next list is compared with the state after these ends
+	s.add(&jobpb.Entry{}, func(bool, error) { w.pendingEnds-- })
+}
+
+// registered returns the state of the process that the log has under the worker's id.
+func (w *workerState) registered() *workerState {
+	if w.predecessor != nil {
+		return w.predecessor
+	}
+	return w
+}
+
 // mayHaveLeft reports whether a worker has announced that it exits or is listed as ended,
 // also if a message of it may be from after that list.
 func (w *workerState) mayHaveLeft() bool { return w.leftAt > 0 || w.endUnsettled }
 
-// recordWorkerEnd logs the end of a worker's process and the runs that are lost with it,
-// and records those that may have caused it.
-func (s *session) recordWorkerEnd(now time.Duration, w *workerState, cause endCause, placed map[state.TaskKey]*state.Placement) {
+// recordWorkerEnd logs the end of a worker's process and the runs that are lost with it, once,
+// and records those of them that are over and may have caused it.
+func (s *session) recordWorkerEnd(now time.Duration, w *workerState, cause endCause, placed, over map[state.TaskKey]*state.Placement) {
 	if w.endRecorded {
+		s.recordHeldCrashes(w, over)
 		return
 	}
 	w.endRecorded = true
@@ -55,7 +152,7 @@
 		}
 		event.Msg("run lost with its worker")
 	}
-	s.recordCrash(w, cause, placed)
+	s.recordCrash(w, cause, placed, over)
 }
 
 // markEndOrdered records that an order of this leader ends the worker on a machine, or,
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -7,7 +7,6 @@
 	"strings"
 	"time"
 
-	"marjoramtiller.example/marjoramtiller/job/evidence"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
@@ -20,7 +19,10 @@
 	orderTimeout = 900 * time.Millisecond // for the answer to an order
 	holdWait     = time.Second            // how long a worker may delay its answer until a run ends
 	holdRetry    = 200 * time.Millisecond // after a hold that failed
-	stopInterval = 60 * time.Millisecond  // between checks for runs to stop
+	// maxOrderDelay is the longest time for which a worker keeps an order that it has received
+	// and not answered before it carries the order out.
+	maxOrderDelay = 12 * time.Second
+	stopInterval  = 60 * time.Millisecond // between checks for runs to stop
 	// holdIntervalPerWorker times the number of workers with runs is the interval between
 	// the holds to one worker, divided by the number of processes that send them. It limits
 	// the rate of all holds to what these can send.
@@ -64,11 +66,12 @@
 	// have sent a message after that list was requested. This frees none of its runs, but
 	// they count as unavailable and it gets no new ones until the next list.
 	endUnsettled bool
-	// laterHoldsUntil is the time until which a later process under its id, which has
-	// answered a start, may be at work on the run; 0 if none has.
-	laterHoldsUntil time.Duration
-	closedPorts     int // calls in a row that found no process of its id at its address
-	endRecorded     bool
+	// absentAt is when the latest list of machines was requested that shows no process under
+	// its id, 0 if none does.
+	absentAt    time.Duration
+	closedPorts int // calls in a row that found no process of its id at its address
+	endRecorded bool
+	heldCrashes map[state.TaskKey]*jobpb.End // of runs that may have crashed it and are not known to be over
 	// predecessor is the registered process under the worker's id, nil if this one is.
 	predecessor        *workerState
 	registering        bool           // its registration is in the log's next entries
@@ -101,17 +104,27 @@
 // leader may have granted it leases; it is then called in a view of the state.
 func (s *session) trackWorker(info *jobpb.Worker, earlier bool) *workerState {
 	w := &workerState{info: info, inherited: earlier, sequence: info.Sequence, knownSince: s.now(), draining: info.Draining, runs: runSet{}, listedRuns: map[state.TaskKey]orders.Run{}}
-	w.track = worker.New(s.c.o.Bounds.Lease, s.term, info.BornMs, s.now(), earlier)
+	w.track = worker.New(s.leaseTiming(), s.term, info.BornMs, s.now(), earlier)
 	w.track.RaiseFenceTo(s.fences.next[info.Id])
 	w.track.ExpectForeignLeasesUntil(s.fences.foreignLeases[info.Id])
-	w.laterHoldsUntil = s.fences.foreignLeases[info.Id]
-	if earlier && s.mayBeUnsettled(info.Id) {
+	switch {
+	case earlier && s.mayBeUnsettled(info.Id):
 		w.track.ExpectForeignLeases(s.now())
+	case !earlier && !s.fences.knowsLeases:
+		// Another leader may have sent orders to an earlier process before this session.
+		w.track.ExpectForeignLeases(s.began)
 	}
 	s.workers[info.Id] = w
 	return w
 }
 
+// leaseTiming returns the durations of leases and orders.
+func (s *session) leaseTiming() worker.LeaseTiming {
+	timing := s.c.o.Bounds.Lease
+	timing.OrderDelay = orderTimeout + holdWait + maxOrderDelay
+	return timing
+}
+
 // raiseFence raises the fence for a worker, so that earlier orders have no effect
 // once the worker has received the next hold with the new fence. The hold is sent
 // at once.
@@ -199,37 +212,6 @@
 	return now - max(w.track.LastContact, w.heardAgainAt)
 }
 
-// dropIfEnded drops a worker once it is proved that none of its runs is at work. It
-// reports whether the worker is being dropped.
-func (s *session) dropIfEnded(now time.Duration, w *workerState, placed map[state.TaskKey]*state.Placement) bool {
-	if w.dropping {
-		return true
-	}
-	proof := evidence.FromProcess(evidence.Process{
-		LeasesExpireBy: w.track.LeasesExpireBy(), LaterHoldsUntil: w.laterHoldsUntil, SilentFor: s.silence(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
-		ListedAsEnded: w.listedAsEnded, ExitAnnounced: w.announcedExit, ClosedPortSeen: w.closedPorts, Placed: len(placed), AnnouncedFor: now - w.leftAt,
-	}, now)
-	if proof == evidence.None {
-		return false
-	}
-	w.dropping = true
-	registered := w
-	if w.predecessor != nil {
-		registered = w.predecessor
-	}
-	s.recordWorkerEnd(now, registered, s.endCauseOf(w), placed)
-	s.log.Warn().Str("worker", w.info.Id).Int64("born_ms", w.info.BornMs).Dur("silent", s.timeSinceContact(now, w)).Bool("left", w.leftAt > 0).Str("proof", string(proof)).Int("runs", len(placed)).
-		Msg("worker dropped: its leases have lapsed or it has ended")
-	id, born := w.info.Id, registered.info.BornMs
-	s.add(&jobpb.Entry{Change: &jobpb.Entry_Gone{Gone: &jobpb.WorkerGone{Id: id, BornMs: born, AtMs: s.nowMs()}}}, func(bool, error) {
-		if s.workers[id] == w {
-			s.fences.use(id, w.track.Fence())
-			delete(s.workers, id)
-		}
-	})
-	return true
-}
-
 // usable returns the workers that may get tasks, with their free capacity.
 func (s *session) usable(now time.Duration, st *state.Store) []*schedule.Worker {
 	var list []*schedule.Worker
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -29,6 +29,8 @@
 	Delay       time.Duration
 	// StopDelay is how long a run goes on after it was told to stop.
 	StopDelay time.Duration
+	// MaxLease is the longest lease that the process accepts; a longer one is shortened.
+	MaxLease time.Duration
 	// Duration is how long a task runs; a negative value means that
 	// it runs until it is stopped or its lease expires.
 	Duration func(task string) time.Duration
@@ -93,7 +95,7 @@
 		return nil, err
 	}
 	e := &Executor{ID: id, Address: l.Addr().String(), StartedMs: time.Now().UnixMilli(), openedAt: time.Now(),
-		runs: map[string]*run{}, highestRuns: map[string]uint32{}, Delay: 2 * time.Second,
+		runs: map[string]*run{}, highestRuns: map[string]uint32{}, Delay: 2 * time.Second, MaxLease: 10 * time.Second,
 		Duration: func(string) time.Duration { return 20 * time.Millisecond }}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", e.orderHandler(e.start))
@@ -259,9 +261,11 @@
 	return do(b)
 }
 
-// extendLease extends the lease of all runs. The caller holds mu and has called advance.
+// extendLease extends the lease of all runs, by MaxLease at most. A deadline that was meant
+// for an earlier process is on the clock of that one, which may be far ahead. The caller
+// holds mu and has called advance.
 func (e *Executor) extendLease(deadlineMs int64) {
-	e.leaseMs = max(e.leaseMs, deadlineMs)
+	e.leaseMs = max(e.leaseMs, min(deadlineMs, e.ClockMs()+e.MaxLease.Milliseconds()))
 }
 
 // markLapsedEnds marks the ends that were not acknowledged before the lease expired. The
--- a/standin/executor/machines.go
+++ b/standin/executor/machines.go
@@ -82,6 +82,17 @@
 	}
 }
 
+// TakeDown sets a machine's state to down, without an executor.
+func (m *Machines) TakeDown(machine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, x := range m.machines {
+		if x.Name == machine {
+			x.State, x.ID = "down", ""
+		}
+	}
+}
+
 func (m *Machines) serveList(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	var entries [][]byte
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -4,23 +4,28 @@
 
 import (
 	"net"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// Relay forwards TCP connections to a target. A blocked direction forwards no bytes
+// Relay forwards TCP connections to a target, which may change. Without a target it accepts
+// connections and forwards them to the next one, unless their clients give up before. A blocked direction forwards no bytes
 // and resets no connection, like a network partition. The bytes held back are
 // delivered once the direction is unblocked, as TCP would retransmit them. It is safe
 // for concurrent use.
 type Relay struct {
 	listener net.Listener
-	target   string
 
 	mu        sync.Mutex
+	target    string // empty while there is none
 	unblocked *sync.Cond
 	blocked   [2]bool // by direction: forward, backward
 	delay     time.Duration
 	conns     map[net.Conn]bool
+	targets   map[net.Conn]bool // those of conns that lead to a target
 	closed    bool
 }
 
@@ -40,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: l, target: target, conns: make(map[net.Conn]bool)}
+	r := &Relay{listener: l, target: target, conns: make(map[net.Conn]bool), targets: make(map[net.Conn]bool)}
 	r.unblocked = sync.NewCond(&r.mu)
 	go r.accept()
 	return r, nil
@@ -59,27 +64,99 @@
 	}
 }
 
+// SetTarget sets the target; empty means that there is none for now. Clients notice nothing:
+// what they send from then on goes to the next target, and no answer of the last one comes.
+func (r *Relay) SetTarget(target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = target
+	for c := range r.targets {
+		_ = c.Close()
+	}
+	clear(r.targets)
+}
+
+// targetPollInterval is how often a connection without a target looks for one.
+const targetPollInterval = 5 * time.Millisecond
+
+// awaitTarget returns the target of a new connection, and what its client has sent until
+// there was one. It returns false if the client or the relay has closed the connection.
+func (r *Relay) awaitTarget(in net.Conn) (target string, sent []byte, ok bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		r.mu.Lock()
+		target, closed := r.target, r.closed
+		r.mu.Unlock()
+		if target != "" || closed {
+			return target, sent, !closed && in.SetReadDeadline(time.Time{}) == nil
+		}
+		if err := in.SetReadDeadline(time.Now().Add(targetPollInterval)); err != nil {
+			return "", nil, false
+		}
+		n, err := in.Read(buffer)
+		sent = append(sent, buffer[:n]...)
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return "", nil, false
+		}
+	}
+}
+
 func (r *Relay) connect(in net.Conn) {
-	out, err := net.Dial("tcp", r.target)
+	target, sent, ok := r.awaitTarget(in)
+	if !ok {
+		_ = in.Close()
+		return
+	}
+	out, err := net.Dial("tcp", target)
 	if err != nil {
 		_ = in.Close()
 		return
 	}
+	if _, err := out.Write(sent); err != nil {
+		_, _ = in.Close(), out.Close()
+		return
+	}
 	r.mu.Lock()
-	r.conns[in], r.conns[out] = true, true
+	r.conns[in], r.conns[out], r.targets[out] = true, true, true
 	r.mu.Unlock()
 	var both sync.WaitGroup
 	both.Go(func() { r.copy(out, in, forward) })
-	both.Go(func() { r.copy(in, out, backward) })
+	both.Go(func() {
+		r.copy(in, out, backward)
+		_ = in.SetReadDeadline(time.Now()) // ends the other direction if the target was replaced
+	})
 	both.Wait()
+	replaced := r.forget(in, out)
+	if replaced {
+		r.connect(in)
+		return
+	}
+	_, _ = in.Close(), out.Close()
+}
+
+// forget removes a connection. It reports whether it leads to a target that was replaced.
+func (r *Relay) forget(in, out net.Conn) (replaced bool) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	replaced = !r.targets[out] && r.conns[in] && !r.closed
 	delete(r.conns, in)
 	delete(r.conns, out)
+	delete(r.targets, out)
+	return replaced
+}
+
+// closeUnlessReplaced closes both ends of a connection unless its target was replaced.
+func (r *Relay) closeUnlessReplaced(a, b net.Conn) {
+	r.mu.Lock()
+	current := r.targets[a] || r.targets[b]
 	r.mu.Unlock()
+	if current {
+		_, _ = a.Close(), b.Close()
+	}
 }
 
 func (r *Relay) copy(dst, src net.Conn, direction int) {
-	defer func() { _, _ = dst.Close(), src.Close() }()
+	defer r.closeUnlessReplaced(dst, src)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buffer)
@@ -125,6 +202,7 @@
 	for c := range r.conns {
 		_ = c.Close()
 	}
+	clear(r.conns)
 }
 
 // Close stops accepting connections and closes the existing ones.
--- a/tests/soak/faults_test.go
+++ b/tests/soak/faults_test.go
@@ -44,9 +44,7 @@
 // process, or for a while delays them or blocks one or both directions.
 func (s *soak) disturbConnection() {
 	w := s.workers[s.rng.IntN(len(s.workers))]
-	w.mu.Lock()
 	r := w.relay
-	w.mu.Unlock()
 	if s.rng.IntN(2) == 0 {
 		r = s.interfaceRelays[s.processes[s.rng.IntN(len(s.processes))]]
 	}
--- a/tests/soak/processes_test.go
+++ b/tests/soak/processes_test.go
@@ -65,9 +65,17 @@
 	}
 	return fmt.Sprintf(`{"node-name":%q,"ip-address":%q,"zone":"z","listen-addresses":{"frontend":%q,"readiness":%q,"control-plane":%q},
 		"internal-port-range":[%d,%d],"seed-nodes":[%s],"bootstrap":%t,"data-directory":%q,"heartbeat-interval-ms":%d,
-		"limits":{"memory-mb":200},"bounds":{"grace-period-s":2,"max-hold-ms":3000,"status_s":120}}`,
+		"limits":{"memory-mb":200},"bounds":{"grace-period-s":2,"max-hold-ms":%d,"status_s":120}%s}`,
 		p.name, p.ip, p.address(portCallers), p.address(portReadiness), p.address(portControlPlane), firstPort, firstPort+9,
-		strings.Join(seeds, ","), bootstrap, filepath.Join(s.dir, p.name), max(300, s.fleet.reportInterval.Milliseconds()))
+		strings.Join(seeds, ","), bootstrap, filepath.Join(s.dir, p.name), max(300, s.fleet.reportInterval.Milliseconds()), s.fleet.maxLease.Milliseconds(), s.machineService())
+}
+
+// machineService returns the settings of the machine service, if there is one.
+func (s *soak) machineService() string {
+	if s.machines == nil {
+		return ""
+	}
+	return fmt.Sprintf(`,"cloud":{"address":%q,"duty-per-s":50,"rate-per-s":50}`, s.machines.Address)
 }
 
 // start starts a process. The caller holds its lock.
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -34,6 +34,8 @@
 	maxRuns    = workerCPU / taskCPU
 	taskFaults = 0.1 // share of the orders to workers that are lost, late or not answered
 
+	shortMaxLease = 3 * time.Second
+
 	stopDelay = 150 * time.Millisecond // for which a run goes on after it was told to stop
 
 	// lastingPrefix begins the ids of the jobs whose tasks run until they are stopped.
@@ -48,6 +50,11 @@
 	minRun, maxRun             time.Duration // of a task that does not last
 	reportInterval             time.Duration // of each worker
 	faultDuration              time.Duration // for which faults are injected
+	longShare                  float64       // share of the other tasks that run for longRun
+	longRun                    time.Duration
+	maxLease                   time.Duration // that workers accept
+	submitPause                time.Duration // between two jobs of a caller
+	recuts                     bool          // workers are restarted under their ids and cut off soon after; a machine service shows it
 	groupRestarts              bool          // several control processes are restarted at once or one after the other
 	workerRestartInterval      time.Duration // mean time between two restarts of workers under their ids
 }
@@ -55,13 +62,13 @@
 var (
 	// smallFleet is below the number of workers from which orders go through relays.
 	smallFleet = fleet{controls: 3, entries: 2, workers: 6, callers: 1, minRun: 150 * time.Millisecond, maxRun: 150 * time.Millisecond,
-		reportInterval: 200 * time.Millisecond, faultDuration: 6 * time.Second, workerRestartInterval: 3 * time.Second}
+		reportInterval: 200 * time.Millisecond, maxLease: shortMaxLease, faultDuration: 6 * time.Second, workerRestartInterval: 3 * time.Second}
 	// relayedFleet has enough workers for relays.
 	relayedFleet = fleet{controls: 5, entries: 2, workers: 140, callers: 6, lastingTasks: 60, minRun: 100 * time.Millisecond, maxRun: 1200 * time.Millisecond,
-		reportInterval: 500 * time.Millisecond, faultDuration: 15 * time.Second, groupRestarts: true, workerRestartInterval: time.Second}
+		reportInterval: 500 * time.Millisecond, maxLease: shortMaxLease, faultDuration: 15 * time.Second, groupRestarts: true, workerRestartInterval: time.Second}
 	// largeFleet has the processes and workers of the largest deployment that one machine bears.
 	largeFleet = fleet{controls: 9, entries: 6, workers: 350, callers: 10, lastingTasks: 150, minRun: 100 * time.Millisecond, maxRun: 1800 * time.Millisecond,
-		reportInterval: 1500 * time.Millisecond, faultDuration: 45 * time.Second, groupRestarts: true, workerRestartInterval: time.Second}
+		reportInterval: 1500 * time.Millisecond, maxLease: shortMaxLease, faultDuration: 45 * time.Second, groupRestarts: true, workerRestartInterval: time.Second}
 )
 
 // soak is the run of one seed: the processes, the workers and the accepted jobs.
@@ -74,6 +81,7 @@
 	binary          string
 	processes       []*process
 	workers         []*worker
+	machines        *executor.Machines        // nil if there is no machine service
 	interfaceRelays map[*process]*relay.Relay // in front of the callers' interface of an entry or the interface of a control process
 
 	mu            sync.Mutex // guards the fields below
@@ -88,6 +96,9 @@
 	if out, err := exec.Command("go", "build", "-o", s.binary, "../../cmd/marjoramtiller-platform").CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
+	if f.recuts {
+		s.openMachines()
+	}
 	for i := range f.controls + f.entries {
 		s.addProcess(i)
 	}
@@ -240,10 +251,15 @@
 		callers.Go(func() {
 			for time.Now().Before(until) {
 				s.submitJob(rng)
+				time.Sleep(s.fleet.submitPause)
 			}
 		})
 	}
-	s.injectFaults(until)
+	if s.fleet.recuts {
+		s.recutWorkers(until)
+	} else {
+		s.injectFaults(until)
+	}
 	callers.Wait()
 	for _, p := range s.processes {
 		p.restarts.Wait()
@@ -301,7 +317,7 @@
 
 // summarizedMessages are the messages whose numbers tell what a run has provoked.
 var summarizedMessages = []string{"started", "session begins", "commit was not confirmed", "relay lost", "order not relayed",
-	"truncated the log", "not placed on this worker", "cannot begin there"}
+	"truncated the log", "not placed on this worker", "cannot begin there", "machine is listed without it", "a new process answers under its id", "worker dropped", "does not answer", "answers again", "worker registered"}
 
 // logSummary returns how often the processes have logged each of summarizedMessages.
 func (s *soak) logSummary() string {
--- a/tests/soak/workers_test.go
+++ b/tests/soak/workers_test.go
@@ -20,15 +20,19 @@
 	id       string
 	restarts sync.WaitGroup // restarts that are not finished
 
+	relay *relay.Relay // in front of its processes, at its address
+
 	mu       sync.Mutex // guards the fields below
 	process  *executor.Executor
-	relay    *relay.Relay // in front of process
-	sequence int          // of the last report of process
+	cutOff   bool // it is cut off from all processes
+	sequence int  // of the last report of process
 	earlier  []*executor.Executor
 }
 
+func workerID(number int) string { return fmt.Sprint("i-", number) }
+
 func (s *soak) newWorker(number int) *worker {
-	w := &worker{id: fmt.Sprint("i-", number)}
+	w := &worker{id: workerID(number), relay: s.relay("")}
 	faults := rand.New(rand.NewPCG(s.seed, uint64(number)))
 	s.startWorker(w, func(string, string) executor.Fault {
 		s.mu.Lock()
@@ -48,15 +52,18 @@
 		s.t.Errorf("start worker %s: %v", w.id, err)
 		return
 	}
-	e.Duration, e.Fault, e.Delay, e.StopDelay = s.runTime, fault, time.Second, stopDelay
-	r := s.relay(e.Address)
+	e.Duration, e.Fault, e.Delay, e.StopDelay, e.MaxLease = s.runTime, fault, time.Second, stopDelay, s.fleet.maxLease
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.process, w.relay, w.sequence = e, r, 0
+	w.process, w.sequence = e, 0
+	w.mu.Unlock()
+	w.relay.SetTarget(e.Address)
+	if s.machines != nil {
+		s.machines.BringUp(w.machine(), w.id)
+	}
 }
 
 // restartWorker ends a worker's process with its runs and, after a pause, starts another one
-// under the worker's id.
+// under the worker's id and address. It takes calls that were meant for its predecessor.
 func (s *soak) restartWorker(w *worker, pause time.Duration) {
 	w.mu.Lock()
 	e := w.process
@@ -68,7 +75,11 @@
 	if restarting {
 		return
 	}
+	w.relay.SetTarget("")
 	e.Close()
+	if s.machines != nil {
+		s.machines.TakeDown(w.machine())
+	}
 	time.Sleep(pause)
 	s.startWorker(w, e.Fault)
 }
@@ -94,7 +105,7 @@
 func (w *worker) nextReport() (e *executor.Executor, address string, sequence int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if slices.Contains(w.earlier, w.process) {
+	if w.cutOff || slices.Contains(w.earlier, w.process) {
 		return nil, "", 0
 	}
 	w.sequence++
@@ -106,6 +117,9 @@
 	if strings.HasPrefix(task, lastingPrefix) {
 		return -1
 	}
+	if float64(xxhash.Sum64String("long"+task)%1024) < s.fleet.longShare*1024 {
+		return s.fleet.longRun
+	}
 	spread := s.fleet.maxRun - s.fleet.minRun
 	return s.fleet.minRun + time.Duration(xxhash.Sum64String(task)%1024)*spread/1024
 }
