Don't take refused connections for the end of a leaving worker

Tasks of a worker that had announced its exit, and served on, ran twice while connections to it were refused. No user reported it; the simulation shows it since its workers refuse orders for a while.

Cause: two refused connections in a row counted as proof that no process listens at the worker's address. A fault of the network refuses connections as well, and all of them.

Change: only a process of another id that answers at the address proves it; otherwise the list of machines or the lapse of the leases does. NotSentError.ClosedPort is gone, the field on the wire stays.

Tests: TestExitedWorkerIsDroppedOnceItsPortIsClosed took one refused connection and one answer of another process for proof; it is TestExitedWorkerIsDroppedOnceItsAddressIsReused now, in which nine refused connections prove nothing. The model refuses connections at any time, not once between two answers.

--- a/job/evidence/evidence.go
+++ b/job/evidence/evidence.go
@@ -29,8 +29,8 @@
 	LeasesLapsed Kind = "leases lapsed"
 	// MachineEnded: the machine service lists the worker's machine without the worker.
 	MachineEnded Kind = "machine listed without it"
-	// PortClosed: the worker announced its exit, and no process of its id is at its address.
-	PortClosed Kind = "announced exit and closed port"
+	// AddressReused: the worker announced its exit, and a process of another id is at its address.
+	AddressReused Kind = "announced exit and reused address"
 	// NoRuns: nothing is placed on the worker.
 	NoRuns Kind = "no runs"
 )
@@ -90,15 +90,14 @@
 	MaxSilence     time.Duration // a process that is silent for longer gets no more leases
 	ListedAsEnded  bool          // the machine service lists its machine without it
 	ExitAnnounced  bool          // it has said that it exits, which it does some time later
-	ClosedPortSeen int           // calls in a row that found no process of its id at its address
+	AddressReused  bool          // since its last answer, a process of another id has answered at its address
 	Placed         int           // runs that the log places on it
 	AnnouncedFor   time.Duration // since it announced its exit
 }
 
 // Limits of the proof that a process has ended.
 const (
-	closedPortCalls = 2           // one reset may be a fault of the network
-	emptyExitDelay  = time.Second // from its announcement until a worker without runs is forgotten
+	emptyExitDelay = time.Second // from its announcement until a worker without runs is forgotten
 	// ListLag is the longest time by which a list of machines may be behind when it is
 	// requested.
 	ListLag = time.Second
@@ -110,8 +109,8 @@
 	switch {
 	case p.ListedAsEnded:
 		return MachineEnded
-	case p.ExitAnnounced && p.ClosedPortSeen >= closedPortCalls:
-		return PortClosed
+	case p.ExitAnnounced && p.AddressReused:
+		return AddressReused
 	case p.ExitAnnounced && p.Placed == 0 && p.AnnouncedFor > emptyExitDelay:
 		return NoRuns
 	case now > p.LeasesExpireBy && (p.ExitAnnounced || p.SilentFor > p.MaxSilence):
--- a/job/evidence/evidence_test.go
+++ b/job/evidence/evidence_test.go
@@ -52,19 +52,18 @@
 		change func(*Process)
 		want   Kind
 	}{
-		"nothing happened":         {change: func(*Process) {}},
-		"announced":                {change: func(p *Process) { p.ExitAnnounced = true }},
-		"announced, one reset":     {change: func(p *Process) { p.ExitAnnounced, p.ClosedPortSeen = true, 1 }},
-		"announced, closed port":   {change: func(p *Process) { p.ExitAnnounced, p.ClosedPortSeen = true, 2 }, want: PortClosed},
-		"closed port alone":        {change: func(p *Process) { p.ClosedPortSeen = 9 }},
-		"announced and lapsed":     {change: func(p *Process) { p.ExitAnnounced, p.LeasesExpireBy = true, now-1 }, want: LeasesLapsed},
-		"announced without runs":   {change: func(p *Process) { p.ExitAnnounced, p.Placed = true, 0 }, want: NoRuns},
-		"silent":                   {change: func(p *Process) { p.SilentFor = time.Minute }},
-		"silent and lapsed":        {change: func(p *Process) { p.SilentFor, p.LeasesExpireBy = time.Minute, now-1 }, want: LeasesLapsed},
-		"lapsed but in contact":    {change: func(p *Process) { p.LeasesExpireBy = now - 1 }},
-		"listed as ended":          {change: func(p *Process) { p.ListedAsEnded = true }, want: MachineEnded},
-		"just announced, no runs":  {change: func(p *Process) { p.ExitAnnounced, p.Placed, p.AnnouncedFor = true, 0, time.Millisecond }},
-		"without runs, not silent": {change: func(p *Process) { p.Placed = 0 }},
+		"nothing happened":          {change: func(*Process) {}},
+		"announced":                 {change: func(p *Process) { p.ExitAnnounced = true }},
+		"announced, address reused": {change: func(p *Process) { p.ExitAnnounced, p.AddressReused = true, true }, want: AddressReused},
+		"address reused alone":      {change: func(p *Process) { p.AddressReused = true }},
+		"announced and lapsed":      {change: func(p *Process) { p.ExitAnnounced, p.LeasesExpireBy = true, now-1 }, want: LeasesLapsed},
+		"announced without runs":    {change: func(p *Process) { p.ExitAnnounced, p.Placed = true, 0 }, want: NoRuns},
+		"silent":                    {change: func(p *Process) { p.SilentFor = time.Minute }},
+		"silent and lapsed":         {change: func(p *Process) { p.SilentFor, p.LeasesExpireBy = time.Minute, now-1 }, want: LeasesLapsed},
+		"lapsed but in contact":     {change: func(p *Process) { p.LeasesExpireBy = now - 1 }},
+		"listed as ended":           {change: func(p *Process) { p.ListedAsEnded = true }, want: MachineEnded},
+		"just announced, no runs":   {change: func(p *Process) { p.ExitAnnounced, p.Placed, p.AnnouncedFor = true, 0, time.Millisecond }},
+		"without runs, not silent":  {change: func(p *Process) { p.Placed = 0 }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p := running
@@ -85,17 +84,17 @@
 		later Later
 		want  Kind
 	}{
-		"no end":                              {start: Start{Received: true}},
-		"received, listed":                    {proof: MachineEnded, start: Start{Received: true}, want: MachineEnded},
-		"received, lapsed":                    {proof: LeasesLapsed, start: Start{Received: true}, want: LeasesLapsed},
-		"open":                                {proof: MachineEnded, start: Start{Open: true}, later: Later{AbsentAt: now}},
-		"listed before the start ended":       {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended - 1, LeasesUntil: now}},
-		"listed by a list that may lag":       {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended + ListLag - 1, LeasesUntil: now}},
-		"listed after the start ended":        {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended + ListLag, LeasesUntil: now}, want: MachineEnded},
-		"closed port":                         {proof: PortClosed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now}},
-		"lapsed, a later one may be at work":  {proof: LeasesLapsed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now}},
-		"lapsed, also those of a later one":   {proof: LeasesLapsed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now - 1}, want: LeasesLapsed},
-		"closed port, a later one has lapsed": {proof: PortClosed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now - 1}, want: LeasesLapsed},
+		"no end":                                 {start: Start{Received: true}},
+		"received, listed":                       {proof: MachineEnded, start: Start{Received: true}, want: MachineEnded},
+		"received, lapsed":                       {proof: LeasesLapsed, start: Start{Received: true}, want: LeasesLapsed},
+		"open":                                   {proof: MachineEnded, start: Start{Open: true}, later: Later{AbsentAt: now}},
+		"listed before the start ended":          {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended - 1, LeasesUntil: now}},
+		"listed by a list that may lag":          {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended + ListLag - 1, LeasesUntil: now}},
+		"listed after the start ended":           {proof: MachineEnded, start: Start{EndedAt: ended}, later: Later{AbsentAt: ended + ListLag, LeasesUntil: now}, want: MachineEnded},
+		"address reused":                         {proof: AddressReused, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now}},
+		"lapsed, a later one may be at work":     {proof: LeasesLapsed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now}},
+		"lapsed, also those of a later one":      {proof: LeasesLapsed, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now - 1}, want: LeasesLapsed},
+		"address reused, a later one has lapsed": {proof: AddressReused, start: Start{EndedAt: ended}, later: Later{LeasesUntil: now - 1}, want: LeasesLapsed},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is.New(t).Equal(FromEnd(c.proof, c.start, c.later, now), c.want)
--- a/job/evidence/exhaustive_test.go
+++ b/job/evidence/exhaustive_test.go
@@ -179,7 +179,7 @@
 		t.Run(beginning.name, func(t *testing.T) {
 			for _, slow := range []bool{false, true} {
 				s := &search{t: t, seed: maphash.MakeSeed(), visited: map[uint64]uint8{}, freed: freed}
-				w := newWorld(slow, modelLimits{tick: time.Second, processes: 2, runs: 2, sessions: 3, resets: 1})
+				w := newWorld(slow, modelLimits{tick: time.Second, processes: 2, runs: 2, sessions: 3})
 				w.apply(event{kind: sendStart})
 				for _, e := range beginning.events {
 					w.apply(e)
@@ -190,7 +190,7 @@
 		})
 	}
 	t.Logf("runs freed, by proof: %v", freed)
-	for _, proof := range []Kind{NotCarriedOut, Superseded, StartSettled, LeasesLapsed, MachineEnded, PortClosed} {
+	for _, proof := range []Kind{NotCarriedOut, Superseded, StartSettled, LeasesLapsed, MachineEnded, AddressReused} {
 		if freed[proof] == 0 {
 			t.Errorf("no play frees a run by %q", proof)
 		}
@@ -206,7 +206,7 @@
 	freed := map[Kind]int{}
 	events := 0
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(rapid.Bool().Draw(t, "slow"), modelLimits{tick: rapid.SampledFrom(ticks).Draw(t, "tick"), processes: 4, runs: 4, sessions: 4, resets: 1})
+		w := newWorld(rapid.Bool().Draw(t, "slow"), modelLimits{tick: rapid.SampledFrom(ticks).Draw(t, "tick"), processes: 4, runs: 4, sessions: 4})
 		for range rapid.IntRange(10, 80).Draw(t, "events") {
 			var buffer [32]event
 			e := rapid.SampledFrom(w.events(buffer[:0])).Draw(t, "event")
--- a/job/evidence/later_process_test.go
+++ b/job/evidence/later_process_test.go
@@ -13,13 +13,13 @@
 	for name, play := range map[string][]event{
 		"machine listed without the earlier one": {{kind: refuseCall}, {kind: crash}, {kind: advance}, {kind: sendStart}, {kind: listMachine},
 			{kind: boot}, {kind: carryOut}, {kind: drop}},
-		"closed port of the earlier one": {{kind: announce}, {kind: exitArrives}, {kind: crash}, {kind: sendHold}, {kind: refuseCall, call: 1},
-			{kind: sendHold}, {kind: refuseCall, call: 1}, {kind: boot}, {kind: carryOut}, {kind: drop}},
+		"reused address of the earlier one": {{kind: announce}, {kind: exitArrives}, {kind: crash}, {kind: sendHold}, {kind: otherAnswers, call: 1},
+			{kind: boot}, {kind: carryOut}, {kind: drop}},
 		"leases of the earlier one": {{kind: crash}, {kind: boot}, {kind: carryOut}, {kind: breakCall},
 			{kind: advance}, {kind: advance}, {kind: advance}, {kind: advance}, {kind: drop}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld(false, modelLimits{tick: time.Second, processes: 2, runs: 2, sessions: 1, resets: 1})
+			w := newWorld(false, modelLimits{tick: time.Second, processes: 2, runs: 2, sessions: 1})
 			w.apply(event{kind: sendStart})
 			for _, e := range play {
 				var buffer [32]event
--- a/job/evidence/model_test.go
+++ b/job/evidence/model_test.go
@@ -18,7 +18,6 @@
 //   - a call is received by a process that lives before its sender stops waiting, which may
 //     be a later one than the one it was meant for,
 //   - an order is carried out at most once, and within the worker's OrderDelay,
-//   - one connection may be refused between two answers although the process lives,
 //   - a new session of a term belongs to the process of the last one, and a new term to
 //     another process.
 
@@ -101,7 +100,7 @@
 	exitAnnounced bool
 	listedAsEnded bool
 	leftAt        time.Duration
-	closedPorts   uint8
+	addressReused bool
 	orderRun      uint8 // the run that order is about, 0 if none is known
 	order         Order
 	pendingStart  uint8
@@ -124,8 +123,7 @@
 type modelLimits struct {
 	tick            time.Duration // the longest step of time
 	processes, runs uint8
-	sessions uint64
-	resets   uint8 // refused connections between two answers although the process lives
+	sessions        uint64
 }
 
 // world is a state of the model. It is comparable and a copy is a snapshot.
@@ -136,8 +134,7 @@
 	process      modelProcess
 	processes    uint8 // that have started
 	diedAt       time.Duration
-	resets       uint8 // since the leader's last answer
-	leavePending bool  // an announced exit is in transit
+	leavePending bool // an announced exit is in transit
 	leader       modelLeader
 	sessions     uint64
 	calls        [modelCalls]call
@@ -178,13 +175,14 @@
 	carryOut
 	carryOutPartly // a hold whose answer lacks runs
 	deliverAnswer
-	breakCall   // the sender's connection ends without an answer
-	refuseCall  // no process accepts the connection, or a fault of the network looks like it
-	loseCall    // an order that nobody waits for is lost
-	complete    // the run ends by itself
-	forgetEnd   // the process no longer lists an end that is not in the log
-	announce    // the process sends its announcement that it exits, and serves on
-	exitArrives // the announcement reaches the leader
+	breakCall    // the sender's connection ends without an answer
+	refuseCall   // no process accepts the connection, or a fault of the network looks like it
+	otherAnswers // a process of another id answers at the address
+	loseCall     // an order that nobody waits for is lost
+	complete     // the run ends by itself
+	forgetEnd    // the process no longer lists an end that is not in the log
+	announce     // the process sends its announcement that it exits, and serves on
+	exitArrives  // the announcement reaches the leader
 	crash
 	boot
 	report
@@ -195,7 +193,7 @@
 )
 
 var eventNames = [...]string{"advance", "send start", "send stop", "send hold", "carry out", "carry out, partial list", "answer arrives", "connection breaks",
-	"connection refused", "order lost", "run completes", "end forgotten", "process announces exit", "announcement arrives", "process ends", "process starts", "report",
+	"connection refused", "another process answers", "order lost", "run completes", "end forgotten", "process announces exit", "announcement arrives", "process ends", "process starts", "report",
 	"machine listed without worker", "worker dropped", "new session", "new term"}
 
 type event struct {
@@ -230,7 +228,8 @@
 		addCall(reaches && c.open && c.kind == holdCall, carryOutPartly)
 		addCall(c.open && c.carriedOut, deliverAnswer)
 		addCall(c.open, breakCall)
-		addCall(c.open && inTransit && (w.process.number == 0 || w.resets < w.limits.resets), refuseCall)
+		addCall(c.open && inTransit, refuseCall)
+		addCall(c.open && inTransit && w.process.number == 0, otherAnswers)
 		addCall(!c.open && inTransit, loseCall)
 	}
 	alive := w.process.number > 0
@@ -325,10 +324,13 @@
 	case breakCall:
 		w.failCall(c)
 	case refuseCall:
-		w.resets++
 		refused := *c
 		*c = call{}
-		w.handleError(refused, &orders.NotSentError{ClosedPort: true})
+		w.handleError(refused, &orders.NotSentError{})
+	case otherAnswers:
+		refused := *c
+		*c = call{}
+		w.handleError(refused, &orders.RefusedError{Reason: orders.RefusedOtherProcess})
 	case loseCall:
 		*c = call{}
 	case complete:
@@ -405,7 +407,7 @@
 			*c = call{}
 		}
 	}
-	w.process, w.diedAt, w.resets = modelProcess{}, w.now, 0
+	w.process, w.diedAt = modelProcess{}, w.now
 }
 
 // carryOut has the process carry out an order.
@@ -535,9 +537,7 @@
 	if l.process == 0 {
 		return
 	}
-	if orders.NoProcess(err) {
-		l.closedPorts++
-	}
+	l.addressReused = l.addressReused || orders.OtherProcess(err)
 	switch {
 	case c.kind == startCall && FromAnswer(err) != None:
 		if c.run == w.placed {
@@ -563,7 +563,7 @@
 		return
 	}
 	if a.refused == "" {
-		l.closedPorts, w.resets = 0, 0
+		l.addressReused = false
 	}
 	switch c.kind {
 	case holdCall:
@@ -755,7 +755,7 @@
 		placed = 1
 	}
 	return FromProcess(Process{LeasesExpireBy: l.track.LeasesExpireBy(), SilentFor: w.now - l.track.LastContact, MaxSilence: modelMaxSilence,
-		ListedAsEnded: l.listedAsEnded, ExitAnnounced: l.exitAnnounced, ClosedPortSeen: int(l.closedPorts), Placed: placed, AnnouncedFor: w.now - l.leftAt}, w.now)
+		ListedAsEnded: l.listedAsEnded, ExitAnnounced: l.exitAnnounced, AddressReused: l.addressReused, Placed: placed, AnnouncedFor: w.now - l.leftAt}, w.now)
 }
 
 // endProof returns what frees the placed run, if there is one, when the process has ended.
--- a/job/orders/orders.go
+++ b/job/orders/orders.go
@@ -102,11 +102,7 @@
 
 // NotSentError reports an order that was not sent, since no connection could be
 // opened. It is never carried out.
-type NotSentError struct {
-	Err error
-	// ClosedPort reports that no process listens at the worker's address.
-	ClosedPort bool
-}
+type NotSentError struct{ Err error }
 
 // Error implements error.
 func (e *NotSentError) Error() string {
@@ -123,12 +119,12 @@
 	return errors.As(err, &refused) || errors.As(err, &notSent)
 }
 
-// NoProcess reports whether a failed order shows that the worker's process does not listen
-// at its address: nothing does, or another process.
-func NoProcess(err error) bool {
+// OtherProcess reports whether a process of another id has answered an order, so that the
+// worker's process does not listen at its address any more. A refused connection does not
+// show that: the network may have refused it.
+func OtherProcess(err error) bool {
 	var refused *RefusedError
-	var notSent *NotSentError
-	return errors.As(err, &refused) && refused.Reason == RefusedOtherProcess || errors.As(err, &notSent) && notSent.ClosedPort
+	return errors.As(err, &refused) && refused.Reason == RefusedOtherProcess
 }
 
 // Workers sends orders to workers. After a RefusedError or a NotSentError the order
--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -207,17 +207,19 @@
 }
 
 // Guards against waiting for the leases of a worker that has exited as it announced, and
-// against an end that one closed port proves.
-func TestExitedWorkerIsDroppedOnceItsPortIsClosed(t *testing.T) {
+// against an end that refused connections prove: a fault of the network may refuse them.
+func TestExitedWorkerIsDroppedOnceItsAddressIsReused(t *testing.T) {
 	is := is.New(t)
 	s, w, now := newLeavingFixture(t, true)
-	refused := &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
-	w.countClosedPort(refused)
+	refused := &orders.NotSentError{Err: errors.New("connection refused")}
+	for range 9 {
+		w.noteAddress(refused)
+	}
 	is.True(!s.dropped(w, now+time.Second))
-	w.countClosedPort(nil) // it answers
-	w.countClosedPort(refused)
+	w.noteAddress(nil) // it answers
+	w.noteAddress(refused)
 	is.True(!s.dropped(w, now+time.Second))
-	w.countClosedPort(&orders.RefusedError{Reason: orders.RefusedOtherProcess})
+	w.noteAddress(&orders.RefusedError{Reason: orders.RefusedOtherProcess})
 	is.True(s.dropped(w, now+time.Second))
 }
 
--- a/process/jobs/relay_codec.go
+++ b/process/jobs/relay_codec.go
@@ -82,7 +82,7 @@
 	case errors.As(err, &refused):
 		outcome.Kind, outcome.Reason, outcome.ClockMs = jobpb.OrderOutcome_REFUSED, string(refused.Reason), refused.ClockMs
 	case errors.As(err, &notSent):
-		outcome.Kind, outcome.Reason, outcome.ClosedPort = jobpb.OrderOutcome_NOT_SENT, notSent.Err.Error(), notSent.ClosedPort
+		outcome.Kind, outcome.Reason = jobpb.OrderOutcome_NOT_SENT, notSent.Err.Error()
 	default:
 		outcome.Kind, outcome.Reason = jobpb.OrderOutcome_UNKNOWN, err.Error()
 	}
@@ -97,7 +97,7 @@
 	case jobpb.OrderOutcome_REFUSED:
 		return &orders.RefusedError{Reason: orders.Reason(o.Reason), ClockMs: o.ClockMs}
 	case jobpb.OrderOutcome_NOT_SENT:
-		return &orders.NotSentError{Err: errors.New(o.Reason), ClosedPort: o.ClosedPort}
+		return &orders.NotSentError{Err: errors.New(o.Reason)}
 	}
 	return errors.New(o.Reason)
 }
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -182,9 +182,9 @@
 		is.Equal(*refused, orders.RefusedError{Reason: orders.RefusedFence, ClockMs: 12})
 		p.remote.err = &orders.NotSentError{Err: errors.New("no connection")}
 		is.True(orders.NeverCarriedOut(p.start(ctx)))
-		is.True(!orders.NoProcess(p.start(ctx))) // the relay may lack the connection
-		p.remote.err = &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
-		is.True(orders.NoProcess(p.start(ctx)))
+		is.True(!orders.OtherProcess(p.start(ctx)))
+		p.remote.err = &orders.RefusedError{Reason: orders.RefusedOtherProcess}
+		is.True(orders.OtherProcess(p.start(ctx)))
 	})
 }
 
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -53,7 +53,7 @@
 func (s *session) handleRunList(w *workerState, sent time.Duration, o orders.HoldOrder, list *orders.RunList, err error) {
 	now := s.now()
 	w.holding = false
-	w.countClosedPort(err)
+	w.noteAddress(err)
 	if s.workers[w.info.Id] != w {
 		return
 	}
--- a/process/jobs/run_lists_test.go
+++ b/process/jobs/run_lists_test.go
@@ -48,7 +48,7 @@
 	w.setReported(s.now(), 0)
 	is.True(s.isUsable("idle"))
 	is.True(!s.wantsList(s.now(), w, nil))
-	s.handleRunList(w, s.now(), orders.HoldOrder{}, nil, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true})
+	s.handleRunList(w, s.now(), orders.HoldOrder{}, nil, &orders.NotSentError{Err: errors.New("connection refused")})
 	w.track.SampleClock(s.now(), 1000) // a report
 	is.True(!s.isUsable("idle"))
 	is.True(s.wantsList(s.now(), w, nil))
--- a/process/jobs/simulation_recut_test.go
+++ b/process/jobs/simulation_recut_test.go
@@ -15,6 +15,7 @@
 var simRecutSeeds = []uint64{
 	5,  // a list of machines freed a run whose start was on its way to the later process
 	17, // the same, with many tasks
+	73, // a leaving worker that refused connections for a while counted as ended
 }
 
 // orderDelay returns the longest delay of a late order.
--- a/process/jobs/simulation_worker_test.go
+++ b/process/jobs/simulation_worker_test.go
@@ -120,10 +120,10 @@
 	switch {
 	case w.refused():
 		s.mu.Unlock()
-		return 0, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
+		return 0, &orders.NotSentError{Err: errors.New("connection refused")}
 	case w.unreachable() && w.exited && fault%2 == 0:
 		s.mu.Unlock()
-		return 0, &orders.NotSentError{Err: errors.New("connection refused"), ClosedPort: true}
+		return 0, &orders.NotSentError{Err: errors.New("connection refused")}
 	case w.exited && s.options.sameIDs:
 		s.mu.Unlock()
 		later := w.awaitSuccessor(ctx)
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -62,7 +62,7 @@
 		clockMs, err := s.sender.Stop(ctx, to, o)
 		cancel()
 		s.post(func() {
-			w.countClosedPort(err)
+			w.noteAddress(err)
 			s.sampleAnswerClock(w, clockMs, err)
 			s.logOrder("stop", w, task, run, err)
 			onAnswer(err == nil)
@@ -70,14 +70,10 @@
 	}()
 }
 
-// countClosedPort counts the calls in a row that found no process of the worker's id.
-func (w *workerState) countClosedPort(err error) {
-	switch {
-	case err == nil:
-		w.closedPorts = 0
-	case orders.NoProcess(err):
-		w.closedPorts++
-	}
+// noteAddress notes whether a process of the worker's id has answered a call to its address,
+// or another one.
+func (w *workerState) noteAddress(err error) {
+	w.addressReused = err != nil && (w.addressReused || orders.OtherProcess(err))
 }
 
 func (s *session) logOrder(kind string, w *workerState, task *jobpb.TaskRef, run uint32, err error) {
@@ -185,7 +181,7 @@
 	key := state.Key(start.Task)
 	now := s.now()
 	s.pendingStarts.removeRun(key, start.Run)
-	w.countClosedPort(err)
+	w.noteAddress(err)
 	s.sampleAnswerClock(w, clockMs, err)
 	s.logOrder("start", w, start.Task, start.Run, err)
 	s.c.metrics.startSeconds.Observe((now - sent).Seconds())
--- a/process/jobs/worker_end.go
+++ b/process/jobs/worker_end.go
@@ -41,7 +41,7 @@
 	}
 	proof := evidence.FromProcess(evidence.Process{
 		LeasesExpireBy: w.track.LeasesExpireBy(), SilentFor: s.silence(now, w), MaxSilence: dropAfterReports * s.c.o.Bounds.ReportInterval,
-		ListedAsEnded: w.listedAsEnded, ExitAnnounced: w.announcedExit, ClosedPortSeen: w.closedPorts, Placed: len(placed), AnnouncedFor: now - w.leftAt,
+		ListedAsEnded: w.listedAsEnded, ExitAnnounced: w.announcedExit, AddressReused: w.addressReused, Placed: len(placed), AnnouncedFor: now - w.leftAt,
 	}, now)
 	if proof == evidence.None {
 		return false
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -68,10 +68,10 @@
 	endUnsettled bool
 	// absentAt is when the latest list of machines was requested that shows no process under
 	// its id, 0 if none does.
-	absentAt    time.Duration
-	closedPorts int // calls in a row that found no process of its id at its address
-	endRecorded bool
-	heldCrashes map[state.TaskKey]*jobpb.End // of runs that may have crashed it and are not known to be over
+	absentAt      time.Duration
+	addressReused bool // since its last answer, a process of another id has answered at its address
+	endRecorded   bool
+	heldCrashes   map[state.TaskKey]*jobpb.End // of runs that may have crashed it and are not known to be over
 	// predecessor is the registered process under the worker's id, nil if this one is.
 	predecessor        *workerState
 	registering        bool           // its registration is in the log's next entries
