--- a/cmd/marjoramtiller-platform/control.go
+++ b/cmd/marjoramtiller-platform/control.go
@@ -24,7 +24,7 @@
 	log.Info().Str("replica", name).Bool("founder", len(initialVoters) > 0).Msg("identified")
 	client := platform.NewClient(s)
 	options := jobs.ControlOptions{
-		Name: name, InitialVoters: initialVoters, Seeds: s.SeedsInternal, Dir: filepath.Join(s.Dir, "jobs"), Listen: s.Internal, IP: s.IP,
+		Name: name, InitialVoters: initialVoters, Seeds: s.SeedsInternal, Dir: filepath.Join(s.Dir, "jobs"), DiskBytes: s.DiskBytes, Listen: s.Internal, IP: s.IP,
 		BootID: bootID, Cluster: cluster, Seed: electionSeed(bootID), Bounds: s.Bounds, Workers: client, Clock: replica.BootClock(), Logger: log,
 	}
 	if s.MachineService != "" {
--- a/process/control/server.go
+++ b/process/control/server.go
@@ -59,7 +59,10 @@
 	DataFolder      string
 	LedgerGroups    int
 	SnapshotEntries uint64
-	DrainDeadline   time.Duration
+	// DiskBytes is the space that all groups may take in DataFolder, divided evenly among
+	// them; 0 means no limit.
+	DiskBytes     int64
+	DrainDeadline time.Duration
 	// ReturnDeadline is how long a host may be out before it is marked as failed.
 	ReturnDeadline time.Duration
 	// Platform is nil if no platform is configured. A host then returns from
@@ -173,6 +176,7 @@
 		Logger:          s.log,
 		Seed:            s.options.Seed,
 		SnapshotEntries: s.options.SnapshotEntries,
+		DiskBytes:       s.options.DiskBytes / int64(1+s.options.LedgerGroups),
 		OnFatal:         s.replicaFailed,
 	})
 	if err != nil {
--- a/process/jobs/commit.go
+++ b/process/jobs/commit.go
@@ -4,10 +4,12 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/schedule"
+	"marjoramtiller.example/marjoramtiller/process/replica"
 	"marjoramtiller.example/marjoramtiller/process/storage"
 )
 
@@ -17,6 +19,8 @@
 	maxBatchEntries = 2048
 	maxBatchBytes   = storage.MaxEntryBytes
 	maxStartBytes   = 1 << 10 // of one encoded start; worker ids are far shorter
+	// spaceLogInterval is the time between two log lines about changes that wait for space.
+	spaceLogInterval = time.Second
 )
 
 // add puts a change into the next log entry. onResult is called on the session's
@@ -71,8 +75,11 @@
 }
 
 // nextBatch removes the next changes that fit into one log entry from the batch, in their
-// order, and returns them encoded. A change that no entry can hold fails alone.
+// order, and returns them encoded. A change that no entry can hold fails alone, and so does
+// a large one that the log has no space for until its next snapshot. Small changes wait for
+// that snapshot.
 func (s *session) nextBatch() (data []byte, waiters []func(bool, error)) {
+	disk := s.c.group.Status().Disk
 	for len(s.batch) > 0 && len(waiters) < maxBatchEntries {
 		e, onResult := s.batch[0], s.waiters[0]
 		// Encoded messages of one type that follow each other decode as one message with
@@ -81,9 +88,18 @@
 		if err == nil && len(encoded) > maxBatchBytes {
 			err = &storage.TooLargeError{Size: len(encoded), Limit: maxBatchBytes}
 		}
+		if err == nil && disk.IsLargeCommand(len(encoded)) {
+			err = disk.CheckCommand(len(encoded))
+		}
 		if err == nil && len(data)+len(encoded) > maxBatchBytes {
 			break
 		}
+		if err == nil {
+			if full := disk.CheckTotal(len(data) + len(encoded)); full != nil {
+				s.logWaitForSpace(full)
+				break
+			}
+		}
 		s.batch, s.waiters = s.batch[1:], s.waiters[1:]
 		s.batchBytes -= batchSize(e)
 		if err != nil {
@@ -99,10 +115,32 @@
 // rejectChange fails a change that can't be stored. It was not proposed, so the session
 // goes on.
 func (s *session) rejectChange(e *jobpb.Entry, onResult func(bool, error), err error) {
+	err = s.refuseChange(e, err)
+	if onResult != nil {
+		onResult(false, err)
+	}
+}
+
+// refuseChange logs and counts a change that can't be stored. It returns the error for the
+// change's sender: a DiskBudgetError if the change may be sent again later, else an
+// UnstorableError.
+func (s *session) refuseChange(e *jobpb.Entry, err error) error {
+	var overBudget *replica.DiskBudgetError
+	if errors.As(err, &overBudget) {
+		s.log.Warn().Err(err).Type("change", e.GetChange()).Int("bytes", batchSize(e)).Msg("change refused: the log has no space for it until its next snapshot")
+		s.c.metrics.changesOverBudget.Inc()
+		return err
+	}
 	s.log.Error().Err(err).Type("change", e.GetChange()).Int("bytes", batchSize(e)).Msg("change rejected: the log can't hold it")
 	s.c.metrics.changesRejected.Inc()
-	if onResult != nil {
-		onResult(false, &UnstorableError{Err: err})
+	return &UnstorableError{Err: err}
+}
+
+// logWaitForSpace logs, at most once per spaceLogInterval, that changes wait for a snapshot.
+func (s *session) logWaitForSpace(err error) {
+	if now := s.now(); now >= s.nextSpaceLog {
+		s.nextSpaceLog = now + spaceLogInterval
+		s.log.Warn().Err(err).Int("changes", len(s.batch)).Msg("changes wait: the log has no space for them until its next snapshot")
 	}
 }
 
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -28,6 +28,7 @@
 	InitialVoters []string // empty for a replica that joins
 	Seeds         []string // internal addresses of control processes
 	Dir           string
+	DiskBytes     int64  // size of the disk that holds Dir, 0 if unknown
 	Listen        string // internal address
 	IP            string
 	BootID        string
@@ -125,6 +126,7 @@
 	r, err := replica.Open(replica.Options{
 		ID: o.Name, Group: Group, Voters: o.InitialVoters, Dir: o.Dir, StateMachine: c.store,
 		Transport: transport{c.pool}, Clock: o.Clock, Logger: o.Logger, Seed: o.Seed, SnapshotEntries: snapshotEntries,
+		DiskBytes: o.DiskBytes,
 	})
 	if err != nil {
 		cancel()
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -17,6 +17,8 @@
 	tasksGivenUp  prometheus.Counter
 	// changesRejected counts the changes that the log can't hold.
 	changesRejected prometheus.Counter
+	// changesOverBudget counts the changes refused until the log has space for them.
+	changesOverBudget prometheus.Counter
 	// unplacedRuns counts the stops of runs that a worker lists and the log does not place there.
 	unplacedRuns prometheus.Counter
 }
@@ -39,6 +41,8 @@
 			Name: "marjoramtiller_jobs_tasks_given_up_total", Help: "Tasks that were given up because they crash the workers that start them."}),
 		changesRejected: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "marjoramtiller_jobs_changes_rejected_total", Help: "Changes that were rejected because the log can't hold them."}),
+		changesOverBudget: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marjoramtiller_jobs_changes_over_disk_budget_total", Help: "Changes that were refused because the log has used up its part of the disk."}),
 		unplacedRuns: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "marjoramtiller_jobs_unplaced_runs_stopped_total", Help: "Stops of runs that a worker lists and the log does not place there."}),
 	}
@@ -60,5 +64,5 @@
 // Collectors returns the metrics of a control process.
 func (c *Control) Collectors() []prometheus.Collector {
 	return []prometheus.Collector{c.metrics.orders, c.metrics.commitSeconds, c.metrics.startSeconds, c.metrics.workersEnded, c.metrics.runsLost, c.metrics.tasksGivenUp,
-		c.metrics.changesRejected, c.metrics.unplacedRuns}
+		c.metrics.changesRejected, c.metrics.changesOverBudget, c.metrics.unplacedRuns, c.replica}
 }
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -46,6 +46,7 @@
 	batch           []*jobpb.Entry
 	batchBytes      int                             // encoded size of batch
 	waiters         []func(applied bool, err error) // callbacks of batch's entries; an element may be nil
+	nextSpaceLog    time.Duration                   // no earlier line says that changes wait for space in the log
 	inFlight        bool
 	dirty           bool          // the state may have changed since the last plan
 	nextPlanAt      time.Duration // time of the next plan if nothing changes
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -28,18 +28,23 @@
 	var large *storage.TooLargeError
 	var unavailable *UnavailableError
 	var unstorable *UnstorableError
+	var overBudget *replica.DiskBudgetError
 	var unknown *replica.OutcomeUnknownError
 	if errors.As(err, &unknown) {
 		return false
 	}
 	return errors.As(err, &notLeader) || errors.As(err, &notProposed) || errors.As(err, &stopped) ||
 		errors.As(err, &busy) || storage.Retryable(err) || errors.As(err, &large) || errors.As(err, &unavailable) ||
-		errors.As(err, &unstorable)
+		errors.As(err, &unstorable) || errors.As(err, &overBudget)
 }
 
 // proposeChange puts a change into the log and waits for its outcome. After an error
-// for which neverApplied is false the change may or may not have been applied.
+// for which neverApplied is false the change may or may not have been applied. A change that
+// the log has no space for is refused at once.
 func (s *session) proposeChange(ctx context.Context, e *jobpb.Entry) (applied bool, err error) {
+	if err := s.c.group.Status().Disk.CheckCommand(batchSize(e)); err != nil {
+		return false, s.refuseChange(e, err)
+	}
 	type outcome struct {
 		applied bool
 		err     error
--- a/process/replica/options.go
+++ b/process/replica/options.go
@@ -107,7 +107,11 @@
 	HeartbeatInterval  time.Duration // 150 ms if 0
 	ElectionTimeoutMin time.Duration // 1 s if 0
 	ElectionTimeoutMax time.Duration // 2 s if 0
-	SnapshotEntries    uint64        // applied entries between snapshots, 512 if 0
+	SnapshotEntries    uint64        // applied entries after which a snapshot is due, 512 if 0; see also DiskBytes
+	// DiskBytes is the size of the disk, or of the part of it that this replica may use.
+	// Snapshots are then also due by the size of the log, and commands that would leave no
+	// space for the next snapshot are refused. 0 means that the size is not known.
+	DiskBytes int64
 	// SnapshotChunkBytes is the size of the chunks in which a snapshot is sent,
 	// 1 MiB if 0. It must be below the transport's limit for a message.
 	SnapshotChunkBytes int
@@ -118,7 +122,7 @@
 	// of an error such as a broken invariant or a failed sync.
 	OnFatal func(error)
 
-	segmentBytes int64 // size at which the store creates a new log segment; the store's default if 0
+	segmentBytes int64 // size at which the store creates a new log segment; follows from DiskBytes if 0
 }
 
 const (
@@ -140,6 +144,9 @@
 	if o.Tick == 0 {
 		o.Tick = defaultTick
 	}
+	if o.DiskBytes < 0 {
+		return fmt.Errorf("replica: Options.DiskBytes is %d; set it to the size of the disk, or to 0 if it is not known", o.DiskBytes)
+	}
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
@@ -149,6 +156,9 @@
 	if o.MaxSnapshotBytes == 0 {
 		o.MaxSnapshotBytes = defaultMaxSnapshotBytes
 	}
+	if o.segmentBytes == 0 {
+		o.segmentBytes = diskBudget{o.DiskBytes}.segmentBytes(storage.DefaultSegmentBytes)
+	}
 	return nil
 }
 
@@ -199,6 +209,7 @@
 	// can have been elected by the time of the call to Replica.Status.
 	LeaseValid bool
 	DiskFull   bool
+	Disk       DiskUsage
 	// Err is the error that stopped the replica, nil while it runs.
 	Err error
 }
--- a/process/replica/replica.go
+++ b/process/replica/replica.go
@@ -41,7 +41,11 @@
 	retryStore       bool                 // a tick has passed since the last attempt to store stalledReady
 	snapshot         *wirepb.RaftSnapshot // the latest stored snapshot
 	savingSnapshot   bool                 // a snapshot is being encoded and stored
-	nextSnapshotAt   time.Duration        // no snapshot is started before this time
+	budget           diskBudget
+	queuedBytes      int64         // size of the proposals accepted since the log was last written
+	appliedBytes     int64         // size of the entries applied since the last snapshot was begun or installed
+	delayingAppends  bool          // the log is over its limit: entries wait until a snapshot is stored
+	nextSnapshotAt   time.Duration // no snapshot is started before this time
 	snapshotResults  chan snapshotResult
 	outgoing         map[string]*transfer // snapshots being sent, by receiver
 	incoming         *partialSnapshot     // the snapshot being received, nil if none
@@ -102,6 +106,7 @@
 		pendingProposals: map[uint64]*proposal{},
 		pendingReads:     map[uint64]*pendingRead{},
 		outgoing:         map[string]*transfer{},
+		budget:           diskBudget{o.DiskBytes},
 	}
 	r.metrics.init(o.Group)
 	if err := r.start(state); err != nil {
@@ -132,10 +137,11 @@
 	rng := rand.New(rand.NewPCG(r.options.Seed, r.options.Seed))
 	core, err := consensus.New(consensus.Config{
 		ID: r.options.ID, Group: r.options.Group, Incarnation: incarnation,
-		HeartbeatInterval:  r.options.HeartbeatInterval,
-		ElectionTimeoutMin: r.options.ElectionTimeoutMin,
-		ElectionTimeoutMax: r.options.ElectionTimeoutMax,
-		Rand:               rng.Int64N,
+		HeartbeatInterval:   r.options.HeartbeatInterval,
+		ElectionTimeoutMin:  r.options.ElectionTimeoutMin,
+		ElectionTimeoutMax:  r.options.ElectionTimeoutMax,
+		MaxUncommittedBytes: r.budget.maxUncommittedBytes(),
+		Rand:                rng.Int64N,
 	}, r.options.Clock.Now(), consensus.Initial{HardState: state.HardState, Snapshot: state.Snapshot, Entries: state.Entries})
 	if err != nil {
 		return err
@@ -167,9 +173,11 @@
 }
 
 // Propose replicates a command and returns the state machine's result. The
-// errors NotLeaderError, NotProposedError, StoppedError, consensus.BusyError,
-// storage.DiskFullError, storage.DescriptorsError and storage.TooLargeError mean that
-// the command is never applied; OutcomeUnknownError means that it may be applied.
+// errors NotLeaderError, NotProposedError, StoppedError, DiskBudgetError,
+// consensus.BusyError, storage.DiskFullError, storage.DescriptorsError and
+// storage.TooLargeError mean that the command is never applied; OutcomeUnknownError means
+// that it may be applied. A caller that may propose large commands asks
+// DiskUsage.CheckCommand first, so that these leave room for its other commands.
 func (r *Replica) Propose(ctx context.Context, command []byte) ([]byte, error) {
 	if len(command) == 0 {
 		return nil, errors.New("replica: the command is empty")
@@ -390,7 +398,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.status = Status{Status: s, Applied: r.applied, DiskFull: r.stalledReady != nil, Err: r.status.Err}
+	r.status = Status{Status: s, Applied: r.applied, DiskFull: r.stalledReady != nil, Disk: r.diskUsage(), Err: r.status.Err}
 	r.status.BrokenInvariant = r.core.BrokenInvariant()
 }
 
--- a/process/replica/run.go
+++ b/process/replica/run.go
@@ -73,6 +73,9 @@
 	if r.stalledReady != nil || m.Group != r.options.Group || m.To != r.options.ID {
 		return
 	}
+	if m.Type == wirepb.RaftMessage_TYPE_APPEND && r.mustDelayAppend(m) {
+		return
+	}
 	switch m.Type {
 	case wirepb.RaftMessage_TYPE_SNAPSHOT_CHUNK:
 		r.handleChunk(m)
@@ -92,7 +95,7 @@
 	if p.change != nil {
 		p.index, p.term, err = r.core.ChangeVoter(*p.change)
 	} else {
-		p.index, p.term, err = r.core.Propose(p.command)
+		p.index, p.term, err = r.proposeWithinBudget(p.command)
 	}
 	if err != nil {
 		p.result <- outcome{err: err}
@@ -123,6 +126,7 @@
 		if stored, err := r.persistReady(&rd); err != nil || !stored {
 			return err
 		}
+		r.queuedBytes = 0
 		r.send(rd.AfterSync)
 		if err := r.apply(&rd); err != nil {
 			return err
@@ -199,6 +203,7 @@
 		}
 		r.applied = s.Index
 		r.snapshot = s
+		r.appliedBytes = 0
 	}
 	for _, e := range rd.Committed {
 		r.applyEntry(e)
@@ -216,6 +221,7 @@
 		result = r.options.StateMachine.Apply(e.Index, e.Data)
 	}
 	r.applied = e.Index
+	r.appliedBytes += int64(len(e.Data))
 	p := r.pendingProposals[e.Index]
 	if p == nil {
 		return
--- a/process/replica/snapshot.go
+++ b/process/replica/snapshot.go
@@ -14,16 +14,27 @@
 
 // snapshotResult is the result of encoding and storing a snapshot.
 type snapshotResult struct {
-	snapshot *wirepb.RaftSnapshot
-	err      error
+	snapshot     *wirepb.RaftSnapshot
+	coveredBytes int64 // size of the entries that it covers and the previous one does not
+	err          error
 }
 
-// startSnapshotIfDue begins a snapshot once SnapshotEntries entries were applied
-// since the last one. Only the view of the state machine is obtained on this
-// goroutine: encoding, writing and syncing a large state takes longer than an
-// election timeout and therefore runs on another goroutine.
+// snapshotDue reports whether the number or the size of the entries applied since the last
+// snapshot, or the size of the log, require another one.
+func (r *Replica) snapshotDue() bool {
+	entries := r.applied - r.snapshot.GetIndex()
+	if entries == 0 {
+		return false
+	}
+	limits := r.logLimits()
+	return entries >= r.options.SnapshotEntries || r.appliedBytes >= limits.snapshotDue || r.store.Usage().LogBytes >= limits.large
+}
+
+// startSnapshotIfDue begins a snapshot if one is due. Only the view of the state machine is
+// obtained on this goroutine: encoding, writing and syncing a large state takes longer than
+// an election timeout and therefore runs on another goroutine.
 func (r *Replica) startSnapshotIfDue() error {
-	if r.savingSnapshot || r.now() < r.nextSnapshotAt || r.applied-r.snapshot.GetIndex() < r.options.SnapshotEntries {
+	if r.savingSnapshot || r.now() < r.nextSnapshotAt || !r.snapshotDue() {
 		return nil
 	}
 	s := r.core.SnapshotMeta(r.applied)
@@ -35,6 +46,8 @@
 		return fmt.Errorf("replica: create a snapshot at index %d: %w", r.applied, err)
 	}
 	r.savingSnapshot = true
+	covered := r.appliedBytes
+	r.appliedBytes = 0
 	go func() {
 		data, err := encode()
 		if err != nil {
@@ -43,7 +56,7 @@
 			s.Data = data
 			err = r.store.SaveSnapshot(s)
 		}
-		r.snapshotResults <- snapshotResult{snapshot: s, err: err}
+		r.snapshotResults <- snapshotResult{snapshot: s, coveredBytes: covered, err: err}
 	}()
 	return nil
 }
@@ -66,6 +79,7 @@
 	if storage.Retryable(result.err) {
 		r.log.Warn().Err(result.err).Msg("could not store a snapshot; retrying later")
 		r.nextSnapshotAt = r.now() + snapshotRetryDelay
+		r.appliedBytes += result.coveredBytes
 		return nil
 	}
 	if result.err != nil {
@@ -81,6 +95,13 @@
 	// followers can catch up without a snapshot.
 	r.core.Compact(s.Index, base)
 	err := r.store.Compact(s.Index)
+	usage := r.store.Usage()
+	r.log.Debug().Uint64("snapshot", s.Index).Int64("snapshot_bytes", usage.SnapshotBytes).Int64("log_bytes", usage.LogBytes).Msg("snapshot stored")
+	if usage.LogBytes >= r.logLimits().large {
+		// Entries that are not committed take the space; a snapshot of each entry that
+		// is committed next would free little.
+		r.nextSnapshotAt = r.now() + snapshotRetryDelay
+	}
 	if storage.Retryable(err) {
 		r.log.Warn().Err(err).Uint64("snapshot", s.Index).Msg("could not remove old log segments; they are removed after the next snapshot")
 		return nil
--- a/process/service/control.go
+++ b/process/service/control.go
@@ -67,6 +67,7 @@
 		DataFolder:      s.DataFolder,
 		LedgerGroups:    s.LedgerGroups,
 		SnapshotEntries: uint64(s.SnapshotEntries),
+		DiskBytes:       int64(s.DiskMB) << 20,
 		DrainDeadline:   s.DrainDeadline,
 		ReturnDeadline:  returnDeadline,
 		Platform:        client,
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -61,6 +61,7 @@
 		{"control", "platform_url", "", true, ControlProgram, "Base URL of the platform's API.", "write http:// or https://, an IP address, a port and no query", parsePlatformURL},
 		{"control", "drain_deadline", "10m", false, ControlProgram, "Time after which work on a draining host is checkpointed or moved.", "use a duration from 1s to 24h, such as 10m", durationBetween("1s", "24h")},
 		{"control", "snapshot_entries", "512", false, ControlProgram, "Log entries between two snapshots.", "use 16 to 65536", integerBetween(16, 65536)},
+		{"control", "disk_mb", "0", false, ControlProgram, "Space in MiB that the data folder may take, divided evenly among the groups. Snapshots are then also due by the size of the log, and commands that would leave no space for a snapshot are refused. 0 means no limit.", "use 0, or 64 to 16777216", zeroOrIntegerBetween(64, 1<<24)},
 		{"client", "operator", "", true, ClientProgram, "Name of the operator, recorded with each change.", "use letters, digits, '-', '_' and '.'", parseName},
 		{"client", "control", "", true, ClientProgram, "Operators' listeners of the control processes, separated by spaces.", addressRemedy, parseAddresses},
 		{"client", "job_control", "", false, ClientProgram, "Observe listeners of the control processes for jobs, separated by spaces: the commands `queues`, `runs`, `machines` and `waves` query them.", addressRemedy, parseOptionalAddresses},
--- a/process/settings/parse.go
+++ b/process/settings/parse.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// zeroOrIntegerBetween allows 0 besides the whole numbers from minimum to maximum.
+func zeroOrIntegerBetween(minimum, maximum int) parser {
+	between := integerBetween(minimum, maximum)
+	return func(value string) (any, error) {
+		if value == "0" {
+			return 0, nil
+		}
+		return between(value)
+	}
+}
+
 func numberBetween(minimum, maximum float64) parser {
 	return func(value string) (any, error) {
 		n, err := strconv.ParseFloat(value, 64)
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -23,6 +23,7 @@
 		PlatformURL:       parsedValue[string](v, "control", "platform_url"),
 		DrainDeadline:     parsedValue[time.Duration](v, "control", "drain_deadline"),
 		SnapshotEntries:   parsedValue[int](v, "control", "snapshot_entries"),
+		DiskMB:            parsedValue[int](v, "control", "disk_mb"),
 		Timeouts:          v.timeouts(),
 		Titles:            v.titles("report-titles"),
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -62,6 +62,7 @@
 	PlatformURL       string
 	DrainDeadline     time.Duration
 	SnapshotEntries   int // log entries between two snapshots
+	DiskMB            int // space that the data folder may take, in MiB; 0: no limit
 	Timeouts          Timeouts
 	Titles            map[string]string // report column to title
 }
--- a/process/storage/load.go
+++ b/process/storage/load.go
@@ -94,6 +94,7 @@
 		return err
 	}
 	_ = s.file.Close()
+	s.segments[len(s.segments)-1].bytes = s.size
 	s.file, s.size, s.dirty = file, size, false
 	s.segments = append(s.segments, segment{number: next})
 	return nil
@@ -232,7 +233,7 @@
 	if err != nil {
 		return fmt.Errorf("storage: read %s: %w", name, err)
 	}
-	seg := segment{number: number}
+	seg := segment{number: number, bytes: int64(len(data))}
 	offset, lastRecord := 0, 0
 	for offset < len(data) {
 		b, n, err := decodeRecord(data[offset:])
--- a/process/storage/snapshot.go
+++ b/process/storage/snapshot.go
@@ -39,7 +39,7 @@
 	if snap.Index < s.snapshotIndex {
 		return s.fs.Remove(s.path(localSnapshotTmp))
 	}
-	return s.stopOnSyncError(s.commitSnapshot(localSnapshotTmp, snap.Index))
+	return s.stopOnSyncError(s.commitSnapshot(localSnapshotTmp, snap.Index, len(data)))
 }
 
 // InstallSnapshot stores a snapshot received from the leader in place of the
@@ -56,20 +56,29 @@
 		return s.stopOnSyncError(err)
 	}
 	s.snapshotMu.Lock()
-	err = s.commitSnapshot(leaderSnapshotTmp, snap.Index)
+	err = s.commitSnapshot(leaderSnapshotTmp, snap.Index, len(data))
 	s.snapshotMu.Unlock()
 	if err != nil {
 		return s.stopOnSyncError(err)
 	}
 	start := &wirepb.RaftSnapshot{Index: snap.Index, Term: snap.Term, Voters: snap.Voters}
-	return s.write(&batch{reset: start}, false, nil)
+	if err := s.write(&batch{reset: start}, false, nil); err != nil {
+		return err
+	}
+	// The open segment begins with the hard state and now holds the reset, so nothing in the
+	// older ones counts any more. Those that can't be removed now are removed by Compact.
+	if err := s.removeOldestSegments(len(s.segments) - 1); err != nil && !Retryable(err) {
+		return err
+	}
+	return nil
 }
 
-func (s *Store) commitSnapshot(tmp string, index uint64) error {
+// commitSnapshot makes the temporary file tmp, with size bytes of data, the stored snapshot.
+func (s *Store) commitSnapshot(tmp string, index uint64, size int) error {
 	if err := s.commitTempFile(tmp, snapshotName); err != nil {
 		return err
 	}
-	s.snapshotIndex = index
+	s.snapshotIndex, s.snapshotBytes = index, int64(headerBytes+size)
 	return nil
 }
 
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -20,11 +20,12 @@
 type Options struct {
 	FS  FS // OS{} if nil
 	Dir string
-	// SegmentBytes is the size at which a new segment is created, 1 MiB if 0.
+	// SegmentBytes is the size at which a new segment is created, DefaultSegmentBytes if 0.
 	SegmentBytes int64
 }
 
-const defaultSegmentBytes = 1 << 20
+// DefaultSegmentBytes is the default of Options.SegmentBytes.
+const DefaultSegmentBytes = 1 << 20
 
 // State is the durable state that Open has read.
 type State struct {
@@ -50,13 +51,33 @@
 	hardState    *wirepb.RaftHardState
 	err          atomic.Pointer[error]
 
-	snapshotMu    sync.Mutex // held while the snapshot file is replaced; guards snapshotIndex
+	snapshotMu    sync.Mutex // held while the snapshot file is replaced; guards the fields below
 	snapshotIndex uint64     // index of the stored snapshot
+	snapshotBytes int64      // size of its file
 }
 
 type segment struct {
 	number    uint64
 	lastIndex uint64 // highest index of its entries
+	bytes     int64  // size of its file; not maintained for the open segment, see Store.size
+}
+
+// Usage is the disk space that a Store's log and snapshot take.
+type Usage struct {
+	LogBytes      int64 // all segments
+	SnapshotBytes int64 // the stored snapshot, without one that is being written
+}
+
+// Usage returns the disk space in use.
+func (s *Store) Usage() Usage {
+	u := Usage{LogBytes: s.size}
+	for _, seg := range s.segments[:len(s.segments)-1] {
+		u.LogBytes += seg.bytes
+	}
+	s.snapshotMu.Lock()
+	defer s.snapshotMu.Unlock()
+	u.SnapshotBytes = s.snapshotBytes
+	return u
 }
 
 func segmentName(number uint64) string { return fmt.Sprintf("log-%016x", number) }
@@ -81,7 +102,7 @@
 		options.FS = OS{}
 	}
 	if options.SegmentBytes == 0 {
-		options.SegmentBytes = defaultSegmentBytes
+		options.SegmentBytes = DefaultSegmentBytes
 	}
 	s := &Store{fs: options.FS, dir: options.Dir, segmentBytes: options.SegmentBytes}
 	if err := CreateFolder(s.fs, s.dir); err != nil {
@@ -94,7 +115,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s.snapshotIndex = state.Snapshot.GetIndex()
+	if state.Snapshot != nil {
+		s.snapshotIndex = state.Snapshot.Index
+		s.snapshotBytes = int64(headerBytes + proto.Size(state.Snapshot))
+	}
 	return s, state, nil
 }
 
@@ -233,15 +257,26 @@
 const itemOverheadBytes = 11 // item kind and the longest varint
 
 // Compact removes the oldest segments whose entries all have index or a lower
-// index. The open segment is kept.
+// index. The open segment is kept unless it is full: one record can make it many times
+// as large as a segment is meant to be.
 func (s *Store) Compact(index uint64) error {
 	if err := s.stopError(); err != nil {
 		return err
 	}
+	if s.size >= s.segmentBytes {
+		if err := s.rotate(); err != nil {
+			return err
+		}
+	}
 	n := 0
 	for n < len(s.segments)-1 && s.segments[n].lastIndex <= index {
 		n++
 	}
+	return s.removeOldestSegments(n)
+}
+
+// removeOldestSegments removes the first n segments.
+func (s *Store) removeOldestSegments(n int) error {
 	if n == 0 {
 		return nil
 	}
--- a/process/storage/store_test.go
+++ b/process/storage/store_test.go
@@ -311,3 +311,46 @@
 	_, state := open(t, fsys)
 	is.True(equalEntries(state.Entries, testEntries(1, last, 1)))
 }
+
+// Guards against a log whose size is not known or that keeps segments which a snapshot, its
+// own or its leader's, has made useless.
+func TestUsageFollowsCompactionAndInstalledSnapshots(t *testing.T) {
+	is := is.New(t)
+	fsys := newMemFS()
+	store, _ := open(t, fsys)
+	logFiles := func() (total int64) {
+		for _, name := range fsys.segments() {
+			total += int64(len(fsys.files[name].data))
+		}
+		return total
+	}
+	fill(t, store, 20)
+	is.Equal(store.Usage(), Usage{LogBytes: logFiles()})
+	before := logFiles()
+	is.NoErr(store.SaveSnapshot(&wirepb.RaftSnapshot{Index: 20, Term: 1, Data: []byte("state")}))
+	is.NoErr(store.Compact(20))
+	is.Equal(store.Usage().LogBytes, logFiles())
+	is.True(logFiles() < before/4)
+	is.Equal(store.Usage().SnapshotBytes, int64(len(fsys.files[testDir+"/snapshot"].data)))
+	is.NoErr(store.Append(testEntries(21, 40, 1), nil)) // one record, much larger than a segment
+	is.NoErr(store.InstallSnapshot(&wirepb.RaftSnapshot{Index: 60, Term: 2}))
+	is.Equal(len(fsys.segments()), 1)
+	is.Equal(store.Usage().LogBytes, logFiles())
+	usage := store.Usage()
+	fsys.crash(0)
+	store, state := open(t, fsys)
+	is.Equal(store.Usage(), usage)
+	is.Equal(state.HardState.Term, uint64(1)) // the vote is kept
+	is.Equal(len(state.Entries), 0)
+}
+
+// Guards against an open segment that keeps its space after a snapshot because one record
+// has made it many times as large as it is meant to be.
+func TestCompactRemovesALargeOpenSegment(t *testing.T) {
+	is := is.New(t)
+	store, _ := open(t, newMemFS())
+	is.NoErr(store.Append(testEntries(1, 20, 1), &wirepb.RaftHardState{Term: 1, Vote: "a"}))
+	is.NoErr(store.SaveSnapshot(&wirepb.RaftSnapshot{Index: 20, Term: 1}))
+	is.NoErr(store.Compact(20))
+	is.True(store.Usage().LogBytes < 100)
+}
--- a/standin/disk/disk.go
+++ b/standin/disk/disk.go
@@ -6,6 +6,8 @@
 //     unsynced change of a folder is kept or lost on its own, in any order.
 //   - A failed sync of a file leaves its unsynced pages readable, and later syncs no
 //     longer write them, as Linux does with pages whose write has failed.
+//
+// A disk can have a capacity. A write beyond it stores what fits and fails.
 package disk
 
 import (
@@ -15,6 +17,7 @@
 	"path"
 	"slices"
 	"strings"
+	"syscall"
 )
 
 // pageBytes is the size of the pages of a file. It is far below that of a real disk, so
@@ -29,8 +32,32 @@
 
 // Disk holds files and folders. It is not safe for concurrent use.
 type Disk struct {
-	root *folder
-	rng  *rand.Rand
+	root     *folder
+	rng      *rand.Rand
+	capacity int // bytes of all files, 0: unlimited
+	peak     int // the most bytes that all files had after a write
+}
+
+// SetCapacity limits the bytes of all files. 0 removes the limit.
+func (d *Disk) SetCapacity(bytes int) { d.capacity = bytes }
+
+// Used returns the bytes of all files.
+func (d *Disk) Used() int { return d.root.used() }
+
+// Peak returns the most bytes that all files have had at once.
+func (d *Disk) Peak() int { return d.peak }
+
+func (f *folder) used() int {
+	total := 0
+	for _, entry := range f.entries {
+		switch e := entry.(type) {
+		case *folder:
+			total += e.used()
+		case *inode:
+			total += len(e.data)
+		}
+	}
+	return total
 }
 
 // folder is a folder as processes see it, and the changes that are not synced yet.
@@ -365,7 +392,14 @@
 		}
 		return 0, err
 	}
+	disk := f.process.disk
+	if free := disk.capacity - disk.Used(); disk.capacity > 0 && len(data) > free {
+		stored := max(0, free)
+		f.node.write(data[:stored])
+		return stored, syscall.ENOSPC
+	}
 	f.node.write(data)
+	disk.peak = max(disk.peak, disk.Used())
 	return len(data), nil
 }
 
--- a/standin/disk/disk_test.go
+++ b/standin/disk/disk_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -101,3 +102,28 @@
 	d.LosePowerKeepingNothing()
 	is.Equal(read(t, d, "/file"), string(make([]byte, len("unsynced"))))
 }
+
+// Guards against a limited disk that takes more than it has, or that stays full after a file
+// was removed.
+func TestDiskWithACapacityFillsUp(t *testing.T) {
+	is := is.New(t)
+	d := New(1)
+	d.SetCapacity(10)
+	p := d.Start()
+	is.NoErr(p.MkdirAll("/data"))
+	first, err := p.Create("/data/a")
+	is.NoErr(err)
+	_, err = first.Write([]byte("123456"))
+	is.NoErr(err)
+	second, err := p.Create("/data/b")
+	is.NoErr(err)
+	n, err := second.Write([]byte("123456"))
+	is.Equal(n, 4)
+	is.True(errors.Is(err, syscall.ENOSPC))
+	is.Equal(d.Used(), 10)
+	is.NoErr(p.Remove("/data/a"))
+	_, err = second.Write([]byte("56"))
+	is.NoErr(err)
+	is.Equal(d.Used(), 6)
+	is.Equal(d.Peak(), 6)
+}
