Track a process that is registered after a late report of the one before

Callers' tasks had one worker less for good: a worker that was dropped and restarted under its id never got tasks again although it reported.

Cause: a late report of the former process and the first one of the later process were registered in one entry of the log, the former first. The leader went on tracking the former, and its own registration of the later one, as not reported, changed nothing, since the log had a newer one. Other processes confirm reports that change nothing without telling the leader.

Change: a registration of a later process replaces the tracked one.

TestProcessRegisteredAfterALateReportIsTracked fails on the code before ("1 != 2").

--- a/process/jobs/registry.go
+++ b/process/jobs/registry.go
@@ -104,10 +104,12 @@
 
 func (s *session) applyRegistration(info *jobpb.Worker) {
 	w := s.workers[info.Id]
-	if w == nil {
+	switch {
+	case w == nil:
 		w = s.trackWorker(info, false)
-	}
-	if w.info.BornMs != info.BornMs {
+	case w.info.BornMs < info.BornMs:
+		w = s.replaceTracked(w, info)
+	case w.info.BornMs > info.BornMs:
 		return // a later process has been seen meanwhile
 	}
 	w.predecessor = nil
@@ -117,6 +119,17 @@
 		Str("address", info.Address).Msg("worker registered")
 }
 
+// replaceTracked tracks a process that the log has registered in place of an earlier one. A
+// late report can bring the earlier one back after its worker was dropped, in the same log
+// entry in which the later one is registered.
+func (s *session) replaceTracked(earlier *workerState, info *jobpb.Worker) *workerState {
+	s.fences.use(info.Id, earlier.track.Fence())
+	answerAll(earlier.takeReports(), nil)
+	w := s.trackWorker(info, false)
+	w.track.ExpectForeignLeases(s.now())
+	return w
+}
+
 // Leave handles a worker's announcement that its process exits. The process may serve on
 // for a while, for example if the confirmation is lost, so that this proves no end of its
 // runs: they get no more leases, and are stopped if the worker is draining.
--- a/process/jobs/registry_test.go
+++ b/process/jobs/registry_test.go
@@ -259,3 +259,23 @@
 	leaving.report(Report{Worker: proto.Clone(other.info).(*jobpb.Worker), Sequence: 7, ClockMs: 1000}, make(chan error, 1))
 	is.True(other.announcedExit) // it was draining
 }
+
+// Guards against a process that never gets tasks: a late report of the process before it is
+// registered in the same log entry, before it, after their worker was dropped.
+func TestProcessRegisteredAfterALateReportIsTracked(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixture(t)
+	s := f.session
+	confirmed := make(chan error, 2)
+	s.report(Report{Worker: &jobpb.Worker{Id: "w-new", Pool: "pool", BornMs: 1, Draining: true}, Sequence: 9, ClockMs: 900}, confirmed)
+	s.report(Report{Worker: &jobpb.Worker{Id: "w-new", Pool: "pool", BornMs: 2}, Sequence: 1, ClockMs: 100}, confirmed)
+	f.applyBatch()
+	is.NoErr(<-confirmed)
+	is.NoErr(<-confirmed)
+	w := s.workers["w-new"]
+	is.Equal(w.info.BornMs, int64(2))
+	is.Equal(w.predecessor, nil)
+	is.True(!w.draining)
+	w.track.RunsListed = true
+	is.True(s.isUsable("w-new"))
+}
