--- a/tests/soak/acknowledge_test.go
+++ b/tests/soak/acknowledge_test.go
@@ -32,6 +32,7 @@
 	*soak
 	w       *worker
 	restart sync.Once
+	begun   chan struct{} // closed when the worker has listed the end
 	done    chan struct{} // closed when the worker is reachable again
 }
 
@@ -50,6 +51,7 @@
 func (p *acknowledgePlay) listed() {
 	p.restart.Do(func() {
 		time.Sleep(answerTransit)
+		close(p.begun)
 		go p.restartWithOrdersInTransit()
 	})
 }
@@ -83,22 +85,15 @@
 func TestAcknowledgementMeantForTheEarlierProcess(t *testing.T) {
 	s := newSoak(t, 1, acknowledgeFleet)
 	s.faultsEnabled = false
-	s.eventually("the configuration is confirmed", func() bool {
-		code, _ := s.call(http.MethodPut, s.processes[0].address(portControlPlane), "", "/configuration", configuration)
-		return code == http.StatusOK
-	})
-	done := make(chan struct{})
-	var reports sync.WaitGroup
-	reports.Go(func() { s.reportAll(done) })
-	defer reports.Wait()
-	defer close(done)
+	defer s.open()()
 	w := s.workers[0]
 	var ids []string
 	for n := range restarts {
-		p := &acknowledgePlay{soak: s, w: w, done: make(chan struct{})}
-		w.process.SetListed(p.listed)
+		p := &acknowledgePlay{soak: s, w: w, begun: make(chan struct{}), done: make(chan struct{})}
+		processes := w.all()
+		processes[len(processes)-1].SetListed(p.listed)
 		ids = append(ids, s.submit(2*n+1))
-		s.eventually("the first task ends", func() bool { return len(w.process.RunHistory()) > 0 && w.process.RunHistory()[0].How == "done" })
+		<-p.begun
 		ids = append(ids, s.submit(2*n+2))
 		<-p.done
 		for _, id := range ids {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -202,7 +202,9 @@
 	})
 }
 
-func (s *soak) run() {
+// open confirms the configuration and lets the workers report until the returned function is
+// called.
+func (s *soak) open() (endReports func()) {
 	s.eventually("the configuration is confirmed", func() bool {
 		code, _ := s.call(http.MethodPut, s.processes[0].address(portControlPlane), "", "/configuration", configuration)
 		return code == http.StatusOK
@@ -210,8 +212,14 @@
 	done := make(chan struct{})
 	var reports sync.WaitGroup
 	reports.Go(func() { s.reportAll(done) })
-	defer reports.Wait()
-	defer close(done)
+	return func() {
+		close(done)
+		reports.Wait()
+	}
+}
+
+func (s *soak) run() {
+	defer s.open()()
 	s.submitLastingJob()
 	s.runWithFaults()
 	s.upgrade()
