Acknowledge ends in holds again; starts beside an open one have a higher fence

Change: a hold that waits acknowledges, under the same conditions as before. A start that is sent while it is open has a higher fence, so that a process that has carried it out rejects the hold, too. The fence is advanced without asking for a new list, since no order is unanswered then; half of a term's fences are left to other uses, and without them acknowledgements stay orders of their own. A hold that such a start overtakes is sent again under the new fence.

--- a/job/worker/acknowledge.go
+++ b/job/worker/acknowledge.go
@@ -15,13 +15,13 @@
 //   - After a start without an answer, one is sent only once the process itself has listed
 //     its runs at a request from after the end of that wait: it was alive then, and no
 //     process that begins later receives the start.
-//   - No start is sent while an acknowledgement is open. After one without an answer, the
-//     caller raises the fence, so that a process that has carried out a later start rejects
-//     the acknowledgement.
+//   - A start that is sent while an acknowledgement is open, or after one without an answer,
+//     has a higher fence. A process that has carried it out rejects the acknowledgement.
 type Acknowledgements struct {
 	openStarts  int
 	startsEnded time.Duration // until then, senders of starts without an answer may have waited
 	open        bool
+	openFence   uint64 // of the open acknowledgement
 }
 
 // NewAcknowledgements returns the state for a worker to which starts may have been sent
@@ -49,12 +49,11 @@
 	return !a.open && a.openStarts == 0 && listRequested >= a.startsEnded
 }
 
-// Sent records that an acknowledgement was sent.
-func (a *Acknowledgements) Sent() { a.open = true }
+// Sent records that an acknowledgement was sent under a fence.
+func (a *Acknowledgements) Sent(fence uint64) { a.open, a.openFence = true, fence }
 
 // Ended records that the sender of the acknowledgement has stopped waiting.
 func (a *Acknowledgements) Ended() { a.open = false }
 
-// Open reports whether the sender of an acknowledgement waits for its answer. No start may
-// be sent meanwhile.
-func (a *Acknowledgements) Open() bool { return a.open }
+// MayStart reports whether a start may be sent under a fence.
+func (a *Acknowledgements) MayStart(fence uint64) bool { return !a.open || fence > a.openFence }
--- a/job/worker/acknowledge_test.go
+++ b/job/worker/acknowledge_test.go
@@ -25,10 +25,12 @@
 	a.StartUnanswered(9 * time.Second)
 	is.True(!a.MaySend(8 * time.Second)) // the list may be from before the restart
 	is.True(a.MaySend(9 * time.Second))
-	a.Sent()
-	is.True(a.Open())
+	a.Sent(7)
+	is.True(!a.MayStart(7))
+	is.True(a.MayStart(8))
 	is.True(!a.MaySend(time.Hour))
 	a.Ended()
+	is.True(a.MayStart(7))
 	is.True(a.MaySend(9 * time.Second))
 }
 
@@ -63,7 +65,7 @@
 // Guards against a process that removes an end from its list which is not in the log, in any
 // order of starts, acknowledgements, lost answers, restarts and late deliveries.
 func TestNoOrderOfEventsLosesAnEnd(t *testing.T) {
-	for _, seed := range randomtest.Seeds(3000) {
+	for _, seed := range randomtest.Seeds(6000) {
 		m := &restartModel{rng: rand.New(rand.NewPCG(seed, 1)), acks: NewAcknowledgements(0), fence: 1}
 		for range 60 {
 			m.now += time.Duration(m.rng.Int64N(int64(400 * time.Millisecond)))
@@ -77,11 +79,12 @@
 // step plays one event. It reports whether an end was removed that is not in the log.
 func (m *restartModel) step() bool {
 	switch m.rng.IntN(6) {
-	case 0: // a start, while no acknowledgement is open
-		if !m.acks.Open() {
-			m.acks.StartSent()
-			m.inTransit = append(m.inTransit, modelOrder{start: true, fence: m.fence, sentAt: m.now, process: m.registered})
+	case 0: // a start, under a higher fence while an acknowledgement is open
+		if !m.acks.MayStart(m.fence) {
+			m.fence++
 		}
+		m.acks.StartSent()
+		m.inTransit = append(m.inTransit, modelOrder{start: true, fence: m.fence, sentAt: m.now, process: m.registered})
 	case 1: // the leader lists the runs of the process that it tracks
 		if m.registered == m.process {
 			m.listed, m.logged = m.now, len(m.ends)
@@ -92,7 +95,7 @@
 		}
 	case 2:
 		if m.logged > 0 && m.acks.MaySend(m.listed) {
-			m.acks.Sent()
+			m.acks.Sent(m.fence)
 			m.inTransit = append(m.inTransit, modelOrder{fence: m.fence, lastSeen: m.logged, sentAt: m.now, process: m.registered})
 		}
 	case 3: // the process ends, and another one starts under its id
@@ -142,7 +145,7 @@
 		m.fence++
 	default:
 		m.acks.Ended()
-		if !answered {
+		if !answered && m.fence <= o.fence {
 			m.fence++
 		}
 	}
--- a/job/worker/worker.go
+++ b/job/worker/worker.go
@@ -81,6 +81,14 @@
 	w.RunsListed = false
 }
 
+// AdvanceFence raises the fence for the orders that follow. Unlike RaiseFence it is for a
+// process without unanswered orders, whose list under the earlier fence still counts.
+func (w *Tracker) AdvanceFence() { w.fence++ }
+
+// MayAdvanceFence reports whether the term has fences for AdvanceFence. It leaves half of them
+// to RaiseFence.
+func (w *Tracker) MayAdvanceFence() bool { return w.fence < w.term*FencesPerTerm+FencesPerTerm/2 }
+
 // RaiseFenceTo raises the fence to a given one, unless it is higher already. Nothing was
 // ordered under the fences below.
 func (w *Tracker) RaiseFenceTo(fence uint64) {
--- a/process/jobs/acknowledge.go
+++ b/process/jobs/acknowledge.go
@@ -40,47 +40,68 @@
 }
 
 // holdDue returns when the next hold may be sent to a worker.
-func (w *workerState) holdDue() time.Duration {
-	if w.unacknowledged() && w.track.RunsListed {
+func (w *workerState) holdDue(now time.Duration) time.Duration {
+	if w.unacknowledged() && w.track.RunsListed && !w.mayAcknowledge(now) {
 		return max(w.nextHold, w.listedAt+relistInterval)
 	}
 	return w.nextHold
 }
 
-// sendAcknowledgement lets a worker remove the ends that are in the log from its list. It
-// extends no lease and does not wait, so that starts are held up for a short time only.
+// sendAcknowledgement lets a worker remove the ends that are in the log from its list, once
+// its term has no fences left for starts beside longer holds. It extends no lease and does not
+// wait, so that starts are held up for a short time only.
 func (s *session) sendAcknowledgement(now time.Duration, w *workerState) {
 	if !s.leads() {
 		return
 	}
-	o := orders.HoldOrder{Fence: w.track.Fence(), LastSeen: w.track.LastLoggedEnd}
 	nextHold := w.nextHold
-	w.holding = true
-	w.acks.Sent()
-	s.hold(w, o, func(list *orders.RunList, err error) {
-		w.acks.Ended()
-		if err != nil && !orders.NeverCarriedOut(err) {
-			s.raiseFence(w)
-		}
-		s.handleRunList(w, now, o, list, err)
+	s.hold(now, w, orders.HoldOrder{Fence: w.track.Fence(), LastSeen: w.track.LastLoggedEnd}, func(err error) {
 		if err == nil {
 			w.nextHold = nextHold // the hold that was due is only put off
 		}
-		s.sendDeferredStarts(w.acks)
 	})
 }
 
-// hold sends a hold order. onAnswer is called on the session's goroutine.
-func (s *session) hold(w *workerState, o orders.HoldOrder, onAnswer func(list *orders.RunList, err error)) {
+// hold sends a hold order and handles its answer. onHandled is called afterwards.
+func (s *session) hold(now time.Duration, w *workerState, o orders.HoldOrder, onHandled func(err error)) {
+	w.holding = true
+	if o.LastSeen > 0 {
+		w.acks.Sent(o.Fence)
+	}
 	to := orders.Target{ID: w.info.Id, Address: w.info.Address}
 	go func() {
 		ctx, cancel := context.WithTimeout(s.ctx, orderTimeout+time.Duration(o.WaitMs)*time.Millisecond)
 		list, err := s.sender.Hold(ctx, to, o)
 		cancel()
-		s.post(func() { onAnswer(list, err) })
+		s.post(func() {
+			if o.LastSeen > 0 {
+				s.endAcknowledgement(w, o, err)
+			}
+			s.handleRunList(w, now, o, list, err)
+			onHandled(err)
+			s.sendDeferredStarts(w.acks)
+		})
 	}()
 }
 
+// endAcknowledgement records that the sender of an acknowledgement has stopped waiting.
+func (s *session) endAcknowledgement(w *workerState, o orders.HoldOrder, err error) {
+	w.acks.Ended()
+	if err != nil && !orders.NeverCarriedOut(err) && w.track.Fence() <= o.Fence {
+		s.raiseFence(w)
+	}
+}
+
+// mayStartBesideAcknowledgement reports whether a start may be sent now. Beside an open
+// acknowledgement it gets a higher fence, unless the term has none left for that.
+func (s *session) mayStartBesideAcknowledgement(w *workerState) bool {
+	if !w.acks.MayStart(w.track.Fence()) && w.track.MayAdvanceFence() {
+		w.track.AdvanceFence()
+		s.fences.use(w.info.Id, w.track.Fence())
+	}
+	return w.acks.MayStart(w.track.Fence())
+}
+
 func (s *session) sendDeferredStarts(a *ackState) {
 	starts := a.deferredStarts
 	a.deferredStarts = nil
--- a/process/jobs/acknowledge_test.go
+++ b/process/jobs/acknowledge_test.go
@@ -86,11 +86,62 @@
 	(<-f.session.events)()
 }
 
-// Guards against an acknowledgement in a hold that waits for an end, and against one that is
-// repeated although it was confirmed.
+// useUpFences leaves the term no fences for starts beside holds.
+func (f *ackFixture) useUpFences() {
+	for f.w.track.MayAdvanceFence() {
+		f.w.track.AdvanceFence()
+	}
+}
+
+// Guards against a start that reaches a later process under the fence of a hold which
+// acknowledges ends and was sent before it, and against a worker that must list its runs anew
+// after each such start.
+func TestStartBesideAnAcknowledgingHoldHasAHigherFence(t *testing.T) {
+	is := is.New(t)
+	f := newAckFixture(t)
+	hold := f.hold()
+	is.Equal(hold.lastSeen, uint64(57))
+	is.True(hold.waitMs > 0)
+	for range 2 {
+		f.start()
+		start := <-f.held.starts
+		is.Equal(start.fence, hold.fence+1)
+		f.answer(start, nil)
+	}
+	is.True(f.w.track.RunsListed)
+	f.answer(hold, nil)
+	is.True(!f.w.unacknowledged())
+	f.w.nextHold = 0
+	next := f.hold()
+	is.Equal(next.fence, hold.fence+1)
+	is.Equal(next.lastSeen, uint64(0))
+	f.answer(next, nil)
+}
+
+// Guards against a raised fence after each hold that a start has overtaken: the worker would
+// have to list its runs anew.
+func TestOvertakenHoldIsSentAgain(t *testing.T) {
+	is := is.New(t)
+	f := newAckFixture(t)
+	hold := f.hold()
+	f.start()
+	start := <-f.held.starts
+	f.answer(start, nil)
+	f.answer(hold, &orders.RefusedError{Reason: orders.RefusedFence})
+	is.Equal(f.w.track.Fence(), start.fence)
+	is.True(f.w.track.RunsListed)
+	again := f.hold()
+	is.Equal(again.fence, start.fence)
+	is.Equal(again.lastSeen, uint64(57))
+	f.answer(again, nil)
+}
+
+// Guards against an acknowledgement without fences for the starts beside it that waits for an
+// end, and against one that is repeated although it was confirmed.
 func TestEndsAreAcknowledgedByAnOrderOfItsOwn(t *testing.T) {
 	is := is.New(t)
 	f := newAckFixture(t)
+	f.useUpFences()
 	ack := f.hold()
 	is.Equal(ack.lastSeen, uint64(57))
 	is.Equal(ack.waitMs, int64(0))
@@ -132,6 +183,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			f := newAckFixture(t)
+			f.useUpFences()
 			ack := f.hold()
 			f.start()
 			is.Equal(len(f.w.acks.deferredStarts), 1)
@@ -157,18 +209,20 @@
 	is.Equal(s.acknowledgements("w-new"), a)
 }
 
-// Guards against a start that is never sent: it waits for an acknowledgement to the process
-// before, and the worker is tracked anew meanwhile.
-func TestDeferredStartOutlivesItsProcess(t *testing.T) {
+// Guards against a start that waits for an acknowledgement to the process before, or is never
+// sent: the worker is tracked anew meanwhile, under a higher fence.
+func TestStartAtALaterProcessDoesNotWait(t *testing.T) {
 	is := is.New(t)
 	f := newAckFixture(t)
+	f.useUpFences()
 	ack := f.hold()
 	f.session.report(Report{Worker: &jobpb.Worker{Id: "w-0", Pool: "pool", BornMs: 5, CpuMillis: 1000}, Sequence: 1, ClockMs: 100}, make(chan error, 1))
 	later := f.session.workers["w-0"]
 	is.True(later != f.w)
 	later.predecessor = nil
 	f.session.sendStart(&jobpb.Start{Task: &jobpb.TaskRef{Job: "job"}, Run: 1, Worker: "w-0", BornMs: 5})
-	is.Equal(len(f.held.starts), 0)
+	start := <-f.held.starts
+	is.True(start.fence > ack.fence)
 	f.answer(ack, context.DeadlineExceeded)
-	f.answer(<-f.held.starts, nil)
+	f.answer(start, nil)
 }
--- a/process/jobs/relay_test.go
+++ b/process/jobs/relay_test.go
@@ -25,7 +25,6 @@
 	mu     sync.Mutex
 	starts map[string]int
 	holds  int
-	hold   orders.HoldOrder // the last one
 	err    error
 	panics bool
 	// beforeHold, if not nil, is called before a hold is answered.
@@ -56,7 +55,6 @@
 func (w *recordingWorkers) Hold(ctx context.Context, to orders.Target, o orders.HoldOrder) (*orders.RunList, error) {
 	w.mu.Lock()
 	w.holds++
-	w.hold = o
 	w.mu.Unlock()
 	if before := w.beforeHold; before != nil {
 		before(to.ID)
@@ -71,12 +69,6 @@
 		Ended: []orders.EndedRun{{Number: 9, Task: task, Run: 2, How: jobpb.How_FAILED, Checkpoint: to.ID}}}, nil
 }
 
-func (w *recordingWorkers) lastHold() orders.HoldOrder {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.hold
-}
-
 func (w *recordingWorkers) started() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/process/jobs/run_lists.go
+++ b/process/jobs/run_lists.go
@@ -13,16 +13,21 @@
 )
 
 // sendHold sends a hold order: it requests the worker's list of runs and extends
-// their lease if there are any. It acknowledges nothing, as it may wait for long.
+// their lease if there are any. It acknowledges the ends that are in the log if it may: as it
+// can wait for long, starts beside it get a higher fence.
 func (s *session) sendHold(now time.Duration, w *workerState, running bool) {
 	o := orders.HoldOrder{Fence: w.track.Fence()}
+	if w.mayAcknowledge(now) && w.track.MayAdvanceFence() {
+		o.LastSeen = w.track.LastLoggedEnd
+	}
 	// The lease of a worker that did not answer is not extended: a grant would defer
 	// the time from which its runs are certain to have ended.
 	if running && !w.silent && !w.announcedExit {
 		if deadline, known := w.track.Grant(now); known {
 			o.DeadlineMs = deadline
 		}
-		if w.track.RunsListed && !w.unacknowledged() {
+		listsNothingAgain := !w.unacknowledged() || o.LastSeen > 0
+		if w.track.RunsListed && listsNothingAgain {
 			o.WaitMs = holdWait.Milliseconds()
 			if w.onProbation() {
 				o.WaitMs = schedule.ProbationTime.Milliseconds()
@@ -32,8 +37,7 @@
 	if !s.leads() {
 		return
 	}
-	w.holding = true
-	s.hold(w, o, func(list *orders.RunList, err error) { s.handleRunList(w, now, o, list, err) })
+	s.hold(now, w, o, func(error) {})
 }
 
 // handleRunList handles the answer to a hold.
@@ -87,6 +91,10 @@
 		s.log.Debug().Err(err).Str("worker", w.info.Id).Msg("hold without an outcome from its relay")
 		w.nextHold = now
 		return
+	case errors.As(err, &refused) && refused.Reason == orders.RefusedFence && w.track.Fence() > o.Fence:
+		s.log.Debug().Str("worker", w.info.Id).Uint64("fence", o.Fence).Msg("hold overtaken by a start with a higher fence")
+		w.nextHold = now
+		return
 	case errors.As(err, &refused) && refused.Reason == orders.RefusedFence:
 		s.raiseFence(w)
 		s.log.Warn().Str("worker", w.info.Id).Uint64("fence", w.track.Fence()).Msg("hold refused: the worker has seen a higher fence; raised the fence")
--- a/process/jobs/starts.go
+++ b/process/jobs/starts.go
@@ -106,7 +106,7 @@
 		s.pendingStarts.removeRun(key, start.Run)
 		return // dropping the worker has already freed the task
 	}
-	if w.acks.Open() {
+	if !s.mayStartBesideAcknowledgement(w) {
 		w.acks.deferredStarts = append(w.acks.deferredStarts, start)
 		return
 	}
--- a/process/jobs/workers.go
+++ b/process/jobs/workers.go
@@ -187,9 +187,9 @@
 			}
 			switch {
 			case w.holding || w.pendingEnds > 0:
-			case w.mayAcknowledge(now):
+			case w.mayAcknowledge(now) && !w.track.MayAdvanceFence():
 				s.sendAcknowledgement(now, w)
-			case s.wantsList(now, w, placed) && now >= w.holdDue():
+			case s.wantsList(now, w, placed) && now >= w.holdDue(now):
 				s.sendHold(now, w, len(placed) > 0)
 			}
 		}
