Cancel a session before it stops being the current one

Cause: endSession first removed the session and cancelled it afterwards. Whoever saw in between that there is no session could still see it decide; the test looked exactly then.

Change: the session is cancelled while the lock is held. The test is as it was.

--- a/process/jobs/leadership.go
+++ b/process/jobs/leadership.go
@@ -59,10 +59,14 @@
 }
 
 // endSession ends the session, if there is one, and keeps what the next one must know of
-// its orders.
+// its orders. A session is cancelled before it stops being the current one: whoever sees
+// that there is none can rely on it that the last one begins no more orders.
 func (c *Control) endSession() {
 	c.mu.Lock()
 	s := c.session
+	if s != nil {
+		s.cancel()
+	}
 	c.session = nil
 	c.mu.Unlock()
 	if s == nil {
