--- a/process/storage/snapshot.go
+++ b/process/storage/snapshot.go
@@ -78,7 +78,8 @@
 	if err := s.commitTempFile(tmp, snapshotName); err != nil {
 		return err
 	}
-	s.snapshotIndex, s.snapshotBytes = index, int64(headerBytes+size)
+	s.snapshotIndex = index
+	s.snapshotBytes.Store(int64(headerBytes + size))
 	return nil
 }
 
--- a/process/storage/store.go
+++ b/process/storage/store.go
@@ -51,9 +51,9 @@
 	hardState    *wirepb.RaftHardState
 	err          atomic.Pointer[error]
 
-	snapshotMu    sync.Mutex // held while the snapshot file is replaced; guards the fields below
-	snapshotIndex uint64     // index of the stored snapshot
-	snapshotBytes int64      // size of its file
+	snapshotMu    sync.Mutex   // held while the snapshot file is replaced and its folder synced; guards snapshotIndex
+	snapshotIndex uint64       // index of the stored snapshot
+	snapshotBytes atomic.Int64 // size of its file; read without snapshotMu, which is held for as long as a sync takes
 }
 
 type segment struct {
@@ -68,15 +68,12 @@
 	SnapshotBytes int64 // the stored snapshot, without one that is being written
 }
 
-// Usage returns the disk space in use.
+// Usage returns the disk space in use. It doesn't wait for a snapshot that is being stored.
 func (s *Store) Usage() Usage {
-	u := Usage{LogBytes: s.size}
+	u := Usage{LogBytes: s.size, SnapshotBytes: s.snapshotBytes.Load()}
 	for _, seg := range s.segments[:len(s.segments)-1] {
 		u.LogBytes += seg.bytes
 	}
-	s.snapshotMu.Lock()
-	defer s.snapshotMu.Unlock()
-	u.SnapshotBytes = s.snapshotBytes
 	return u
 }
 
@@ -117,7 +114,7 @@
 	}
 	if state.Snapshot != nil {
 		s.snapshotIndex = state.Snapshot.Index
-		s.snapshotBytes = int64(headerBytes + proto.Size(state.Snapshot))
+		s.snapshotBytes.Store(int64(headerBytes + proto.Size(state.Snapshot)))
 	}
 	return s, state, nil
 }
--- a/process/storage/store_test.go
+++ b/process/storage/store_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -354,3 +355,27 @@
 	is.NoErr(store.Compact(20))
 	is.True(store.Usage().LogBytes < 100)
 }
+
+// Guards against a replica that stands still while its snapshot is renamed and the folder
+// synced: it asks for the space in use in each of its steps.
+func TestUsageDoesNotWaitForASnapshotBeingStored(t *testing.T) {
+	is := is.New(t)
+	fsys := newMemFS()
+	store, _ := open(t, fsys)
+	fill(t, store, 20)
+	used, unanswered := store.Usage(), 0
+	fsys.before = func() {
+		answer := make(chan Usage, 1)
+		go func() { answer <- store.Usage() }()
+		select {
+		case u := <-answer:
+			is.Equal(u, used)
+		case <-time.After(time.Second): // the lock's holder goes on, so that the test ends
+			unanswered++
+		}
+	}
+	is.NoErr(store.SaveSnapshot(&wirepb.RaftSnapshot{Index: 20, Term: 1, Data: []byte("state")}))
+	fsys.before = nil
+	is.Equal(unanswered, 0)
+	is.True(store.Usage().SnapshotBytes > 0)
+}
