Count a failed run of a gang once

Cause: each task of a gang that failed counted as a failed run of the gang.

Change: the step remembers the latest run that it has counted. TestRunOfAGangCountsOnceAsFailed fails before.

--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -242,12 +242,16 @@
 }
 
 // countFailure counts a failed run and fails the job once it has no attempts left. A
-// gang has one count for all its tasks.
+// gang has one count for all its tasks: a run of it has failed once, however many of its
+// tasks have.
 func (s *Store) countFailure(p *Placement, atMs int64) {
 	p.Task.Failures++
 	failures := p.Task.Failures
 	if p.Step.Gang {
-		p.State.Failures++
+		if p.State.FailedRun < p.Task.Run {
+			p.State.FailedRun = p.Task.Run
+			p.State.Failures++
+		}
 		failures = p.State.Failures
 	}
 	if p.Job.MaxAttempts > 0 && failures >= p.Job.MaxAttempts && !ended(p.Job.State) {
--- a/job/state/state_test.go
+++ b/job/state/state_test.go
@@ -121,6 +121,26 @@
 	is.Equal(s.Job("a").State, jobpb.Job_COMPLETED)
 }
 
+// Guards against a gang whose job fails after fewer runs than it may have: each task of a
+// run that fails counted as an attempt.
+func TestRunOfAGangCountsOnceAsFailed(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	const tasks, attempts = 3, 2
+	job := accept("a", attempts, &jobpb.Step{Count: tasks, Gang: true})
+	apply(t, s, register("w1", 1), job)
+	for run := uint32(1); run <= attempts; run++ {
+		for i := range uint32(tasks) {
+			apply(t, s, start(ref("a", 0, i), run, "w1", 1))
+		}
+		is.Equal(s.Job("a").State, jobpb.Job_ACTIVE)
+		for i := range uint32(tasks) {
+			apply(t, s, end(ref("a", 0, i), run, "w1", jobpb.How_FAILED))
+		}
+	}
+	is.Equal(s.Job("a").State, jobpb.Job_FAILED)
+}
+
 // Guards against a configuration that is replaced by one of an older or equal version.
 func TestConfigurationVersionIncreases(t *testing.T) {
 	is := is.New(t)
