Show a job as active once a worker has begun it

Cause: a job became active with its start in the log, which is an order.

Change: it becomes active with the first settled start, or with an end that its worker has said. A run that was lost with its worker, or never started, proves nothing. The planned demand of a pool no longer follows the job's state.

--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -155,9 +155,6 @@
 	if p.State.Run < c.Run {
 		p.State.Run = c.Run
 	}
-	if j.State == jobpb.Job_QUEUED {
-		s.setState(j, jobpb.Job_ACTIVE, 0)
-	}
 	s.addPlacement(p)
 	return true
 }
@@ -206,6 +203,9 @@
 		return false
 	}
 	s.removePlacement(p)
+	if provesBegun(c) {
+		s.markBegun(p.Job)
+	}
 	if c.Sound {
 		s.clearCrashes(p)
 	}
@@ -216,6 +216,27 @@
 	return true
 }
 
+// provesBegun reports whether a worker has said that the run had begun. A run that was lost
+// with its worker may never have been started there.
+func provesBegun(c *jobpb.End) bool {
+	switch c.How {
+	case jobpb.How_LOST, jobpb.How_NEVER_STARTED:
+		return false
+	case jobpb.How_CRASHED:
+		return c.Certain
+	default:
+		return true
+	}
+}
+
+// markBegun records that a worker has begun a task of the job. Until then callers see the
+// job as queued: a start in the log is an order, which may never arrive.
+func (s *Store) markBegun(j *jobpb.Job) {
+	if j.State == jobpb.Job_QUEUED {
+		s.setState(j, jobpb.Job_ACTIVE, 0)
+	}
+}
+
 // recordOutcome records how a run has ended. It updates the task, the occurrence and
 // the job.
 func (s *Store) recordOutcome(p *Placement, how jobpb.How, checkpoint string, atMs int64) {
--- a/job/state/settled.go
+++ b/job/state/settled.go
@@ -2,13 +2,14 @@
 
 import "marjoramtiller.example/marjoramtiller/job/jobpb"
 
-// recordSettled records that the start of a placed run is settled.
+// recordSettled records that the start of a placed run is settled: its worker has begun it.
 func (s *Store) recordSettled(c *jobpb.Settled) bool {
 	p := s.findPlacement(c.Task)
 	if p == nil || p.Task.Run != c.Run || p.Task.Worker == "" {
 		return false
 	}
 	p.Task.SettledRun = c.Run
+	s.markBegun(p.Job)
 	return true
 }
 
--- a/job/state/state.go
+++ b/job/state/state.go
@@ -76,7 +76,7 @@
 	placements    map[string]map[TaskKey]*Placement // by worker id
 	loads         map[string]*Load                  // by worker id
 	suspects      map[TaskKey]*jobpb.Task           // tasks of open jobs with crashes
-	pending       map[string]int                    // by queue: accepted jobs of which no task has started
+	pending       map[string]int                    // by queue: accepted jobs of which no worker has said that it has begun a task
 }
 
 // TaskKey identifies a task.
--- a/process/jobs/machines.go
+++ b/process/jobs/machines.go
@@ -178,7 +178,7 @@
 // liveCores returns the cores of a job's placed tasks, and of the tasks that are
 // ready to start and wait for a worker.
 func liveCores(j *jobpb.Job, nowMs int64) (running, waiting float64) {
-	if j.State == jobpb.Job_QUEUED && (j.Repetitions == 0 || j.FirstDueMs <= nowMs) {
+	if len(j.Occurrences) == 0 && !state.Ended(j) && (j.Repetitions == 0 || j.FirstDueMs <= nowMs) {
 		for _, step := range j.Steps {
 			if len(step.After) == 0 {
 				waiting += float64(step.Count) * coresPerTask(step)
@@ -299,7 +299,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(d.s.ctx, machineCallTimeout)
 			defer cancel()
-			err := d.s.c.o.Machines.Move(ctx, m.Machine, m.To, d.s.term)
+			err := d.s.c.o.Machines.Move(ctx, m.Machine, m.To, d.s.leadership())
 			d.s.post(func() { d.handleMoveResult(m, mv, worker, err) })
 		}()
 	})
