Ask the advisor about workers that no answer covers while a step waits

Change: answers are kept for each process (job/advice), and end with it. A step that waits for 0.5 s beside its answers has the advisor asked about the workers that they don't cover, for one step at a time, while the tickets at hand are used on. Answers of ended jobs are forgotten; they were kept for as long as the process led.

Two tests build their answers through the new type.

--- a/process/jobs/restart_test.go
+++ b/process/jobs/restart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"marjoramtiller.example/marjoramtiller/job/advice"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
@@ -149,7 +150,7 @@
 	w := s.workers["w-0"]
 	start := &jobpb.Start{Task: &jobpb.TaskRef{Job: "job"}, Run: 1, Worker: "w-0"}
 	key := state.Key(start.Task).StepKey()
-	s.advice.steps[key] = &ticketSet{tickets: map[string]string{"w-0": "newer"}, reusableUntil: s.now() + time.Hour}
+	s.advice.step(key).Add([]advice.Process{{Worker: "w-0"}}, map[string]string{"w-0": "newer"}, s.now()+time.Hour)
 	refused := &orders.RefusedError{Reason: orders.RefusedTicket}
 	s.handleStartAnswer(w, start, &runState{run: 1, ticket: "older"}, s.now(), 0, refused)
 	_, usable := s.advice.tickets(key)
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -230,7 +230,7 @@
 	s.view(func(st *state.Store) {
 		s.refreshQueues(st)
 		in := schedule.Input{NowMs: s.nowMs(), Now: now, Store: st, Queues: s.queues, Workers: s.usable(now, st),
-			Advice: s.advice.tickets, Estimates: s.estimate, Reservations: &s.reservations}
+			Advice: s.advice.ticketsOfWaiting, Estimates: s.estimate, Reservations: &s.reservations}
 		starts := schedule.Plan(in)
 		s.logStarts(starts, len(in.Workers))
 		for _, start := range starts {
@@ -277,6 +277,7 @@
 	s.expiryCheckedAt = now
 	before := s.nowMs() - s.c.o.Bounds.JobRetention.Milliseconds()
 	s.view(func(st *state.Store) {
+		s.advice.forgetEnded(st)
 		for id, j := range st.Jobs() {
 			if state.Ended(j) && j.EndedMs > 0 && j.EndedMs < before && st.OpenJobs()[id] == nil {
 				s.add(&jobpb.Entry{Change: &jobpb.Entry_Forget{Forget: id}}, nil)
--- a/process/jobs/session_identity_test.go
+++ b/process/jobs/session_identity_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"marjoramtiller.example/marjoramtiller/job/advice"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/orders"
 	"marjoramtiller.example/marjoramtiller/job/state"
@@ -184,7 +185,7 @@
 	key := state.StepKey{Job: "job"}
 	during := func(s *session) {
 		s.workers["w-0"].track.RunsListed = true
-		s.advice.steps[state.StepKey{Job: "other"}] = &ticketSet{tickets: map[string]string{"w-0": "ticket"}, reusableUntil: s.now() + time.Hour}
+		s.advice.step(state.StepKey{Job: "other"}).Add([]advice.Process{{Worker: "w-0"}}, map[string]string{"w-0": "ticket"}, s.now()+time.Hour)
 		s.advice.tickets(key)
 	}
 	runNextSession(t, newGate(), during, func(is *is.I, earlier, later *session, _ *termLog) {
