Check the leadership when an order to a machine is written

Cause: the lease was checked before the call, which could then wait for one of six connections for up to 2 s, or for as long as the process stood still.

Change: an order carries the leadership under which it was decided.

The simulation's machine service checks as the client does, and its log has leases that end with their term.

--- a/process/jobs/services.go
+++ b/process/jobs/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
@@ -24,11 +25,21 @@
 	Unreadable int
 }
 
-// Machines is the platform's machine service.
+// Leadership is a leader's right to order machines.
+type Leadership struct {
+	Fence uint64 // rises with each leader
+	// Remaining returns for how long the right still lasts, 0 or less if it has ended. It is
+	// called right before an order is written: an order may wait for a connection, and the
+	// process may stand still meanwhile, until a successor has ordered the same machine.
+	Remaining func() time.Duration
+}
+
+// Machines is the platform's machine service. An order that was not written because the
+// leadership had ended returns an orders.NotSentError.
 type Machines interface {
 	List(ctx context.Context) (MachineList, error)
-	Move(ctx context.Context, machine, pool string, fence uint64) error
-	Upkeep(ctx context.Context, machine string, wave uint64, fence uint64) error
+	Move(ctx context.Context, machine, pool string, l Leadership) error
+	Upkeep(ctx context.Context, machine string, wave uint64, l Leadership) error
 }
 
 // Advisor decides on which workers a step may run. Advise returns a ticket for each
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -113,6 +113,17 @@
 	return status.LeaseValid && status.Term == s.term
 }
 
+// leadership returns the session's right to order machines.
+func (s *session) leadership() Leadership {
+	return Leadership{Fence: s.term, Remaining: func() time.Duration {
+		status := s.c.group.Status()
+		if !status.LeaseValid || status.Term != s.term {
+			return 0
+		}
+		return status.LeaseUntil - s.now()
+	}}
+}
+
 func (s *session) now() time.Duration { return s.c.o.Clock.Now() }
 
 // nowMs returns the wall-clock Unix time in milliseconds. It is used for due times
--- a/process/jobs/simulation_test.go
+++ b/process/jobs/simulation_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -152,7 +153,9 @@
 func (g *simGroup) Status() replica.Status {
 	var st replica.Status
 	st.Term = g.term.Load()
-	st.LeaseValid = g.s.term.Load() == st.Term
+	if st.LeaseValid = g.s.term.Load() == st.Term; st.LeaseValid {
+		st.LeaseUntil = math.MaxInt64 // the simulation ends leases with their term
+	}
 	return st
 }
 
--- a/process/jobs/simulation_world_test.go
+++ b/process/jobs/simulation_world_test.go
@@ -41,12 +41,16 @@
 }
 
 // Move implements Machines. There is nothing to move, since there is only one pool.
-func (s *sim) Move(context.Context, string, string, uint64) error {
+func (s *sim) Move(context.Context, string, string, Leadership) error {
 	return errors.New("the simulation has only one pool")
 }
 
 // Upkeep implements Machines.
-func (s *sim) Upkeep(ctx context.Context, machine string, _, fence uint64) error {
+func (s *sim) Upkeep(ctx context.Context, machine string, _ uint64, l Leadership) error {
+	if l.Remaining() <= 0 {
+		return &orders.NotSentError{Err: errors.New("the leadership has ended")}
+	}
+	fence := l.Fence
 	s.mu.Lock()
 	m := s.machines[machine]
 	if m.fence > fence {
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -385,7 +385,7 @@
 	u.s.markEndOrdered(machine, true)
 	go func() {
 		ctx, cancel := context.WithTimeout(u.s.ctx, machineCallTimeout)
-		err := u.s.c.o.Machines.Upkeep(ctx, machine, w.Number, u.s.term)
+		err := u.s.c.o.Machines.Upkeep(ctx, machine, w.Number, u.s.leadership())
 		cancel()
 		u.s.post(func() { u.handleOrderResult(w, m, machine, err) })
 	}()
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -82,11 +82,11 @@
 type recordingMachines struct{ orders chan string }
 
 func (m *recordingMachines) List(context.Context) (MachineList, error) { return MachineList{}, nil }
-func (m *recordingMachines) Move(_ context.Context, machine, _ string, _ uint64) error {
+func (m *recordingMachines) Move(_ context.Context, machine, _ string, _ Leadership) error {
 	m.orders <- machine
 	return nil
 }
-func (m *recordingMachines) Upkeep(_ context.Context, machine string, _, _ uint64) error {
+func (m *recordingMachines) Upkeep(_ context.Context, machine string, _ uint64, _ Leadership) error {
 	m.orders <- machine
 	return nil
 }
