Look for workers that no answer covers twice a second at most

A step whose answers cover the whole pool had all workers looked through in each plan, 125 times a second, for as long as it waited.

Change: the time of the next look is kept with the step, whether the last one found any or not. TestAdvisorIsAskedAboutFurtherWorkersWhileAStepWaits asks for it.

--- a/process/jobs/advice.go
+++ b/process/jobs/advice.go
@@ -20,17 +20,17 @@
 	// used for starts; the rest is left for delivery to the worker.
 	adviceReuseShare = 0.7
 	adviceRetryDelay = 200 * time.Millisecond
-	// adviceExtensionDelay is the time after an answer for which a step waits before the
-	// advisor is asked about workers that it has not been asked about yet.
+	// adviceExtensionDelay is the time for which a step waits, after an answer or a look for
+	// workers that no answer covers, before the next such look.
 	adviceExtensionDelay = 500 * time.Millisecond
 )
 
 // stepAdvice is what the advisor has said about one step.
 type stepAdvice struct {
 	advice.Answers
-	requested  bool          // a call is in flight
-	retryAt    time.Duration // earliest next call after a failed one
-	answeredAt time.Duration // when the latest answer arrived
+	requested bool          // a call is in flight
+	retryAt   time.Duration // earliest next call after a failed one
+	extendAt  time.Duration // when to look for workers that no answer covers next
 }
 
 // adviceCall is a call to the advisor about one step.
@@ -74,7 +74,8 @@
 // joined since. Such calls take turns, so that they don't hold up the first ones of others.
 func (a *adviceDriver) ticketsOfWaiting(key state.StepKey) (map[string]string, bool) {
 	tickets, known := a.tickets(key)
-	if step := a.step(key); known && !a.extending && a.s.now() >= step.answeredAt+adviceExtensionDelay {
+	if step := a.step(key); known && !a.extending && a.s.now() >= step.extendAt {
+		step.extendAt = a.s.now() + adviceExtensionDelay // the look is a pass over all workers
 		a.request(key, step, true)
 	}
 	return tickets, known
@@ -162,7 +163,7 @@
 		return
 	}
 	c.step.Add(c.named, tickets, c.sent+time.Duration(adviceReuseShare*float64(c.validity)))
-	c.step.answeredAt = now
+	c.step.extendAt = now + adviceExtensionDelay
 	a.s.log.Info().Str("request", c.key.Job).Uint32("step", c.key.Step).Int("asked", len(c.named)).Int("allowed", len(tickets)).
 		Bool("extends", c.extends).Msg("advice received")
 }
--- a/process/jobs/advice_test.go
+++ b/process/jobs/advice_test.go
@@ -50,8 +50,8 @@
 	return asked
 }
 
-// passTime makes the latest answer old enough for a call about further workers.
-func (f adviceFixture) passTime() { f.advice.steps[f.key].answeredAt -= adviceExtensionDelay }
+// passTime lets the time pass until the next look for further workers.
+func (f adviceFixture) passTime() { f.advice.steps[f.key].extendAt -= adviceExtensionDelay }
 
 // Guards against a step that waits for most of the tickets' validity although a worker has
 // joined on which it may run: the worker that it ran on is gone.
@@ -91,6 +91,9 @@
 	f.advice.ticketsOfWaiting(f.key)
 	is.Equal(f.advice.calls, 0) // nobody has joined
 	f.workers["w-1"] = joined
+	f.advice.ticketsOfWaiting(f.key)
+	is.Equal(f.advice.calls, 0) // it has just looked
+	f.passTime()
 	f.advice.tickets(f.key)
 	is.Equal(f.advice.calls, 0)
 	for range 2 {
