--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -61,6 +61,7 @@
 		return false
 	}
 	s.configuration = c
+	s.tenants.configure(c.Tenants)
 	return true
 }
 
@@ -71,6 +72,7 @@
 	}
 	s.jobs[j.Id] = j
 	s.openJobs[j.Id] = j
+	s.tenants.jobOpened(j)
 	s.pending[j.Queue]++
 	return true
 }
@@ -112,7 +114,10 @@
 		}
 	}
 	j.Occurrences = nil
-	delete(s.openJobs, j.Id)
+	if s.openJobs[j.Id] != nil {
+		delete(s.openJobs, j.Id)
+		s.tenants.jobClosed(j)
+	}
 }
 
 func (s *Store) findPlacement(ref *jobpb.TaskRef) *Placement {
--- a/job/state/snapshot.go
+++ b/job/state/snapshot.go
@@ -25,6 +25,7 @@
 	for _, m := range slices.Sorted(maps.Keys(s.moves)) {
 		snap.Moves = append(snap.Moves, s.moves[m])
 	}
+	snap.FormerTenants = s.tenants.formerTenants()
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(snap)
 	return data, errors.Wrap(err, "encode the snapshot of jobs")
 }
@@ -44,6 +45,7 @@
 	if snap.Configuration != nil {
 		restored.configuration = snap.Configuration
 	}
+	restored.tenants.restore(restored.configuration.Tenants, snap.FormerTenants, restored.openJobs)
 	for _, w := range snap.Workers {
 		restored.workers[w.Id] = w
 	}
--- a/job/state/state.go
+++ b/job/state/state.go
@@ -68,6 +68,7 @@
 // modify the values that its methods return.
 type Store struct {
 	configuration *jobpb.Configuration
+	tenants       tenants
 	jobs          map[string]*jobpb.Job
 	openJobs      map[string]*jobpb.Job // jobs that have not ended or that still have runs
 	workers       map[string]*jobpb.Worker
@@ -94,6 +95,7 @@
 func New() *Store {
 	return &Store{
 		configuration: &jobpb.Configuration{},
+		tenants:       newTenants(),
 		jobs:          map[string]*jobpb.Job{},
 		openJobs:      map[string]*jobpb.Job{},
 		workers:       map[string]*jobpb.Worker{},
