Spread lasting steps independently of each other before an upkeep

Cause: runs that have to leave a machine before its upkeep were stopped one at a time over all steps, 2.5 s apart. With several steps the last machines waited for their turn longer than their cordon lasts, and began anew after its pause.

Change: the interval counts for each step, as does the limit of unavailable tasks for which it exists. TestStepsAreSpreadIndependently fails before.

--- a/process/jobs/availability.go
+++ b/process/jobs/availability.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"time"
 
 	"marjoramtiller.example/marjoramtiller/job/evidence"
@@ -12,8 +13,8 @@
 // Limits for the availability of lasting steps.
 const (
 	fullPercent = 100 // reported by a task that is fully available
-	// spreadInterval is the time between two runs stopped by spreadRun. Within it a
-	// stopped run is reported as available on another worker.
+	// spreadInterval is the time between two runs of a step stopped by spreadRun. Within it
+	// a stopped run is reported as available on another worker.
 	spreadInterval = 2500 * time.Millisecond
 	// listLag is the longest delay between a worker's registration and the first
 	// list of machines that names it.
@@ -97,10 +98,11 @@
 		return
 	}
 	if !w.stopping(key, p.Task.Run) {
-		if now < u.nextSpreadAt || !u.s.hasHost(now, st, p, w.info.Id) {
+		if now < u.nextSpreadAt[key.StepKey()] || !u.s.hasHost(now, st, p, w.info.Id) {
 			return
 		}
-		u.nextSpreadAt = now + spreadInterval
+		maps.DeleteFunc(u.nextSpreadAt, func(_ state.StepKey, at time.Duration) bool { return at <= now })
+		u.nextSpreadAt[key.StepKey()] = now + spreadInterval
 		u.machine(u.byWorker[w.info.Id]).cordon.progressAt = now
 		u.s.log.Info().Str("request", p.Ref.Job).Uint32("step", p.Ref.Step).Uint32("task", p.Ref.Index).Str("worker", w.info.Id).
 			Msg("run stopped to spread its step: too many of its tasks are on one machine that is due for upkeep")
--- a/process/jobs/upkeep.go
+++ b/process/jobs/upkeep.go
@@ -59,11 +59,11 @@
 	listing      bool            // a request for the list is in flight
 	nextListAt   time.Duration
 	nextRoundAt  time.Duration
-	nextSpreadAt time.Duration // before which no run is stopped to spread its step
+	nextSpreadAt map[state.StepKey]time.Duration // before which no further run of a step is stopped to spread it
 }
 
 func newUpkeepDriver(s *session) *upkeepDriver {
-	return &upkeepDriver{s: s, machines: map[string]*machineState{}}
+	return &upkeepDriver{s: s, machines: map[string]*machineState{}, nextSpreadAt: map[state.StepKey]time.Duration{}}
 }
 
 func (u *upkeepDriver) machine(name string) *machineState {
--- a/process/jobs/upkeep_test.go
+++ b/process/jobs/upkeep_test.go
@@ -311,6 +311,35 @@
 	is.Equal(len(w.runs), 0)
 }
 
+// Guards against a wave that misses its due time because steps wait for each other to be
+// spread: each step's own limit of unavailable tasks is what bounds its stops.
+func TestStepsAreSpreadIndependently(t *testing.T) {
+	is := is.New(t)
+	f := newUpkeepFixtureWith(t, 2)
+	job := &jobpb.Job{Id: "other", Pool: "pool", Steps: []*jobpb.Step{{Count: 4, Lasting: true, MaxUnavailable: 1}}}
+	entries := []*jobpb.Entry{{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: job}}}}
+	for i := range uint32(4) {
+		ref, id := &jobpb.TaskRef{Job: "other", Index: i}, []string{"w-0", "w-1"}[i%2]
+		entries = append(entries, &jobpb.Entry{Change: &jobpb.Entry_Start{Start: &jobpb.Start{Task: ref, Run: 1, Worker: id}}})
+		f.session.workers[id].listedRuns[state.Key(ref)] = orders.Run{Task: ref, Run: 1, Percent: fullPercent}
+	}
+	applyEntries(t, f.store, entries...)
+	w := f.session.workers["w-0"]
+	stopped := func(job string) (n int) {
+		for key := range w.runs {
+			if key.Job == job {
+				n++
+			}
+		}
+		return n
+	}
+	for _, p := range f.store.SortedPlacements("w-0") {
+		f.driver.spreadRun(time.Second, f.store, p)
+	}
+	is.Equal(stopped("job"), 1)   // its other task waits for spreadInterval
+	is.Equal(stopped("other"), 1) // not for the first step
+}
+
 // Guards against starts that are sent to a process which has ended with its upkeep, until
 // the next list of machines shows its end.
 func TestNoStartsOnAWorkerAfterItsUpkeep(t *testing.T) {
