Log how the API key of each call is checked, and under which configuration

Cause of the blindness: the logs can't tell a key that no configuration ever had from one that was taken away, a call that was decided with an old version from one whose route changed, or any of them from a start that went to the wrong pool. `job accepted` named the version of the leader's last plan, not that of the call; it was also read without synchronization.

The lines on a call tell the result, the version, its age and the version at the answer, never the key or its digest; those on starts tell a pool or version that has changed meanwhile. Nothing is refused yet.

--- a/job/state/tenants.go
+++ b/job/state/tenants.go
@@ -14,16 +14,27 @@
 	byName   map[string]*jobpb.Tenant
 	former   map[string]*jobpb.Tenant // those in byName that the configuration in force lacks
 	openJobs map[string]int           // by name
+	// revoked holds the digests of keys that earlier configurations had. Only log lines and
+	// metrics use it: it is not part of a snapshot, so replicas may differ in it.
+	revoked map[string]bool
 }
 
+// maxRevokedKeys bounds the keys in tenants.revoked. Beyond it they are forgotten.
+const maxRevokedKeys = 4096
+
 func newTenants() tenants {
-	return tenants{byKey: map[string]*jobpb.Tenant{}, byName: map[string]*jobpb.Tenant{}, former: map[string]*jobpb.Tenant{}, openJobs: map[string]int{}}
+	return tenants{byKey: map[string]*jobpb.Tenant{}, byName: map[string]*jobpb.Tenant{}, former: map[string]*jobpb.Tenant{},
+		openJobs: map[string]int{}, revoked: map[string]bool{}}
 }
 
 // TenantByKey returns the tenant to which the configuration in force gives the key with a
 // digest, nil if it gives it to none.
 func (s *Store) TenantByKey(digest []byte) *jobpb.Tenant { return s.tenants.byKey[string(digest)] }
 
+// KeyRevoked reports whether an earlier configuration had the key with a digest and the one in
+// force has not, as far as this process remembers. Decisions must not depend on it.
+func (s *Store) KeyRevoked(digest []byte) bool { return s.tenants.revoked[string(digest)] }
+
 // Tenant returns the tenant with a name, nil if there is none. It may be one that the
 // configuration in force lacks and that has open jobs.
 func (s *Store) Tenant(name string) *jobpb.Tenant { return s.tenants.byName[name] }
@@ -35,6 +46,7 @@
 			t.former[name] = tenant
 		}
 	}
+	t.recordRevoked(list)
 	clear(t.byKey)
 	clear(t.byName)
 	for _, tenant := range list {
@@ -47,6 +59,21 @@
 	maps.Copy(t.byName, t.former)
 }
 
+// recordRevoked records the keys that a new list of tenants lacks.
+func (t *tenants) recordRevoked(list []*jobpb.Tenant) {
+	if len(t.revoked)+len(t.byKey) > maxRevokedKeys {
+		clear(t.revoked)
+	}
+	for digest := range t.byKey {
+		t.revoked[digest] = true
+	}
+	for _, tenant := range list {
+		for _, digest := range tenant.KeyDigests {
+			delete(t.revoked, string(digest))
+		}
+	}
+}
+
 // restore sets the tenants to those of a snapshot.
 func (t *tenants) restore(configured, former []*jobpb.Tenant, open map[string]*jobpb.Job) {
 	for _, tenant := range former {
--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"marjoramtiller.example/marjoramtiller/job/access"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
 )
@@ -92,6 +93,7 @@
 
 func (c callersAPI) answer(w http.ResponseWriter, r *http.Request, req *jobpb.Request) {
 	req.Queue, req.Id = r.PathValue("queue"), r.PathValue("id")
+	req.KeyDigest = access.DigestFromHeader(r.Header.Values("Authorization"))
 	// The messages between the processes hold UTF-8 only.
 	if !utf8.ValidString(req.Queue) || !utf8.ValidString(req.Id) {
 		outcome.New(outcome.CauseInvalidRequest, "the queue or the job's id is not UTF-8").Write(w)
--- /dev/null
+++ b/process/jobs/calls.go
@@ -0,0 +1,63 @@
+package jobs
+
+import (
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/job/access"
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
+)
+
+// resolvedCall is a caller's request with what the configuration in force says about it.
+type resolvedCall struct {
+	queue    *jobpb.Queue
+	queueKey string
+	id       string // of the job, empty if the call names the queue itself
+	access   access.Decision
+	version  uint64 // of the configuration
+}
+
+// resolveCall resolves a request in a view of the state. It returns the response that refuses
+// the request if there is no queue for it.
+func resolveCall(st *state.Store, r *jobpb.Request) (call resolvedCall, refused *jobpb.Response) {
+	conf := st.Configuration()
+	if conf.Version == 0 {
+		return call, noConfiguration()
+	}
+	call.version = conf.Version
+	call.queue, call.id = resolve(conf, r)
+	if call.queue == nil {
+		return call, &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: noQueue}
+	}
+	call.queueKey = state.QueueKey(call.queue.Host, call.queue.Prefix)
+	call.access = access.Check(st, call.queue, r.KeyDigest)
+	return call, nil
+}
+
+// versionAge tells how long ago a process first had a version of the configuration in force.
+type versionAge struct {
+	mu      sync.Mutex
+	version uint64
+	since   time.Duration
+}
+
+// of notes the version in force and returns how long ago it was first noted.
+func (a *versionAge) of(version uint64, now time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.version != version {
+		a.version, a.since = version, now
+	}
+	return now - a.since
+}
+
+// logCall begins a log line about a decision on a call: the version that it was decided with,
+// and what the check of the caller's API key found.
+func (s *session) logCall(event *zerolog.Event, call resolvedCall) *zerolog.Event {
+	return event.Str("request", call.id).Str("queue", call.queueKey).Str("key", string(call.access.Verdict)).
+		Str("tenant", call.access.Tenant).Uint64("configuration", call.version).
+		Dur("configuration_age", s.c.configured.of(call.version, s.now()))
+}
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -88,9 +88,11 @@
 	relay   *orderRelay
 	reports *reportCollector
 	metrics *controlMetrics
-	ctx     context.Context
-	cancel  context.CancelFunc
-	loops   sync.WaitGroup
+	// configured is the age of the configuration in force at this process.
+	configured versionAge
+	ctx        context.Context
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
 
 	// numbers and usedFences outlive a session: a term may have several sessions.
 	numbers    dispatch.Numbers
--- a/process/jobs/reads.go
+++ b/process/jobs/reads.go
@@ -49,23 +49,17 @@
 // leads, so the state includes every change that was ever confirmed.
 func (c *Control) jobState(r *jobpb.Request) (resp *jobpb.Response) {
 	c.replica.View(func(replica.StateMachine) {
-		conf := c.store.Configuration()
-		if conf.Version == 0 {
-			resp = noConfiguration()
+		call, refused := resolveCall(c.store, r)
+		if refused != nil {
+			resp = refused
 			return
 		}
-		q, id := resolve(conf, r)
-		if q == nil {
-			resp = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: noQueue}
+		if call.id == "" {
+			resp = &jobpb.Response{Pending: uint32(c.store.Pending(call.queueKey)), Counted: true}
 			return
 		}
-		key := state.QueueKey(q.Host, q.Prefix)
-		if id == "" {
-			resp = &jobpb.Response{Pending: uint32(c.store.Pending(key)), Counted: true}
-			return
-		}
-		j := c.store.Job(id)
-		if j == nil || j.Queue != key {
+		j := c.store.Job(call.id)
+		if j == nil || j.Queue != call.queueKey {
 			resp = &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 			return
 		}
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -229,6 +229,7 @@
 		return
 	}
 	s.queuesVersion = conf.Version
+	s.c.configured.of(conf.Version, s.now())
 	s.queues = map[string]*jobpb.Queue{}
 	for _, q := range conf.Queues {
 		s.queues[state.QueueKey(q.Host, q.Prefix)] = q
@@ -243,7 +244,7 @@
 		in := schedule.Input{NowMs: s.nowMs(), Now: now, Store: st, Queues: s.queues, Workers: s.usable(now, st),
 			Advice: s.advice.ticketsOfWaiting, Estimates: s.estimate, Reservations: &s.reservations}
 		starts := schedule.Plan(in)
-		s.logStarts(starts, len(in.Workers))
+		s.logStarts(st, starts, len(in.Workers))
 		for _, start := range starts {
 			s.addStart(start)
 		}
@@ -252,22 +253,34 @@
 
 // logStarts logs one line for each step with tasks in the plan. The plan lists the
 // tasks of a step consecutively.
-func (s *session) logStarts(starts []*jobpb.Start, usable int) {
+func (s *session) logStarts(st *state.Store, starts []*jobpb.Start, usable int) {
 	for i := 0; i < len(starts); {
 		key := state.Key(starts[i].Task).StepKey()
 		n := i
 		for n < len(starts) && state.Key(starts[n].Task).StepKey() == key {
 			n++
 		}
-		s.log.Info().Str("request", key.Job).Uint32("occurrence", key.Occurrence).Uint32("step", key.Step).Int("tasks", n-i).
+		event := s.log.Info().Str("request", key.Job).Uint32("occurrence", key.Occurrence).Uint32("step", key.Step).Int("tasks", n-i).
 			Uint32("run", starts[i].Run).Str("first_worker", starts[i].Worker).Int("usable_workers", usable).
-			Uint64("configuration", s.queuesVersion).Msg("tasks start")
+			Uint64("configuration", s.queuesVersion)
+		s.logChangedQueue(event, st.Job(key.Job)).Msg("tasks start")
 		i = n
 	}
 }
 
+// logChangedQueue adds the pool of a job to a log line, and that of its queue, if the
+// configuration of the last plan does not send the queue to the job's pool.
+func (s *session) logChangedQueue(event *zerolog.Event, j *jobpb.Job) *zerolog.Event {
+	q := s.queues[j.Queue]
+	if q != nil && q.Pool == j.Pool {
+		return event
+	}
+	return event.Str("job_pool", j.Pool).Str("queue_pool", q.GetPool())
+}
+
 func (s *session) addStart(start *jobpb.Start) {
 	key := state.Key(start.Task)
+	planned := s.queuesVersion
 	start.AtMs = s.nowMs()
 	s.pendingStarts.put(key, start.Run)
 	s.add(&jobpb.Entry{Change: &jobpb.Entry_Start{Start: start}}, func(applied bool, err error) {
@@ -276,6 +289,10 @@
 			s.log.Debug().Err(err).Str("job", key.Job).Str("worker", start.Worker).Msg("start of a task was not recorded in the log")
 			return
 		}
+		if inForce := s.configurationVersion(); inForce != planned {
+			s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Uint32("task", key.Index).Uint64("planned_under", planned).
+				Uint64("configuration", inForce).Msg("start is sent under another configuration than it was planned under")
+		}
 		s.sendStart(start)
 	})
 }
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -68,31 +68,21 @@
 	}
 }
 
-// route returns the queue of a request in the applied configuration and the job's
-// id, or the response that refuses the request.
-func (s *session) route(r *jobpb.Request) (q *jobpb.Queue, id string, refused *jobpb.Response) {
-	s.view(func(st *state.Store) {
-		conf := st.Configuration()
-		if conf.Version == 0 {
-			refused = noConfiguration()
-			return
-		}
-		if q, id = resolve(conf, r); q == nil {
-			refused = &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: noQueue}
-		}
-	})
-	return q, id, refused
+// resolveCall resolves a request in the applied configuration.
+func (s *session) resolveCall(r *jobpb.Request) (call resolvedCall, refused *jobpb.Response) {
+	s.view(func(st *state.Store) { call, refused = resolveCall(st, r) })
+	return call, refused
 }
 
 func (s *session) submit(ctx context.Context, r *jobpb.Request) *jobpb.Response {
-	q, id, refused := s.route(r)
+	call, refused := s.resolveCall(r)
 	if refused != nil {
 		return refused
 	}
+	id, key := call.id, call.queueKey
 	if !jobID.MatchString(id) {
 		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "the job's id does not have 16 lower-case hexadecimal digits"}
 	}
-	key := state.QueueKey(q.Host, q.Prefix)
 	if existing := s.queueOfJob(id); existing != "" {
 		return answerTakenID(existing, key)
 	}
@@ -100,21 +90,27 @@
 		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: err.Error()}
 	}
 	j := proto.Clone(r.Job).(*jobpb.Job)
-	j.Id, j.Queue, j.Pool, j.MaxAttempts = id, key, q.Pool, q.MaxAttempts
+	j.Id, j.Queue, j.Pool, j.MaxAttempts = id, key, call.queue.Pool, call.queue.MaxAttempts
 	j.AcceptedMs = s.nowMs()
 	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: j}}})
 	if err != nil {
-		s.log.Warn().Err(err).Str("request", id).Str("queue", key).Bool("never_runs", neverApplied(err)).Msg("job not confirmed")
+		s.logCall(s.log.Warn().Err(err), call).Bool("never_runs", neverApplied(err)).Msg("job not confirmed")
 		return failureResponse(err)
 	}
 	if !applied {
 		return answerTakenID(s.queueOfJob(id), key)
 	}
 	s.post(func() { s.moves.recordDemand(j) })
-	s.log.Info().Str("request", id).Str("queue", key).Uint64("configuration", s.queuesVersion).Int("steps", len(j.Steps)).Msg("job accepted")
+	s.logCall(s.log.Info(), call).Uint64("answered_under", s.configurationVersion()).Int("steps", len(j.Steps)).Msg("job accepted")
 	return &jobpb.Response{}
 }
 
+// configurationVersion returns the version of the configuration in force.
+func (s *session) configurationVersion() (version uint64) {
+	s.view(func(st *state.Store) { version = st.Configuration().Version })
+	return version
+}
+
 // queueOfJob returns the key of the queue that holds a job, empty if there is no
 // such job.
 func (s *session) queueOfJob(id string) (queue string) {
@@ -149,23 +145,23 @@
 }
 
 func (s *session) cancelJob(ctx context.Context, r *jobpb.Request) *jobpb.Response {
-	q, id, refused := s.route(r)
+	call, refused := s.resolveCall(r)
 	if refused != nil {
 		return refused
 	}
-	key := state.QueueKey(q.Host, q.Prefix)
+	id, key := call.id, call.queueKey
 	if existing := s.queueOfJob(id); existing != "" && existing != key {
 		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 	}
 	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Cancel{Cancel: &jobpb.Cancel{Job: id, AtMs: s.nowMs()}}})
 	if err != nil {
-		s.log.Warn().Err(err).Str("request", id).Msg("commit of a cancellation was not confirmed")
+		s.logCall(s.log.Warn().Err(err), call).Msg("commit of a cancellation was not confirmed")
 		return failureResponse(err)
 	}
 	if s.queueOfJob(id) != key {
 		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 	}
-	s.log.Info().Str("request", id).Bool("running", applied).Msg("job cancelled")
+	s.logCall(s.log.Info(), call).Bool("running", applied).Msg("job cancelled")
 	return &jobpb.Response{}
 }
 
