Log reads of jobs whose API key no tenant has

Change: the leader logs a read whose key is not valid, with the result of the check and the configuration.

--- a/process/jobs/calls.go
+++ b/process/jobs/calls.go
@@ -56,8 +56,8 @@
 
 // logCall begins a log line about a decision on a call: the version that it was decided with,
 // and what the check of the caller's API key found.
-func (s *session) logCall(event *zerolog.Event, call resolvedCall) *zerolog.Event {
+func (c *Control) logCall(event *zerolog.Event, call resolvedCall) *zerolog.Event {
 	return event.Str("request", call.id).Str("queue", call.queueKey).Str("key", string(call.access.Verdict)).
 		Str("tenant", call.access.Tenant).Uint64("configuration", call.version).
-		Dur("configuration_age", s.c.configured.of(call.version, s.now()))
+		Dur("configuration_age", c.configured.of(call.version, c.o.Clock.Now()))
 }
--- a/process/jobs/reads.go
+++ b/process/jobs/reads.go
@@ -48,10 +48,9 @@
 // jobState answers from the applied state. The caller has checked that this process
 // leads, so the state includes every change that was ever confirmed.
 func (c *Control) jobState(r *jobpb.Request) (resp *jobpb.Response) {
+	var call resolvedCall
 	c.replica.View(func(replica.StateMachine) {
-		call, refused := resolveCall(c.store, r)
-		if refused != nil {
-			resp = refused
+		if call, resp = resolveCall(c.store, r); resp != nil {
 			return
 		}
 		if call.id == "" {
@@ -69,6 +68,9 @@
 	if !c.Leads() {
 		return &jobpb.Response{Outcome: jobpb.Response_NOT_LEADER}
 	}
+	if call.queue != nil && !call.access.Allowed() {
+		c.logCall(c.log.Info(), call).Str("outcome", resp.Outcome.String()).Msg("state read")
+	}
 	return resp
 }
 
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -94,14 +94,14 @@
 	j.AcceptedMs = s.nowMs()
 	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: j}}})
 	if err != nil {
-		s.logCall(s.log.Warn().Err(err), call).Bool("never_runs", neverApplied(err)).Msg("job not confirmed")
+		s.c.logCall(s.log.Warn().Err(err), call).Bool("never_runs", neverApplied(err)).Msg("job not confirmed")
 		return failureResponse(err)
 	}
 	if !applied {
 		return answerTakenID(s.queueOfJob(id), key)
 	}
 	s.post(func() { s.moves.recordDemand(j) })
-	s.logCall(s.log.Info(), call).Uint64("answered_under", s.configurationVersion()).Int("steps", len(j.Steps)).Msg("job accepted")
+	s.c.logCall(s.log.Info(), call).Uint64("answered_under", s.configurationVersion()).Int("steps", len(j.Steps)).Msg("job accepted")
 	return &jobpb.Response{}
 }
 
@@ -155,13 +155,13 @@
 	}
 	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Cancel{Cancel: &jobpb.Cancel{Job: id, AtMs: s.nowMs()}}})
 	if err != nil {
-		s.logCall(s.log.Warn().Err(err), call).Msg("commit of a cancellation was not confirmed")
+		s.c.logCall(s.log.Warn().Err(err), call).Msg("commit of a cancellation was not confirmed")
 		return failureResponse(err)
 	}
 	if s.queueOfJob(id) != key {
 		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 	}
-	s.logCall(s.log.Info(), call).Bool("running", applied).Msg("job cancelled")
+	s.c.logCall(s.log.Info(), call).Bool("running", applied).Msg("job cancelled")
 	return &jobpb.Response{}
 }
 
