Refuse calls whose API key the configuration in force gives to no tenant

The class of fault: an input that restricts what is allowed is ignored, and ignoring it means allowing.

Change: the leader checks each submission, read and cancellation against the configuration in its applied state and refuses it with UNAUTHORIZED (401, nothing has run). A job belongs to the tenant that submitted it; other tenants don't see it. A refusal after an attempt without an outcome stays unknown. Why it works: only the leader decides, so there is no second place that could hold an older version.

TestStatusesAgreeWithKinds gets status 401 as one of outcome not-run and of no other kind: the status is new. Configurations without tenants are decided as before.

--- a/job/access/access.go
+++ b/job/access/access.go
@@ -3,6 +3,7 @@
 package access
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"strings"
 
@@ -68,3 +69,14 @@
 	}
 	return Digest(key)
 }
+
+// SeesJob reports whether a caller that may use a queue may see a job in it, and so read its
+// state, cancel it and submit it again. A job belongs to the tenant whose key submitted it. A key
+// that has moved to another tenant keeps the jobs that it submitted. A job that was submitted
+// without a key, because none was required then, is visible to every caller of its queue.
+func SeesJob(d Decision, digest []byte, j *jobpb.Job) bool {
+	if d.Verdict == NotRequired || j.Tenant == "" {
+		return true
+	}
+	return j.Tenant == d.Tenant || len(digest) > 0 && bytes.Equal(j.KeyDigest, digest)
+}
--- a/job/access/access_test.go
+++ b/job/access/access_test.go
@@ -62,3 +62,15 @@
 	configure(t, st, &jobpb.Configuration{Version: 6})
 	is.Equal(Check(st, q, nil).Allowed(), true)
 }
+
+// Guards against a tenant that sees the jobs of another one, and against jobs that nobody can
+// reach any more after a change of keys, tenants or queues.
+func TestSeesJob(t *testing.T) {
+	is := is.New(t)
+	j := &jobpb.Job{Tenant: "t1", KeyDigest: Digest("k1")}
+	is.True(SeesJob(Decision{Verdict: Valid, Tenant: "t1"}, Digest("k2"), j))
+	is.True(!SeesJob(Decision{Verdict: Valid, Tenant: "t2"}, Digest("k3"), j))
+	is.True(SeesJob(Decision{Verdict: Valid, Tenant: "t2"}, Digest("k1"), j)) // the key has moved
+	is.True(SeesJob(Decision{Verdict: NotRequired}, nil, j))                  // the queue has become anonymous
+	is.True(SeesJob(Decision{Verdict: Valid, Tenant: "t2"}, Digest("k3"), &jobpb.Job{}))
+}
--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -144,6 +144,8 @@
 		return outcome.New(outcome.CauseUnknownQueue, "there is no queue "+req.Queue)
 	case jobpb.Response_NO_JOB:
 		return outcome.New(outcome.CauseUnknownJob, "the queue "+req.Queue+" has no job "+req.Id)
+	case jobpb.Response_UNAUTHORIZED:
+		return outcome.New(outcome.CauseUnauthorized, resp.Reason)
 	case jobpb.Response_INVALID:
 		return outcome.New(outcome.CauseInvalidRequest, resp.Reason)
 	case jobpb.Response_UNKNOWN:
--- a/process/jobs/callers_test.go
+++ b/process/jobs/callers_test.go
@@ -87,6 +87,7 @@
 		{jobpb.Response_NOT_READY, http.StatusServiceUnavailable, outcome.NotRun, true},
 		{jobpb.Response_REFUSED, http.StatusServiceUnavailable, outcome.NotRun, true},
 		{jobpb.Response_UNKNOWN, http.StatusGatewayTimeout, outcome.Unknown, true},
+		{jobpb.Response_UNAUTHORIZED, http.StatusUnauthorized, outcome.NotRun, false},
 	} {
 		p := forwarderFunc(func(context.Context, *jobpb.Request) *jobpb.Response { return &jobpb.Response{Outcome: c.outcome} })
 		w := serveRequest(p, http.MethodPut, jobPath, `{"steps":[{"count":1}]}`)
@@ -95,6 +96,7 @@
 		is.Equal(w.Code, c.status)
 		is.Equal(problem.Outcome, c.kind)
 		is.Equal(w.Header().Get("Retry-After") != "", c.retry)
+		is.Equal(w.Header().Get("WWW-Authenticate") != "", c.status == http.StatusUnauthorized)
 	}
 }
 
--- a/process/jobs/entry.go
+++ b/process/jobs/entry.go
@@ -202,8 +202,7 @@
 			e.mu.Unlock()
 		case err == nil && resp.Outcome == jobpb.Response_UNKNOWN:
 			unknown, reason = true, resp.Reason
-		case err == nil && unknown && resp.Outcome != jobpb.Response_OK && r.Kind == jobpb.Request_SUBMIT:
-			// An earlier attempt may have been stored: this refusal does not cover it.
+		case err == nil && unknown && deniesEarlierAttempt(r.Kind, resp.Outcome):
 			return &jobpb.Response{Outcome: jobpb.Response_UNKNOWN, Reason: resp.Reason}, attempt
 		case err == nil:
 			return resp, attempt
@@ -225,6 +224,18 @@
 	}
 }
 
+// deniesEarlierAttempt reports whether a response says that a request was not carried out. It
+// does not cover an earlier attempt without a known outcome, which may have been stored.
+func deniesEarlierAttempt(kind jobpb.Request_Kind, outcome jobpb.Response_Outcome) bool {
+	switch kind {
+	case jobpb.Request_SUBMIT:
+		return outcome != jobpb.Response_OK
+	case jobpb.Request_CANCEL:
+		return outcome == jobpb.Response_UNAUTHORIZED
+	}
+	return false
+}
+
 func (e *Entry) attempt(ctx context.Context, name string, r *jobpb.Request) (*jobpb.Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -21,6 +21,8 @@
 	changesOverBudget prometheus.Counter
 	// unplacedRuns counts the stops of runs that a worker lists and the log does not place there.
 	unplacedRuns prometheus.Counter
+	// callsUnauthorized counts the calls that were refused for want of a valid API key.
+	callsUnauthorized *prometheus.CounterVec
 }
 
 func newControlMetrics() *controlMetrics {
@@ -45,6 +47,8 @@
 			Name: "marjoramtiller_jobs_changes_over_disk_budget_total", Help: "Changes that were refused because the log has used up its part of the disk."}),
 		unplacedRuns: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "marjoramtiller_jobs_unplaced_runs_stopped_total", Help: "Stops of runs that a worker lists and the log does not place there."}),
+		callsUnauthorized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "marjoramtiller_jobs_calls_unauthorized_total", Help: "Calls refused because of their API key: missing, unknown or revoked."}, []string{"key"}),
 	}
 }
 
@@ -64,5 +68,5 @@
 // Collectors returns the metrics of a control process.
 func (c *Control) Collectors() []prometheus.Collector {
 	return []prometheus.Collector{c.metrics.orders, c.metrics.commitSeconds, c.metrics.startSeconds, c.metrics.workersEnded, c.metrics.runsLost, c.metrics.tasksGivenUp,
-		c.metrics.changesRejected, c.metrics.changesOverBudget, c.metrics.unplacedRuns, c.replica}
+		c.metrics.changesRejected, c.metrics.changesOverBudget, c.metrics.unplacedRuns, c.metrics.callsUnauthorized, c.replica}
 }
--- a/process/jobs/reads.go
+++ b/process/jobs/reads.go
@@ -49,8 +49,9 @@
 // leads, so the state includes every change that was ever confirmed.
 func (c *Control) jobState(r *jobpb.Request) (resp *jobpb.Response) {
 	var call resolvedCall
+	var refused *jobpb.Response
 	c.replica.View(func(replica.StateMachine) {
-		if call, resp = resolveCall(c.store, r); resp != nil {
+		if call, refused = resolveCall(c.store, r); refused != nil {
 			return
 		}
 		if call.id == "" {
@@ -58,19 +59,19 @@
 			return
 		}
 		j := c.store.Job(call.id)
-		if j == nil || j.Queue != call.queueKey {
+		if !call.seesJob(j) {
 			resp = &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 			return
 		}
 		resp = &jobpb.Response{State: state.ShownState(j)}
 	})
+	if refused != nil {
+		return c.refuse(r, call, refused)
+	}
 	// The leader lease may have expired while the state was read.
 	if !c.Leads() {
 		return &jobpb.Response{Outcome: jobpb.Response_NOT_LEADER}
 	}
-	if call.queue != nil && !call.access.Allowed() {
-		c.logCall(c.log.Info(), call).Str("outcome", resp.Outcome.String()).Msg("state read")
-	}
 	return resp
 }
 
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -77,20 +77,23 @@
 func (s *session) submit(ctx context.Context, r *jobpb.Request) *jobpb.Response {
 	call, refused := s.resolveCall(r)
 	if refused != nil {
-		return refused
+		return s.c.refuse(r, call, refused)
 	}
 	id, key := call.id, call.queueKey
 	if !jobID.MatchString(id) {
 		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "the job's id does not have 16 lower-case hexadecimal digits"}
 	}
-	if existing := s.queueOfJob(id); existing != "" {
-		return answerTakenID(existing, key)
+	if existing := s.job(id); existing != nil {
+		return answerTakenID(existing, call)
 	}
 	if err := CheckJob(r.Job); err != nil {
 		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: err.Error()}
 	}
 	j := proto.Clone(r.Job).(*jobpb.Job)
 	j.Id, j.Queue, j.Pool, j.MaxAttempts = id, key, call.queue.Pool, call.queue.MaxAttempts
+	if call.access.Tenant != "" {
+		j.Tenant, j.KeyDigest = call.access.Tenant, call.digest
+	}
 	j.AcceptedMs = s.nowMs()
 	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: j}}})
 	if err != nil {
@@ -98,7 +101,7 @@
 		return failureResponse(err)
 	}
 	if !applied {
-		return answerTakenID(s.queueOfJob(id), key)
+		return answerTakenID(s.job(id), call)
 	}
 	s.post(func() { s.moves.recordDemand(j) })
 	s.c.logCall(s.log.Info(), call).Uint64("answered_under", s.configurationVersion()).Int("steps", len(j.Steps)).Msg("job accepted")
@@ -111,22 +114,17 @@
 	return version
 }
 
-// queueOfJob returns the key of the queue that holds a job, empty if there is no
-// such job.
-func (s *session) queueOfJob(id string) (queue string) {
-	s.view(func(st *state.Store) {
-		if j := st.Job(id); j != nil {
-			queue = j.Queue
-		}
-	})
-	return queue
+// job returns the job with an id, nil if there is none. Its queue, tenant and key never change.
+func (s *session) job(id string) (j *jobpb.Job) {
+	s.view(func(st *state.Store) { j = st.Job(id) })
+	return j
 }
 
-// answerTakenID answers a submission whose id is in use. It is a repeated submission
-// and is confirmed, unless the job is in another queue than the requested one.
-func answerTakenID(queue, requested string) *jobpb.Response {
-	if queue != requested {
-		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "another queue has a job with this id; choose a new id"}
+// answerTakenID answers a submission whose id is in use. It is a repeated submission and is
+// confirmed, unless the job is one that the caller doesn't see.
+func answerTakenID(existing *jobpb.Job, call resolvedCall) *jobpb.Response {
+	if !call.seesJob(existing) {
+		return &jobpb.Response{Outcome: jobpb.Response_INVALID, Reason: "another queue or tenant has a job with this id; choose a new id"}
 	}
 	return &jobpb.Response{}
 }
@@ -147,18 +145,17 @@
 func (s *session) cancelJob(ctx context.Context, r *jobpb.Request) *jobpb.Response {
 	call, refused := s.resolveCall(r)
 	if refused != nil {
-		return refused
+		return s.c.refuse(r, call, refused)
 	}
-	id, key := call.id, call.queueKey
-	if existing := s.queueOfJob(id); existing != "" && existing != key {
+	if existing := s.job(call.id); existing != nil && !call.seesJob(existing) {
 		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 	}
-	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Cancel{Cancel: &jobpb.Cancel{Job: id, AtMs: s.nowMs()}}})
+	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Cancel{Cancel: &jobpb.Cancel{Job: call.id, AtMs: s.nowMs()}}})
 	if err != nil {
 		s.c.logCall(s.log.Warn().Err(err), call).Msg("commit of a cancellation was not confirmed")
 		return failureResponse(err)
 	}
-	if s.queueOfJob(id) != key {
+	if !call.seesJob(s.job(call.id)) {
 		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 	}
 	s.c.logCall(s.log.Info(), call).Bool("running", applied).Msg("job cancelled")
--- a/request/outcome/outcome.go
+++ b/request/outcome/outcome.go
@@ -49,6 +49,7 @@
 	CauseUnknownQueue   Cause = "unknown-queue"
 	CauseUnknownJob     Cause = "unknown-job"
 	CauseJobUnconfirmed Cause = "job-unconfirmed"
+	CauseUnauthorized   Cause = "unauthorized"
 )
 
 // TypePrefix precedes the cause in the type member of a problem document.
@@ -104,6 +105,7 @@
 	CauseUnknownQueue:   {NotRun, http.StatusNotFound, "No such queue", "Name a queue of the configuration in the path."},
 	CauseUnknownJob:     {NotRun, http.StatusNotFound, "No such job", "Submit the job if it is still wanted."},
 	CauseJobUnconfirmed: {Unknown, http.StatusGatewayTimeout, "The request was not confirmed in time", "Send it again with the same id after the time in Retry-After: it remains one job."},
+	CauseUnauthorized:   {NotRun, http.StatusUnauthorized, "The API key is missing or not valid", "Send a key of a tenant as Authorization: Bearer KEY."},
 	CauseNoRecord:       {NotRun, http.StatusNotFound, "There is no record of this key", "Send the request with this key if it is still wanted."},
 }
 
@@ -149,6 +151,9 @@
 	h.Set("Content-Type", ContentType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	h.Set("Cache-Control", "no-store")
+	if e.Status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	if e.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
 	}
--- a/request/outcome/outcome_test.go
+++ b/request/outcome/outcome_test.go
@@ -31,7 +31,7 @@
 // outcome. A caller might then resend a request that has run.
 func TestStatusesAgreeWithKinds(t *testing.T) {
 	allowed := map[Kind][]int{
-		NotRun:  {400, 404, 413, 422, 429, 503},
+		NotRun:  {400, 401, 404, 413, 422, 429, 503},
 		Unknown: {502, 504, 409},
 		Running: {409},
 		Expired: {410},
