Keep all members of a configuration whose document is compressed

What callers would see: under a configuration of more than 2 MiB, calls without a valid key would be answered with success.

Cause: compressDocument built the stored configuration from the members that it named, so that tenants and the need for a key would be dropped.

Change: the stored configuration is a copy without the document. TestCompressedConfigurationKeepsAllMembers failed before.

--- a/process/jobs/configuration.go
+++ b/process/jobs/configuration.go
@@ -36,7 +36,9 @@
 	if err := w.Close(); err != nil {
 		return nil, errors.Wrap(err, "compress the configuration")
 	}
-	return &jobpb.Configuration{Version: c.Version, DocumentGzip: packed.Bytes(), Queues: c.Queues, Pools: c.Pools}, nil
+	stored := proto.CloneOf(c)
+	stored.Document, stored.DocumentGzip = nil, packed.Bytes()
+	return stored, nil
 }
 
 // documentOf returns a configuration's document as the operator sent it.
--- a/process/jobs/configuration_test.go
+++ b/process/jobs/configuration_test.go
@@ -52,3 +52,20 @@
 	is.NoErr(err)
 	is.True(bytes.Equal(document, large.Document)) // it is read back as it was sent
 }
+
+// Guards against a large configuration that loses a member when its document is compressed: one
+// without its tenants would ask no caller for a key.
+func TestCompressedConfigurationKeepsAllMembers(t *testing.T) {
+	is := is.New(t)
+	c := configurationWithRoutes(20_000)
+	c.Queues[0].Anonymous = true
+	c.Pools = []*jobpb.Pool{{Name: "wuno96b"}}
+	c.Authenticates = true
+	c.Tenants = []*jobpb.Tenant{{Name: "t1", KeyDigests: [][]byte{{1}}}}
+	packed, err := compressDocument(c)
+	is.NoErr(err)
+	is.True(len(packed.DocumentGzip) > 0)
+	want := proto.CloneOf(c)
+	want.Document, want.DocumentGzip = nil, packed.DocumentGzip
+	is.True(proto.Equal(packed, want))
+}
