Let the soak change keys and call without a valid one

Cause: the soak's configuration had no tenants, so that no run could show a call without a valid key that is answered with success while leaders change, processes are stopped and connections are held.

Change: configurations that give and take away a key follow each other during the faults. Calls with a key that was taken away before they are sent, or that never existed, must not be answered with 200 or 410, and callers with a valid key never with 401.

--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -2,7 +2,8 @@
 // injects faults: signals to the processes, lost or late orders at the workers, and
 // delayed, blocked or closed connections of callers, workers and reports in relays.
 // It checks by the responses to callers and the run history of the workers that no
-// accepted job is lost, no task runs twice and no worker is given more than its capacity.
+// accepted job is lost, no task runs twice, no worker is given more than its capacity and no
+// call without a valid API key is answered with success while keys are given and taken away.
 package soak
 
 import (
@@ -16,6 +17,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -86,6 +88,9 @@
 	machines        *executor.Machines        // nil if there is no machine service
 	interfaceRelays map[*process]*relay.Relay // in front of the callers' interface of an entry or the interface of a control process
 
+	confirmedVersion atomic.Int64 // highest version of the configuration that was confirmed
+	refusedCalls     atomic.Int64 // calls without a valid key
+
 	mu            sync.Mutex // guards the fields below
 	faultsEnabled bool
 	accepted      []string
@@ -136,7 +141,16 @@
 
 var client = &http.Client{Timeout: time.Second}
 
+// call makes a call with the callers' key. A call without a host is an operator's or worker's.
 func (s *soak) call(method, address, host, path, body string) (int, string) {
+	code, answer := s.callWithKey(method, address, host, path, body, callerKey)
+	if code == http.StatusUnauthorized {
+		s.t.Errorf("%s %s with a valid key was answered with %d", method, path, code)
+	}
+	return code, answer
+}
+
+func (s *soak) callWithKey(method, address, host, path, body, key string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 	if err != nil {
 		s.t.Error(err)
@@ -144,6 +158,7 @@
 	}
 	if host != "" {
 		req.Host = host
+		req.Header.Set("Authorization", "Bearer "+key)
 	}
 	resp, err := client.Do(req)
 	if err != nil {
@@ -160,9 +175,6 @@
 	return s.interfaceRelays[s.processes[s.fleet.controls+rng.IntN(s.fleet.entries)]].Address()
 }
 
-const configuration = `{"version":1,"routes":[{"name":"r","host":"a.example","path-prefix":"/q/","timeout-ms":3000,"target-latency-ms":600,
-	"service":"pool","max-attempts":3,"stretch-factor":1.6}],"services":[{"name":"pool"}]}`
-
 // eventually polls a condition until it holds and fails the test after waitLimit.
 func (s *soak) eventually(what string, ok func() bool) {
 	s.t.Helper()
@@ -175,11 +187,13 @@
 	s.t.Fatalf("did not happen within %s: %s", waitLimit, what)
 }
 
+// smallJob is a job with two steps.
+var smallJob = fmt.Sprintf(`{"spec":"x","steps":[{"count":3,"cpu":%d,"estimated-ms":150},{"count":2,"cpu":%d,"estimated-ms":150,"after":[0]}]}`, taskCPU, taskCPU)
+
 // submitJob submits a job and reports whether it was accepted.
 func (s *soak) submitJob(rng *rand.Rand) bool {
 	id := fmt.Sprintf("%016x", rng.Uint64()>>8) // does not begin like a lasting one
-	const steps = `{"spec":"x","steps":[{"count":3,"cpu":%d,"estimated-ms":150},{"count":2,"cpu":%d,"estimated-ms":150,"after":[0]}]}`
-	code, _ := s.call(http.MethodPost, s.entry(rng), "a.example", "/q/"+id, fmt.Sprintf(steps, taskCPU, taskCPU))
+	code, _ := s.call(http.MethodPost, s.entry(rng), "a.example", "/q/"+id, smallJob)
 	if code != http.StatusOK {
 		return false
 	}
@@ -206,7 +220,7 @@
 // called.
 func (s *soak) open() (endReports func()) {
 	s.eventually("the configuration is confirmed", func() bool {
-		code, _ := s.call(http.MethodPut, s.processes[0].address(portControlPlane), "", "/configuration", configuration)
+		code, _ := s.call(http.MethodPut, s.processes[0].address(portControlPlane), "", "/configuration", configuration(1))
 		return code == http.StatusOK
 	})
 	done := make(chan struct{})
@@ -265,6 +279,8 @@
 			}
 		})
 	}
+	callers.Go(func() { s.rotateKeys(until) })
+	callers.Go(func() { s.intrude(until) })
 	if s.fleet.recuts {
 		s.recutWorkers(until)
 	} else {
@@ -374,7 +390,8 @@
 			defer s.check() // also if a job did not end in time
 			s.run()
 			is.New(t).True(len(s.accepted) > 0)
-			t.Logf("seed %d: %d jobs accepted, in the logs %s", seed, len(s.accepted), s.logSummary())
+			t.Logf("seed %d: %d jobs accepted, %d calls without a valid key, %d configurations, in the logs %s", seed, len(s.accepted),
+				s.refusedCalls.Load(), s.confirmedVersion.Load(), s.logSummary())
 		})
 	}
 }
