Keep the age of the configuration in force over lines about earlier ones

What operators saw: `configuration_age` begins anew after a log line about a call that was decided with an earlier version.

Cause: reading the age also recorded the version, whichever it was.

Change: only a newer version begins a new age; recording and reading are apart. The id that a caller chose is cut off in these lines.

--- a/process/jobs/calls.go
+++ b/process/jobs/calls.go
@@ -51,20 +51,26 @@
 	return j != nil && j.Queue == c.queueKey && access.SeesJob(c.access, c.digest, j)
 }
 
-// versionAge tells how long ago a process first had a version of the configuration in force.
+// versionAge holds when a process first had the newest configuration in force.
 type versionAge struct {
 	mu      sync.Mutex
 	version uint64
 	since   time.Duration
 }
 
-// of notes the version in force and returns how long ago it was first noted.
-func (a *versionAge) of(version uint64, now time.Duration) time.Duration {
+// note records that a version is in force. Versions only rise.
+func (a *versionAge) note(version uint64, now time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.version != version {
+	if version > a.version {
 		a.version, a.since = version, now
 	}
+}
+
+// age returns for how long the newest version is in force.
+func (a *versionAge) age(now time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return now - a.since
 }
 
@@ -82,10 +88,16 @@
 	return refused
 }
 
-// logCall begins a log line about a decision on a call: the version that it was decided with,
-// and what the check of the caller's API key found.
+// maxLoggedID is the most of a job's id, in bytes, that a log line on a call holds: the caller
+// chooses it, and a valid one has 16.
+const maxLoggedID = 64
+
+// logCall begins a log line about a decision on a call: the version that it was decided with, for
+// how long the newest one is in force, and what the check of the caller's API key found.
 func (c *Control) logCall(event *zerolog.Event, call resolvedCall) *zerolog.Event {
-	return event.Str("request", call.id).Str("queue", call.queueKey).Str("key", string(call.access.Verdict)).
+	now := c.o.Clock.Now()
+	c.configured.note(call.version, now)
+	return event.Str("request", call.id[:min(len(call.id), maxLoggedID)]).Str("queue", call.queueKey).Str("key", string(call.access.Verdict)).
 		Str("tenant", call.access.Tenant).Uint64("configuration", call.version).
-		Dur("configuration_age", c.configured.of(call.version, c.o.Clock.Now()))
+		Dur("configuration_age", c.configured.age(now))
 }
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -229,7 +229,7 @@
 		return
 	}
 	s.queuesVersion = conf.Version
-	s.c.configured.of(conf.Version, s.now())
+	s.c.configured.note(conf.Version, s.now())
 	s.queues = map[string]*jobpb.Queue{}
 	for _, q := range conf.Queues {
 		s.queues[state.QueueKey(q.Host, q.Prefix)] = q
