Cancel no job that the caller does not see

What callers would see: a cancellation is answered with 410, and the job of another tenant with that id is cancelled.

Cause: whether the caller sees the job was checked before and after the cancellation was logged. A job that was stored in between was cancelled all the same.

Change: if there is no job yet, an empty entry goes through the log first, so that submissions on their way are stored before the check; a job that the caller does not see is never cancelled. Only cancellations of unknown jobs take the second entry.

--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -147,21 +147,31 @@
 	if refused != nil {
 		return s.c.refuse(r, call, refused)
 	}
-	if existing := s.job(call.id); existing != nil && !call.seesJob(existing) {
+	j := s.job(call.id)
+	if j == nil {
+		// A submission on its way to the log is stored before this entry is. A cancellation that is
+		// logged without a look at the job could end that of another tenant.
+		if _, err := s.proposeChange(ctx, &jobpb.Entry{}); err != nil {
+			return s.cancellationFailed(call, err)
+		}
+		j = s.job(call.id)
+	}
+	if !call.seesJob(j) {
 		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
 	}
 	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Cancel{Cancel: &jobpb.Cancel{Job: call.id, AtMs: s.nowMs()}}})
 	if err != nil {
-		s.c.logCall(s.log.Warn().Err(err), call).Msg("commit of a cancellation was not confirmed")
-		return failureResponse(err)
-	}
-	if !call.seesJob(s.job(call.id)) {
-		return &jobpb.Response{Outcome: jobpb.Response_NO_JOB}
+		return s.cancellationFailed(call, err)
 	}
 	s.c.logCall(s.log.Info(), call).Bool("running", applied).Msg("job cancelled")
 	return &jobpb.Response{}
 }
 
+func (s *session) cancellationFailed(call resolvedCall, err error) *jobpb.Response {
+	s.c.logCall(s.log.Warn().Err(err), call).Msg("commit of a cancellation was not confirmed")
+	return failureResponse(err)
+}
+
 // Configure stores a configuration. One that is not newer than the stored one
 // changes nothing, and no error is returned.
 func (c *Control) Configure(ctx context.Context, conf *jobpb.Configuration) error {
