Accept no job whose tenant the configuration has lost meanwhile

What callers would see: a job is accepted for a tenant that is gone, so that none of its limits would be known.

Cause: the acceptance is checked before it is logged. A configuration without the tenant could be applied in between.

Change: the state refuses such an acceptance when it is applied, and the submission is decided again by the configuration in force then.

--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -70,6 +70,10 @@
 	if j == nil || s.jobs[j.Id] != nil || j.State != jobpb.Job_QUEUED || len(j.Occurrences) > 0 {
 		return false
 	}
+	// The configuration may have lost the tenant since the job's submission was checked.
+	if j.Tenant != "" && s.tenants.byName[j.Tenant] == nil {
+		return false
+	}
 	s.jobs[j.Id] = j
 	s.openJobs[j.Id] = j
 	s.tenants.jobOpened(j)
--- a/process/jobs/calls_test.go
+++ b/process/jobs/calls_test.go
@@ -13,13 +13,14 @@
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
 
-// newKeyedControl returns a leader with the queue "ledger" and one tenant with the key "k1".
+// newKeyedControl returns a leader with the queue "ledger" and the tenants t1 and t2, whose keys
+// are k1 and k2.
 func newKeyedControl(t *testing.T) *Control {
 	t.Helper()
 	s := newUpkeepFixture(t).session
 	s.c.store = storeOf(t, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: &jobpb.Configuration{Version: 2, Authenticates: true,
 		Pools: []*jobpb.Pool{{Name: "pool"}}, Queues: []*jobpb.Queue{{Name: "ledger", Host: "h", Prefix: "/q/", Pool: "pool"}},
-		Tenants: []*jobpb.Tenant{{Name: "t1", KeyDigests: [][]byte{access.Digest("k1")}}}}}})
+		Tenants: []*jobpb.Tenant{{Name: "t1", KeyDigests: [][]byte{access.Digest("k1")}}, {Name: "t2", KeyDigests: [][]byte{access.Digest("k2")}}}}}})
 	s.c.session = s
 	return s.c
 }
@@ -31,8 +32,8 @@
 	c := newKeyedControl(t)
 	c.group = expiredLeaseLog{}
 	for _, r := range []*jobpb.Request{
-		{Kind: jobpb.Request_SUBMIT, Queue: "ledger", Id: "0123456789abcdef", Job: &jobpb.Job{}, KeyDigest: access.Digest("k2")},
-		{Kind: jobpb.Request_CANCEL, Queue: "ledger", Id: "0123456789abcdef", KeyDigest: access.Digest("k2")},
+		{Kind: jobpb.Request_SUBMIT, Queue: "ledger", Id: "0123456789abcdef", Job: &jobpb.Job{}, KeyDigest: access.Digest("k9")},
+		{Kind: jobpb.Request_CANCEL, Queue: "ledger", Id: "0123456789abcdef", KeyDigest: access.Digest("k9")},
 		{Kind: jobpb.Request_SUBMIT, Queue: "other", Id: "0123456789abcdef", Job: &jobpb.Job{}, KeyDigest: access.Digest("k1")},
 		{Kind: jobpb.Request_CANCEL, Queue: "other", Id: "0123456789abcdef", KeyDigest: access.Digest("k1")},
 	} {
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -100,8 +100,13 @@
 		s.c.logCall(s.log.Warn().Err(err), call).Bool("never_runs", neverApplied(err)).Msg("job not confirmed")
 		return failureResponse(err)
 	}
+	existing := s.job(id)
+	if !applied && existing == nil {
+		// The configuration has changed since the call was checked, and lacks its tenant.
+		return s.submit(ctx, r)
+	}
 	if !applied {
-		return answerTakenID(s.job(id), call)
+		return answerTakenID(existing, call)
 	}
 	s.post(func() { s.moves.recordDemand(j) })
 	s.c.logCall(s.log.Info(), call).Uint64("answered_under", s.configurationVersion()).Int("steps", len(j.Steps)).Msg("job accepted")
