Read a stored configuration again that an earlier build has read

What callers would see: after an upgrade, calls without a valid key are still answered with success, until the operator sends a configuration with a higher version; sending the same one again changes nothing. The review of the fix found it.

Cause: the state keeps a configuration as the build that received it has decoded it.

Change: a stored configuration names the revision of the decoder that read it. Before a leader takes calls, it reads a document of an earlier revision again and puts the result in force; so does an operator who sends the same document again. Other content under the version held still changes nothing.

--- a/cmd/marjoramtiller-platform/control.go
+++ b/cmd/marjoramtiller-platform/control.go
@@ -26,6 +26,7 @@
 	options := jobs.ControlOptions{
 		Name: name, InitialVoters: initialVoters, Seeds: s.SeedsInternal, Dir: filepath.Join(s.Dir, "jobs"), DiskBytes: s.DiskBytes, Listen: s.Internal, IP: s.IP,
 		BootID: bootID, Cluster: cluster, Seed: electionSeed(bootID), Bounds: s.Bounds, Workers: client, Clock: replica.BootClock(), Logger: log,
+		DecodeConfiguration: platform.DecodeConfiguration,
 	}
 	if s.MachineService != "" {
 		options.Machines = client
--- a/job/state/apply.go
+++ b/job/state/apply.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"bytes"
+
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
@@ -57,7 +59,7 @@
 }
 
 func (s *Store) configure(c *jobpb.Configuration) bool {
-	if c.Version <= s.configuration.Version {
+	if c.Version < s.configuration.Version || c.Version == s.configuration.Version && !s.rereads(c) {
 		return false
 	}
 	s.configuration = c
@@ -65,6 +67,14 @@
 	return true
 }
 
+// rereads reports whether a configuration is the one in force as a newer build reads its
+// document: an older build may have stored it without members that it did not know.
+func (s *Store) rereads(c *jobpb.Configuration) bool {
+	stored := s.configuration
+	sameDocument := bytes.Equal(c.Document, stored.Document) && bytes.Equal(c.DocumentGzip, stored.DocumentGzip)
+	return sameDocument && len(c.Document)+len(c.DocumentGzip) > 0 && c.Reading > stored.Reading
+}
+
 func (s *Store) accept(j *jobpb.Job) bool {
 	// The state of a job's tasks comes from the changes after its acceptance only.
 	if j == nil || s.jobs[j.Id] != nil || j.State != jobpb.Job_QUEUED || len(j.Occurrences) > 0 {
--- a/process/jobs/configuration.go
+++ b/process/jobs/configuration.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"context"
 	"io"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
+	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
 const (
@@ -41,6 +43,40 @@
 	return stored, nil
 }
 
+// rereadConfiguration reads the document in force again if an earlier build has read it, which may
+// not have known members that restrict what callers may do, and puts what it says in force. It is
+// called before a leader takes calls.
+func (c *Control) rereadConfiguration(ctx context.Context) error {
+	var stored *jobpb.Configuration
+	c.viewStore(func(st *state.Store) { stored = st.Configuration() })
+	if c.o.DecodeConfiguration == nil || stored.Version == 0 {
+		return nil
+	}
+	document, err := documentOf(stored)
+	if err != nil {
+		return err
+	}
+	conf, err := c.o.DecodeConfiguration(document)
+	if err != nil {
+		c.log.Error().Err(err).Uint64("version", stored.Version).Msg("the stored configuration is invalid for this build: it stays in force as an earlier one has read it; send a valid one")
+		return nil
+	}
+	if conf.Reading <= stored.Reading {
+		return nil
+	}
+	conf.Document, conf.DocumentGzip = stored.Document, stored.DocumentGzip
+	data, err := proto.Marshal(&jobpb.Command{Entries: []*jobpb.Entry{{Change: &jobpb.Entry_Configure{Configure: conf}}}})
+	if err != nil {
+		return errors.Wrap(err, "encode the configuration")
+	}
+	if _, err := c.group.Propose(ctx, data); err != nil {
+		return err
+	}
+	c.log.Info().Uint64("version", conf.Version).Uint32("reading", conf.Reading).Bool("authenticates", conf.Authenticates).Int("tenants", len(conf.Tenants)).
+		Msg("the stored configuration was read again by a newer build")
+	return nil
+}
+
 // documentOf returns a configuration's document as the operator sent it.
 func documentOf(c *jobpb.Configuration) ([]byte, error) {
 	if len(c.DocumentGzip) == 0 {
--- a/process/jobs/configuration_test.go
+++ b/process/jobs/configuration_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
@@ -69,3 +70,32 @@
 	want.Document, want.DocumentGzip = nil, packed.DocumentGzip
 	is.True(proto.Equal(packed, want))
 }
+
+// Guards against a configuration that stays in force as an earlier build has read it, without the
+// members that this build knows, and against one that another document replaces under its version.
+func TestLeaderRereadsTheConfigurationOfAnEarlierBuild(t *testing.T) {
+	is := is.New(t)
+	c := newKeyedControl(t)
+	earlier := &jobpb.Configuration{Version: 3, Document: []byte("document"), Queues: []*jobpb.Queue{{Name: "ledger", Host: "h", Prefix: "/q/", Pool: "pool"}}}
+	applyEntries(t, c.store, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: earlier}})
+	c.group = overtakenLog{store: c.store, first: func() {}}
+	refusal := func() *jobpb.Response {
+		_, refused := resolveCall(c.store, &jobpb.Request{Queue: "ledger", Id: "0123456789abcdef"})
+		return refused
+	}
+	is.NoErr(c.rereadConfiguration(t.Context())) // without a decoder
+	is.Equal(refusal(), nil)
+	invalid := errors.New("invalid")
+	c.o.DecodeConfiguration = func([]byte) (*jobpb.Configuration, error) { return nil, invalid }
+	is.NoErr(c.rereadConfiguration(t.Context())) // a leader that can't read it leads all the same
+	is.Equal(refusal(), nil)
+	c.o.DecodeConfiguration = func(document []byte) (*jobpb.Configuration, error) {
+		return &jobpb.Configuration{Version: 3, Document: document, Queues: earlier.Queues, Authenticates: true, Reading: 1}, nil
+	}
+	is.NoErr(c.rereadConfiguration(t.Context()))
+	is.Equal(refusal().GetOutcome(), jobpb.Response_UNAUTHORIZED)
+	other := &jobpb.Configuration{Version: 3, Document: []byte("other"), Queues: earlier.Queues, Reading: 2}
+	applyEntries(t, c.store, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: other}})
+	applyEntries(t, c.store, &jobpb.Entry{Change: &jobpb.Entry_Configure{Configure: earlier}})
+	is.Equal(refusal().GetOutcome(), jobpb.Response_UNAUTHORIZED)
+}
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -40,6 +40,9 @@
 	Advisor       Advisor  // nil without an advisor
 	Clock         replica.Clock
 	Logger        zerolog.Logger
+	// DecodeConfiguration reads a configuration document. If it is set, a leader reads the stored
+	// one again that an earlier build has read.
+	DecodeConfiguration func(document []byte) (*jobpb.Configuration, error)
 }
 
 // Bounds are the limits and lease times that the platform sets.
--- a/process/jobs/leadership.go
+++ b/process/jobs/leadership.go
@@ -45,6 +45,10 @@
 			return
 		}
 	}
+	if err := c.rereadConfiguration(ctx); err != nil {
+		c.log.Warn().Err(err).Uint64("term", term).Msg("session not started: the configuration that an earlier build has read could not be replaced")
+		return
+	}
 	s := newSession(c, term, c.usedFences)
 	s.useRelays(newRelayedSender(term, &c.numbers, c.o.Workers, c.pool.SendRelay, c.otherVoters, s.leads, c.o.Clock, s.log))
 	c.mu.Lock()
