Serve the platform's interfaces within the limits of the process

Crowds of large bodies, most of which stopped just short of their end, made an entry or a control process run out of memory. A body over the limit is answered with 413 in place of 400, one without room with 503 before anything is passed on. The soft memory limit of the Go runtime leaves room for what the kernel holds.

--- a/cmd/marjoramtiller-platform/control.go
+++ b/cmd/marjoramtiller-platform/control.go
@@ -10,13 +10,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/platform"
 	"marjoramtiller.example/marjoramtiller/process/jobs"
 	"marjoramtiller.example/marjoramtiller/process/members"
 	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
-func serveControl(s *platform.Settings, bootID string, log zerolog.Logger, registry *prometheus.Registry, signals <-chan os.Signal) error {
+func serveControl(s *platform.Settings, bootID string, log zerolog.Logger, registry *prometheus.Registry, limits *inbound.Limits, signals <-chan os.Signal) error {
 	name, initialVoters, err := members.LoadOrCreateIdentity(s.Dir, s.Internal, s.SeedsInternal, s.Bootstrap)
 	if err != nil {
 		return err
@@ -38,7 +39,7 @@
 		return err
 	}
 	registry.MustRegister(control.Collectors()...)
-	observer := openObserver(s, log, registry, control.OperatorsHandler(), control.Dump)
+	observer := openObserver(s, log, registry, limits, control.OperatorsHandler(), control.Dump)
 	if observer != nil {
 		defer func() { _ = observer.Close(context.Background()) }()
 	}
@@ -48,7 +49,9 @@
 	}
 	server := newServer((&platform.Control{Process: control, Address: s.ControlPlane, Log: log}).Handler())
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() {
+		failed <- limits.Serve(server, listener, serveOptions("control-plane", s.ConnectionLimits().ControlPlane))
+	}()
 	select {
 	case err = <-failed:
 	case <-control.Done():
--- a/cmd/marjoramtiller-platform/entry.go
+++ b/cmd/marjoramtiller-platform/entry.go
@@ -10,17 +10,18 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/platform"
 	"marjoramtiller.example/marjoramtiller/process/jobs"
 	"marjoramtiller.example/marjoramtiller/process/members"
 )
 
-func serveEntry(s *platform.Settings, bootID string, log zerolog.Logger, registry *prometheus.Registry, signals <-chan os.Signal) error {
+func serveEntry(s *platform.Settings, bootID string, log zerolog.Logger, registry *prometheus.Registry, limits *inbound.Limits, signals <-chan os.Signal) error {
 	entry := jobs.OpenEntry(jobs.EntryOptions{Name: members.Name(net.JoinHostPort(s.IP, "0"), bootID), Seeds: s.SeedsInternal,
 		IP: s.IP, BootID: bootID, Cluster: cluster, Logger: log})
 	defer func() { _ = entry.Close() }()
 	registry.MustRegister(entry.Collectors()...)
-	observer := openObserver(s, log, registry, jobs.CallersHandler(entry), nil)
+	observer := openObserver(s, log, registry, limits, jobs.CallersHandler(entry), nil)
 	if observer != nil {
 		defer func() { _ = observer.Close(context.Background()) }()
 	}
@@ -36,8 +37,10 @@
 	server := newServer(handler)
 	ready := newServer(http.HandlerFunc(handler.ServeReadiness))
 	failed := make(chan error, 2)
-	go func() { failed <- server.Serve(callers) }()
-	go func() { failed <- ready.Serve(readiness) }()
+	go func() { failed <- limits.Serve(server, callers, serveOptions("callers", s.ConnectionLimits().Callers)) }()
+	go func() {
+		failed <- limits.Serve(ready, readiness, serveOptions("readiness", s.ConnectionLimits().Readiness))
+	}()
 	select {
 	case err := <-failed:
 		return err
--- a/cmd/marjoramtiller-platform/main.go
+++ b/cmd/marjoramtiller-platform/main.go
@@ -22,6 +22,7 @@
 	"github.com/rs/zerolog/diode"
 
 	"marjoramtiller.example/marjoramtiller/connection/httpserver"
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/platform"
 	"marjoramtiller.example/marjoramtiller/process/observe"
 )
@@ -32,9 +33,10 @@
 	exitSettings = 2 // invalid arguments or settings
 
 	logQueue         = 4096 // log lines queued for standard output; further lines are dropped and counted
-	memoryShare      = 0.8  // share of the process's memory that is the soft limit of the Go runtime
+	memoryShare      = 0.7  // share of the process's memory that is the soft limit of the Go runtime
 	headerTimeout    = 3 * time.Second
 	idleTimeout      = 60 * time.Second
+	writeTimeout     = 10 * time.Second // for each 64 KiB of an answer
 	maxHeaderBytes   = 16 << 10
 	balancerNotice   = 2500 * time.Millisecond // time for the load balancer to notice that an entry is no longer ready
 	closeReserve     = time.Second             // part of the grace period that is kept for the last requests
@@ -95,10 +97,12 @@
 	registry := observe.NewRegistry()
 	registry.MustRegister(dropped)
 	log.Info().Str("role", role).Str("zone", s.Zone).Str("boot", bootID).Bool("bootstrap", s.Bootstrap).Strs("seeds", s.SeedsInternal).Msg("started")
+	limits := s.NewLimits(log)
+	registry.MustRegister(limits.Collectors()...)
 	if role == "entry" {
-		err = serveEntry(s, bootID, log, registry, signals)
+		err = serveEntry(s, bootID, log, registry, limits, signals)
 	} else {
-		err = serveControl(s, bootID, log, registry, signals)
+		err = serveControl(s, bootID, log, registry, limits, signals)
 	}
 	if err != nil {
 		log.Error().Err(err).Msg("stopped with an error")
@@ -123,9 +127,15 @@
 }
 
 // listen opens a listener whose connections fail when the peer no longer acknowledges
-// data.
+// data, and whose buffers are limited.
 func listen(address string) (net.Listener, error) {
-	listener, err := (&net.ListenConfig{Control: platform.SetTCPUserTimeout}).Listen(context.Background(), "tcp", address)
+	setOptions := func(network, address string, conn syscall.RawConn) error {
+		if err := inbound.SetBufferSizes(network, address, conn); err != nil {
+			return err
+		}
+		return platform.SetTCPUserTimeout(network, address, conn)
+	}
+	listener, err := (&net.ListenConfig{Control: setOptions}).Listen(context.Background(), "tcp", address)
 	return listener, errors.Wrapf(err, "listen on %s", address)
 }
 
@@ -133,13 +143,18 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func openObserver(s *platform.Settings, log zerolog.Logger, registry *prometheus.Registry, api http.Handler, dump func(context.Context) ([]byte, error)) *httpserver.Server {
+func serveOptions(name string, connections int) inbound.ServeOptions {
+	return inbound.ServeOptions{Name: name, MaxConnections: connections, WriteTimeout: writeTimeout}
+}
+
+func openObserver(s *platform.Settings, log zerolog.Logger, registry *prometheus.Registry, limits *inbound.Limits, api http.Handler, dump func(context.Context) ([]byte, error)) *httpserver.Server {
 	address, err := netip.ParseAddrPort(s.Metrics)
 	if err != nil {
 		log.Warn().Err(err).Msg("metrics listener not started: its address is invalid; check ip-address in the settings")
 		return nil
 	}
-	server, err := observe.Listen(observe.Options{Address: address, Logger: log, Metrics: observe.MetricsHandler(registry), API: api, Dump: dump})
+	server, err := observe.Listen(observe.Options{Address: address, Logger: log, Metrics: observe.MetricsHandler(registry), API: api, Dump: dump,
+		Limits: limits, Connections: s.ConnectionLimits().Metrics})
 	if err != nil {
 		log.Warn().Err(err).Msg("metrics listener not started: cannot listen on its address")
 		return nil
--- a/connection/httpserver/httpserver.go
+++ b/connection/httpserver/httpserver.go
@@ -10,11 +10,13 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 )
 
 const maxHeaderBytes = 16 << 10 // of a request
 
-// Options set the address, the time limits and the logger of a Server.
+// Options set the address, the limits and the logger of a Server. Limits may be nil.
 type Options struct {
 	Name         string // of the interface, in errors and log lines
 	Setting      string // that holds the address, named by errors
@@ -22,6 +24,8 @@
 	ReadTimeout  time.Duration // for reading a request
 	WriteTimeout time.Duration // from the end of the request's header to that of its response
 	IdleTimeout  time.Duration // of a connection without requests
+	Limits       *inbound.Limits
+	Connections  int // largest number of open connections; 0 means that there is no limit
 	Logger       zerolog.Logger
 }
 
@@ -35,7 +39,10 @@
 
 // Listen starts a server that serves handler.
 func Listen(o Options, handler http.Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", o.Address.String())
+	if o.Limits == nil {
+		o.Limits = inbound.New(inbound.Options{Logger: o.Logger})
+	}
+	listener, err := (&net.ListenConfig{Control: inbound.SetBufferSizes}).Listen(context.Background(), "tcp", o.Address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s; correct %s in the settings or free the port", o.Name, o.Setting)
 	}
@@ -45,7 +52,7 @@
 	}}
 	go func() {
 		defer close(s.done)
-		if err := s.server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := o.Limits.Serve(s.server, listener, inbound.ServeOptions{Name: o.Name, MaxConnections: o.Connections}); !errors.Is(err, http.ErrServerClosed) {
 			o.Logger.Error().Err(err).Str("listener", o.Name).Str("address", o.Address.String()).Msg("listener has failed; restart the process")
 		}
 	}()
--- a/connection/inbound/body.go
+++ b/connection/inbound/body.go
@@ -62,8 +62,8 @@
 }
 
 // ReadBody returns the body of a request. It reserves memory as the bytes arrive, if the
-// request comes through Limits.Handler. On a *RefusedError the caller answers with its
-// status; the header of the answer is set already.
+// request comes through Limits.Handler. On an error the caller answers with its
+// StatusOf; the header of the answer is set already.
 func ReadBody(w http.ResponseWriter, r *http.Request, limits BodyLimits) ([]byte, error) {
 	q := requestOf(r)
 	if q == nil {
--- a/connection/inbound/limits.go
+++ b/connection/inbound/limits.go
@@ -117,11 +117,12 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return e.Reason }
 
-// IsRefused returns the refusal that an error reports, nil if it reports none.
-func IsRefused(err error) *RefusedError {
+// StatusOf returns the status of the answer to a request for which ReadBody or ReserveAnswer
+// returned an error.
+func StatusOf(err error) int {
 	var refused *RefusedError
 	if errors.As(err, &refused) {
-		return refused
+		return refused.Status
 	}
-	return nil
+	return http.StatusBadRequest
 }
--- a/connection/inbound/limits_test.go
+++ b/connection/inbound/limits_test.go
@@ -47,7 +47,7 @@
 func (s *served) handle(w http.ResponseWriter, r *http.Request) {
 	data, err := ReadBody(w, r, BodyLimits{MaxBytes: testMaxBody, DecodedFactor: 1})
 	if err != nil {
-		http.Error(w, err.Error(), IsRefused(err).Status)
+		http.Error(w, err.Error(), StatusOf(err))
 		return
 	}
 	if r.URL.Path == "/wait" {
--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +10,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/job/access"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
@@ -19,6 +19,7 @@
 // Limits of callers' requests.
 const (
 	MaxJobBytes          = 1 << 20         // of the body of a submission
+	decodedFactor        = 4               // memory of a decoded job for each byte of the body
 	defaultCallerTimeout = 3 * time.Second // without Request-Deadline-Ms
 	maxCallerTimeoutMs   = 60_000
 	headerDeadline       = "Request-Deadline-Ms"
@@ -68,9 +69,9 @@
 type callersAPI struct{ forwarder Forwarder }
 
 func (c callersAPI) submit(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxJobBytes))
+	data, err := inbound.ReadBody(w, r, inbound.BodyLimits{MaxBytes: MaxJobBytes, DecodedFactor: decodedFactor})
 	if err != nil {
-		outcome.New(outcome.CauseBodyTooLarge, err.Error()).Write(w)
+		problemOfRefusal(err).Write(w)
 		return
 	}
 	j := &jobpb.Job{}
@@ -135,6 +136,17 @@
 	return time.Duration(min(ms, maxCallerTimeoutMs)) * time.Millisecond
 }
 
+// problemOfRefusal returns the error body for a body that was refused before it was decoded.
+func problemOfRefusal(err error) *outcome.Error {
+	switch inbound.StatusOf(err) {
+	case http.StatusRequestEntityTooLarge:
+		return outcome.New(outcome.CauseBodyTooLarge, err.Error())
+	case http.StatusServiceUnavailable:
+		return outcome.New(outcome.CauseUnavailable, err.Error()).WithRetryAfter(inbound.RetryAfter)
+	}
+	return outcome.New(outcome.CauseInvalidRequest, err.Error())
+}
+
 // problemOf returns the error body for an unsuccessful answer. A job is reported as
 // possibly accepted only if the outcome of its submission is unknown.
 func problemOf(req *jobpb.Request, resp *jobpb.Response) *outcome.Error {
--- a/process/observe/observe.go
+++ b/process/observe/observe.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"marjoramtiller.example/marjoramtiller/connection/httpserver"
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 )
 
 // Limits of the HTTP server.
@@ -64,7 +65,7 @@
 		Str("program", program).Str("cluster", cluster).Str("process", process).Logger(), nil
 }
 
-// Options configure the server. Metrics, Dump, Health and API may be nil.
+// Options configure the server. Metrics, Dump, Health, API and Limits may be nil.
 type Options struct {
 	Address netip.AddrPort
 	Logger  zerolog.Logger
@@ -72,6 +73,9 @@
 	Dump    func(ctx context.Context) ([]byte, error) // the process's state as JSON
 	Health  func() error                              // nil while the process can serve
 	API     http.Handler                              // serves the paths under /v1/
+
+	Limits      *inbound.Limits // of what clients send
+	Connections int             // largest number of open connections; 0 means that there is no limit
 }
 
 // Handler returns the handler of all paths that Listen serves.
@@ -98,6 +102,10 @@
 		http.Error(w, "the state cannot be dumped now, retry: "+err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	if err := inbound.ReserveAnswer(w, r, int64(len(data))); err != nil {
+		http.Error(w, err.Error(), inbound.StatusOf(err))
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(data)
 }
@@ -118,5 +126,6 @@
 	return httpserver.Listen(httpserver.Options{
 		Name: "metrics", Setting: "[listeners] observe", Address: o.Address,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, Logger: o.Logger,
+		Limits: o.Limits, Connections: o.Connections,
 	}, Handler(o))
 }
