--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -74,6 +75,10 @@
 		problemOfRefusal(err).Write(w)
 		return
 	}
+	if n := inbound.CountJSON(data).Objects; n > maxSteps+1 {
+		outcome.New(outcome.CauseInvalidRequest, fmt.Sprintf("the job has %d objects; it may have %d steps", n, maxSteps)).Write(w)
+		return
+	}
 	j := &jobpb.Job{}
 	if err := protojson.Unmarshal(data, j); err != nil {
 		outcome.New(outcome.CauseInvalidRequest, err.Error()).Write(w)
