Bound what peers of the internal address can make a process hold

A client that knows the cluster's name could open any number of sessions under invented names, and each stream announced up to 4 MiB that were reserved at once: 400 sessions took 416 descriptors of 300, and 100 calls that stalled 468 MB of 200. Sessions and pending Hellos are limited, and the address that has most gives way. Frames above 16 KiB are read within the limits as they arrive; consensus and relay messages have a budget of their own, so that a crowd of callers does not delay them. A call without room is answered as unavailable, which its caller may repeat.

--- a/cmd/marjoramtiller-platform/control.go
+++ b/cmd/marjoramtiller-platform/control.go
@@ -28,6 +28,9 @@
 		Name: name, InitialVoters: initialVoters, Seeds: s.SeedsInternal, Dir: filepath.Join(s.Dir, "jobs"), DiskBytes: s.DiskBytes, Listen: s.Internal, IP: s.IP,
 		BootID: bootID, Cluster: cluster, Seed: electionSeed(bootID), Bounds: s.Bounds, Workers: client, Clock: replica.BootClock(), Logger: log,
 	}
+	messages := s.NewMessageLimits(log)
+	registry.MustRegister(messages.Collectors()...)
+	options.Internal = jobs.InternalLimits{Calls: limits, Messages: messages, Sessions: s.ConnectionLimits().Internal}
 	if s.MachineService != "" {
 		options.Machines = client
 	}
--- a/connection/inbound/limits.go
+++ b/connection/inbound/limits.go
@@ -30,6 +30,7 @@
 type Options struct {
 	// BudgetBytes bounds what is held for requests; 0 means that there is no limit.
 	BudgetBytes int64
+	Name        string // of the budget, in metrics
 	Logger      zerolog.Logger
 }
 
@@ -42,7 +43,7 @@
 // New returns limits.
 func New(o Options) *Limits {
 	l := &Limits{memory: newMemory(o.BudgetBytes)}
-	l.metrics = newMetrics(l.memory, o.Logger)
+	l.metrics = newMetrics(l.memory, o.Name, o.Logger)
 	return l
 }
 
--- a/connection/inbound/metrics.go
+++ b/connection/inbound/metrics.go
@@ -25,19 +25,21 @@
 	pending map[string]int // events since the last log line
 }
 
-func newMetrics(m *memory, log zerolog.Logger) *metrics {
+func newMetrics(m *memory, budget string, log zerolog.Logger) *metrics {
+	labels := prometheus.Labels{"budget": budget}
 	limit := prometheus.NewGauge(prometheus.GaugeOpts{
-		Name: "marjoramtiller_inbound_budget_bytes", Help: "Bytes that the process may hold for requests, 0 without a limit."})
+		ConstLabels: labels, Name: "marjoramtiller_inbound_budget_bytes", Help: "Bytes that the process may hold for requests, 0 without a limit."})
 	limit.Set(float64(m.budget.limit))
 	return &metrics{
 		log: log, limit: limit, pending: map[string]int{},
 		reserved: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "marjoramtiller_inbound_reserved_bytes", Help: "Bytes reserved for requests."}, func() float64 { return float64(m.reserved()) }),
+			ConstLabels: labels, Name: "marjoramtiller_inbound_reserved_bytes", Help: "Bytes reserved for requests."}, func() float64 { return float64(m.reserved()) }),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "marjoramtiller_inbound_refusals_total", Help: "Requests refused before they were carried out, by reason."}, []string{"reason"}),
+			ConstLabels: labels, Name: "marjoramtiller_inbound_refusals_total", Help: "Requests refused before they were carried out, by reason."}, []string{"reason"}),
 		closures: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "marjoramtiller_inbound_connections_closed_total", Help: "Connections closed by the limits, by listener and reason."}, []string{"listener", "reason"}),
-		connections: &connectionsCollector{counts: map[string]func() int{}},
+			ConstLabels: labels, Name: "marjoramtiller_inbound_connections_closed_total", Help: "Connections closed by the limits, by listener and reason."}, []string{"listener", "reason"}),
+		connections: &connectionsCollector{counts: map[string]func() int{},
+			desc: prometheus.NewDesc("marjoramtiller_inbound_connections", "Open connections by listener.", []string{"listener"}, labels)},
 	}
 }
 
@@ -79,12 +81,12 @@
 
 // connectionsCollector reports the open connections of the listeners.
 type connectionsCollector struct {
+	desc *prometheus.Desc
+
 	mu     sync.Mutex
 	counts map[string]func() int
 }
 
-var connectionsDesc = prometheus.NewDesc("marjoramtiller_inbound_connections", "Open connections by listener.", []string{"listener"}, nil)
-
 func (c *connectionsCollector) add(listener string, count func() int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,13 +94,13 @@
 }
 
 // Describe implements prometheus.Collector.
-func (c *connectionsCollector) Describe(ch chan<- *prometheus.Desc) { ch <- connectionsDesc }
+func (c *connectionsCollector) Describe(ch chan<- *prometheus.Desc) { ch <- c.desc }
 
 // Collect implements prometheus.Collector.
 func (c *connectionsCollector) Collect(ch chan<- prometheus.Metric) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for listener, count := range c.counts {
-		ch <- prometheus.MustNewConstMetric(connectionsDesc, prometheus.GaugeValue, float64(count()), listener)
+		ch <- prometheus.MustNewConstMetric(c.desc, prometheus.GaugeValue, float64(count()), listener)
 	}
 }
--- a/connection/wire/call.go
+++ b/connection/wire/call.go
@@ -8,6 +8,7 @@
 	"io"
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 )
 
@@ -42,7 +43,13 @@
 func (s *Server) answerCall(ctx context.Context, peer string, stream *muxStream, reader *bufio.Reader) bool {
 	defer s.endCall(peer)
 	req := &wirepb.Request{}
-	if err := readMessage(reader, MaxFrameBytes, req); err != nil {
+	release, err := readLimited(s.options.CallLimits, stream, reader, req)
+	defer release()
+	var refused *inbound.FrameRefusedError
+	if errors.As(err, &refused) {
+		return s.respond(peer, stream, unavailable(refused.Error()))
+	}
+	if err != nil {
 		s.options.Logger.Warn().Err(err).Str("peer", peer).Msg("call dropped: its request can't be read")
 		return false
 	}
@@ -103,7 +110,7 @@
 		return err
 	}
 	if size > MaxFrameBytes {
-		return errors.New("message exceeds the limit of MaxFrameBytes")
+		return errFrameTooLarge
 	}
 	_, err = io.CopyN(io.Discard, reader, int64(size))
 	return err
--- a/connection/wire/server.go
+++ b/connection/wire/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 )
@@ -31,18 +32,19 @@
 
 // Server accepts sessions from the configured peers.
 type Server struct {
-	options       Options
-	handler       Handler
-	listener      net.Listener
-	ctx           context.Context
-	cancel        context.CancelFunc
-	pendingHellos chan struct{}
-	calls         sync.WaitGroup
-	goroutines    sync.WaitGroup
+	options    Options
+	handler    Handler
+	listener   net.Listener
+	ctx        context.Context
+	cancel     context.CancelFunc
+	calls      sync.WaitGroup
+	goroutines sync.WaitGroup
 
 	mu              sync.Mutex
 	closing         bool
 	conns           map[net.Conn]struct{} // all open connections
+	pendingHellos   *sources[net.Conn]
+	allSessions     *sources[*muxSession]
 	sessions        map[string][]*muxSession
 	callsInProgress map[string]int // number of calls in progress, by peer
 }
@@ -52,6 +54,15 @@
 	if options.MaxCallsPerPeer == 0 {
 		options.MaxCallsPerPeer = maxCallsPerPeer
 	}
+	if options.MaxSessions == 0 {
+		options.MaxSessions = defaultMaxSessions
+	}
+	if options.CallLimits == nil {
+		options.CallLimits = inbound.New(inbound.Options{Logger: options.Logger})
+	}
+	if options.MessageLimits == nil {
+		options.MessageLimits = inbound.New(inbound.Options{Logger: options.Logger})
+	}
 	l, err := net.Listen("tcp", options.Listen)
 	if err != nil {
 		return nil, err
@@ -59,7 +70,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Server{
 		options: options, handler: handler, listener: l, ctx: ctx, cancel: cancel,
-		pendingHellos:   make(chan struct{}, maxPendingHellos),
+		pendingHellos:   newSources[net.Conn](maxPendingHellos),
+		allSessions:     newSources[*muxSession](options.MaxSessions),
 		conns:           map[net.Conn]struct{}{},
 		sessions:        map[string][]*muxSession{},
 		callsInProgress: map[string]int{},
@@ -92,25 +104,31 @@
 	}
 }
 
-// trackConn registers a connection and reports whether it may be served. It is
-// rejected if too many connections have not sent a Hello yet or the server is
-// closing.
+// trackConn registers a connection and reports whether it may be served. If too many
+// connections have not sent a Hello yet, it closes one of them.
 func (s *Server) trackConn(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing {
 		return false
 	}
-	select {
-	case s.pendingHellos <- struct{}{}:
-	default:
-		return false
+	if victim, evicted := s.pendingHellos.add(conn, sourceOf(conn)); evicted {
+		_ = victim.Close()
 	}
 	s.conns[conn] = struct{}{}
 	s.goroutines.Add(1)
 	return true
 }
 
+// sourceOf returns the IP address of a connection's peer.
+func sourceOf(conn net.Conn) string {
+	host, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return conn.RemoteAddr().String()
+	}
+	return host
+}
+
 func (s *Server) serveConn(conn net.Conn) {
 	defer s.goroutines.Done()
 	defer func() {
@@ -120,7 +138,9 @@
 		s.mu.Unlock()
 	}()
 	peer, err := s.exchangeHello(conn)
-	<-s.pendingHellos
+	s.mu.Lock()
+	s.pendingHellos.remove(conn)
+	s.mu.Unlock()
 	if err != nil {
 		s.options.Logger.Warn().Err(err).Stringer("source", conn.RemoteAddr()).Msg("connection refused")
 		return
@@ -154,7 +174,8 @@
 
 // addSession registers a session and reports whether the server is still open. If
 // the peer has too many sessions, it closes the oldest one, which remains from a
-// connection that the peer no longer uses.
+// connection that the peer no longer uses. If there are too many of all peers, it closes
+// one of the address that has most.
 func (s *Server) addSession(peer string, session *muxSession) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,6 +188,9 @@
 		list = list[1:]
 	}
 	s.sessions[peer] = append(list[:len(list):len(list)], session)
+	if victim, evicted := s.allSessions.add(session, sourceOf(session.conn)); evicted {
+		go func() { _ = victim.Close() }()
+	}
 	return true
 }
 
@@ -174,12 +198,17 @@
 	_ = session.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.allSessions.remove(session)
 	var kept []*muxSession
 	for _, other := range s.sessions[peer] {
 		if other != session {
 			kept = append(kept, other)
 		}
 	}
+	if len(kept) == 0 {
+		delete(s.sessions, peer) // a peer has a new name after each start
+		return
+	}
 	s.sessions[peer] = kept
 }
 
@@ -189,6 +218,7 @@
 	// The streams for consensus messages, for snapshots and for relays count towards the
 	// same limit as the calls.
 	slots := make(chan struct{}, maxStreams+3)
+	oneWay := newOneWayStreams()
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
@@ -205,12 +235,33 @@
 			defer s.goroutines.Done()
 			defer func() { <-slots }()
 			defer func() { _ = stream.Close() }()
-			s.serveStream(ctx, peer, stream)
+			s.serveStream(ctx, peer, stream, oneWay)
 		}()
 	}
 }
 
-func (s *Server) serveStream(ctx context.Context, peer string, stream *muxStream) {
+// oneWayStreams limit the streams of a session that carry one-way messages, by kind.
+type oneWayStreams map[byte]chan struct{}
+
+func newOneWayStreams() oneWayStreams {
+	return oneWayStreams{
+		streamRaft: make(chan struct{}, maxStreamsPerKind), streamSnapshot: make(chan struct{}, maxStreamsPerKind),
+		streamRelay: make(chan struct{}, maxStreamsPerKind),
+	}
+}
+
+// begin reports whether a stream of a kind may be served, until the returned function is
+// called.
+func (o oneWayStreams) begin(kind byte) (end func(), ok bool) {
+	select {
+	case o[kind] <- struct{}{}:
+		return func() { <-o[kind] }, true
+	default:
+		return nil, false
+	}
+}
+
+func (s *Server) serveStream(ctx context.Context, peer string, stream *muxStream, oneWay oneWayStreams) {
 	if err := stream.SetReadDeadline(time.Now().Add(requestReadTimeout)); err != nil {
 		return
 	}
@@ -219,37 +270,49 @@
 	if err != nil {
 		return
 	}
-	switch kind {
-	case streamCall:
+	if kind == streamCall {
 		s.serveCall(ctx, peer, stream, reader)
+		return
+	}
+	end, ok := oneWay.begin(kind)
+	if !ok {
+		return
+	}
+	defer end()
+	if stream.SetReadDeadline(time.Time{}) != nil {
+		return
+	}
+	switch kind {
 	case streamRaft, streamSnapshot:
-		if stream.SetReadDeadline(time.Time{}) == nil {
-			s.serveRaft(peer, reader)
-		}
+		s.serveRaft(peer, stream, reader)
 	case streamRelay:
-		if handler, ok := s.handler.(RelayHandler); ok && stream.SetReadDeadline(time.Time{}) == nil {
-			serveRelay(handler, peer, reader)
+		if handler, ok := s.handler.(RelayHandler); ok {
+			s.serveRelay(handler, peer, stream, reader)
 		}
 	}
 }
 
-func serveRelay(handler RelayHandler, peer string, reader *bufio.Reader) {
+func (s *Server) serveRelay(handler RelayHandler, peer string, stream *muxStream, reader *bufio.Reader) {
 	for {
 		m := &jobpb.RelayMessage{}
-		if err := readMessage(reader, MaxFrameBytes, m); err != nil {
+		release, err := readLimited(s.options.MessageLimits, stream, reader, m)
+		if err != nil {
 			return
 		}
 		handler.HandleRelay(peer, m)
+		release()
 	}
 }
 
-func (s *Server) serveRaft(peer string, reader *bufio.Reader) {
+func (s *Server) serveRaft(peer string, stream *muxStream, reader *bufio.Reader) {
 	for {
 		raftMessage := &wirepb.RaftMessage{}
-		if err := readMessage(reader, MaxFrameBytes, raftMessage); err != nil {
+		release, err := readLimited(s.options.MessageLimits, stream, reader, raftMessage)
+		if err != nil {
 			return
 		}
 		s.handler.HandleRaft(peer, raftMessage)
+		release()
 	}
 }
 
--- a/connection/wire/wire.go
+++ b/connection/wire/wire.go
@@ -9,6 +9,8 @@
 
 import (
 	"bufio"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -19,6 +21,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 )
 
@@ -35,7 +38,11 @@
 	maxSessionsPerPeer   = 4
 	maxCallsPerPeer      = 128 // in progress, in all sessions of the peer
 	maxPendingHellos     = 32
-	queueMessages        = 4096 // one-way messages that wait for one peer
+	defaultMaxSessions   = 1024
+	maxStreamsPerKind    = 4        // of one session, for each kind of one-way messages
+	smallFrameBytes      = 16 << 10 // a larger frame is read within the limits of memory
+	decodedFrameFactor   = 3        // memory of a decoded message for each byte of its frame
+	queueMessages        = 4096     // one-way messages that wait for one peer
 	raftQueueBytes       = 32 << 20
 	chunkQueueBytes      = 8 << 20
 	relayQueueBytes      = 8 << 20
@@ -85,7 +92,15 @@
 	// means 128. Further calls get the error KIND_UNAVAILABLE. Only a Server uses
 	// it.
 	MaxCallsPerPeer int
-	Logger          zerolog.Logger
+	// MaxSessions is the maximum number of sessions that peers have opened; 0 means 1024.
+	// Above it the oldest session of the address that has most is closed. Only a Server
+	// uses it.
+	MaxSessions int
+	// CallLimits bound the memory for the requests of calls, MessageLimits that for one-way
+	// messages, so that a crowd of calls does not delay consensus. Nil means that there is no
+	// limit. Only a Server uses them.
+	CallLimits, MessageLimits *inbound.Limits
+	Logger                    zerolog.Logger
 }
 
 // NotSentError reports a call that failed before any byte of it was written.
@@ -167,6 +182,43 @@
 	return protodelim.UnmarshalOptions{MaxSize: limit}.UnmarshalFrom(r, m)
 }
 
+// readLimited reads a message within limits. The memory is held until release.
+func readLimited(limits *inbound.Limits, stream *muxStream, r *bufio.Reader, m proto.Message) (release func(), err error) {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return func() {}, err
+	}
+	if size > MaxFrameBytes {
+		return func() {}, errFrameTooLarge
+	}
+	data, release, err := readFrame(limits, stream, r, int64(size))
+	if err == nil {
+		err = proto.Unmarshal(data, m)
+	}
+	if err != nil {
+		release()
+		return func() {}, err
+	}
+	return release, nil
+}
+
+func readFrame(limits *inbound.Limits, stream *muxStream, r *bufio.Reader, size int64) (data []byte, release func(), err error) {
+	if size <= smallFrameBytes {
+		data = make([]byte, size)
+		_, err = io.ReadFull(r, data)
+		return data, func() {}, err
+	}
+	data, release, err = limits.ReadFrame(r, size, decodedFrameFactor, stream.endReads)
+	var refused *inbound.FrameRefusedError
+	if errors.As(err, &refused) {
+		_, discardErr := io.CopyN(io.Discard, r, size-refused.ReadBytes)
+		err = errors.Join(err, discardErr)
+	}
+	return data, release, err
+}
+
+var errFrameTooLarge = errors.New("message exceeds the limit of MaxFrameBytes")
+
 // unbufferedReader reads a Hello from a connection without consuming the bytes
 // after it.
 type unbufferedReader struct{ net.Conn }
--- a/process/jobs/control.go
+++ b/process/jobs/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/connection/wire"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
 	"marjoramtiller.example/marjoramtiller/job/dispatch"
@@ -39,9 +40,17 @@
 	Machines      Machines // nil without a machine service
 	Advisor       Advisor  // nil without an advisor
 	Clock         replica.Clock
+	Internal      InternalLimits
 	Logger        zerolog.Logger
 }
 
+// InternalLimits are the limits of the internal address, see wire.Options. The zero value
+// sets none.
+type InternalLimits struct {
+	Calls, Messages *inbound.Limits
+	Sessions        int
+}
+
 // Bounds are the limits and lease times that the platform sets.
 type Bounds struct {
 	Lease          worker.LeaseTiming
@@ -123,7 +132,8 @@
 	c := &Control{o: o, log: o.Logger, store: state.New(), ctx: ctx, cancel: cancel,
 		joining: map[string]time.Duration{}, metrics: newControlMetrics()}
 	net := wire.Options{Cluster: o.Cluster, Process: o.Name, BootID: o.BootID, Listen: o.Listen, LocalIP: o.IP,
-		Resolve: members.Address, Matches: members.Matches, MaxCallsPerPeer: maxCallsPerEntry, Logger: o.Logger}
+		Resolve: members.Address, Matches: members.Matches, MaxCallsPerPeer: maxCallsPerEntry, Logger: o.Logger,
+		MaxSessions: o.Internal.Sessions, CallLimits: o.Internal.Calls, MessageLimits: o.Internal.Messages}
 	c.pool = wire.NewPool(net)
 	r, err := replica.Open(replica.Options{
 		ID: o.Name, Group: Group, Voters: o.InitialVoters, Dir: o.Dir, StateMachine: c.store,
