--- a/tests/untrusted/bodies_test.go
+++ b/tests/untrusted/bodies_test.go
@@ -95,3 +95,11 @@
 }
 
 func TestBodiesSentFarOverLimitOfReports(t *testing.T) { testBodies(t, reports, sentOverLimit) }
+
+func TestManyWholeBodiesOfWaves(t *testing.T) { testBodies(t, waves, wholeBodies) }
+
+func TestBodiesStallingBeforeTheirEndOfWaves(t *testing.T) { testBodies(t, waves, stallingBodies) }
+
+func TestBodiesStallingBeforeTheirEndOfStateRequests(t *testing.T) {
+	testBodies(t, stateRequests, stallingBodies)
+}
