--- a/connection/wire/wire_test.go
+++ b/connection/wire/wire_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -16,7 +17,9 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/connection/wirepb"
+	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/standin/randomtest"
 )
 
@@ -427,3 +430,63 @@
 		_ = readMessage(bufio.NewReader(bytes.NewReader(data)), limit, &wirepb.Request{})
 	})
 }
+
+// Guards against calls that take more memory than there is, and against one without room that
+// is carried out or that its caller does not know to be refused.
+func TestCallWithoutMemoryIsRefused(t *testing.T) {
+	is := is.New(t)
+	limits := inbound.New(inbound.Options{BudgetBytes: 4 << 20})
+	options := testOptions("s", map[string]string{"c": "127.0.0.1:1"})
+	options.CallLimits = limits
+	handler := &testHandler{block: make(chan struct{}), began: make(chan struct{}, 2)}
+	s, err := Listen(options, handler)
+	is.NoErr(err)
+	p := NewPool(testOptions("c", map[string]string{"s": s.Addr().String()}))
+	t.Cleanup(func() {
+		_ = p.Close()
+		_ = s.Close()
+	})
+	large := &wirepb.Request{Body: &wirepb.Request_Job{Job: &jobpb.Request{Path: strings.Repeat("x", 1<<20)}}}
+	answered := make(chan error, 1)
+	go func() {
+		resp, err := p.Call(testContext(t), "s", large)
+		if err == nil && resp.Error != nil {
+			err = errors.New(resp.Error.Message)
+		}
+		answered <- err
+	}()
+	<-handler.began
+	resp, err := p.Call(testContext(t), "s", large)
+	is.NoErr(err)
+	is.Equal(resp.Error.GetKind(), wirepb.Error_KIND_UNAVAILABLE)
+	is.Equal(len(handler.began), 0) // the second call was not handled
+	close(handler.block)
+	is.NoErr(<-answered)
+}
+
+// Guards against sessions under invented names that use up the descriptors of a process, and
+// against a crowd of silent connections that keeps peers out.
+func TestCrowdOfSessionsGivesWay(t *testing.T) {
+	is := is.New(t)
+	options := testOptions("s", nil)
+	options.Resolve = func(string) (string, bool) { return "127.0.0.1:1", true }
+	options.MaxSessions = 3
+	s, err := Listen(options, &testHandler{})
+	is.NoErr(err)
+	t.Cleanup(func() { _ = s.Close() })
+	for range 2 * maxPendingHellos {
+		silent, err := net.Dial("tcp", s.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { _ = silent.Close() })
+	}
+	for i := range 10 {
+		p := NewPool(testOptions(fmt.Sprintf("c%d", i), map[string]string{"s": s.Addr().String()}))
+		t.Cleanup(func() { _ = p.Close() })
+		_, err := p.Call(testContext(t), "s", dumpRequest())
+		is.NoErr(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.True(len(s.allSessions.open) <= 3)
+	is.True(len(s.pendingHellos.open) <= maxPendingHellos)
+}
--- a/process/entry/body.go
+++ b/process/entry/body.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
 )
 
@@ -100,8 +101,8 @@
 	if oerr != nil || complete {
 		return oerr
 	}
-	if b, ok := r.Body.(*deadlineBody); ok {
-		b.progress = b.progress.forSlotHolder() // the rest of the body is read while a slot is held
+	if b, ok := r.Body.(*inbound.Body); ok {
+		b.UseStricter(slotHolderFactor) // the rest of the body is read while a slot is held
 	}
 	c.stream = &countingReader{reader: io.MultiReader(bytes.NewReader(c.body), r.Body)}
 	c.body = nil
--- a/process/entry/forward.go
+++ b/process/entry/forward.go
@@ -199,9 +199,9 @@
 // backend server's response has been read to its end, even if the caller
 // receives it slowly. While the slot is held, the caller has less time.
 func (e *Entry) relay(w *callerWriter, c *callerRequest, s slot, resp *forward.Response, prefix []byte) {
-	w.setProgressTimeout(e.newProgressTimeout().forSlotHolder())
+	w.setProgress(e.newProgress().Stricter(slotHolderFactor))
 	err := resp.Relay(w, prefix, e.reserveReadAhead(c, resp.ContentLength), func(err error) {
-		w.setProgressTimeout(e.newProgressTimeout())
+		w.setProgress(e.newProgress())
 		e.release(s, err == nil)
 	})
 	if err != nil {
--- a/process/entry/handler.go
+++ b/process/entry/handler.go
@@ -16,6 +16,7 @@
 
 	"github.com/pkg/errors"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/request/ledgerpb"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
 	"marjoramtiller.example/marjoramtiller/request/queue"
@@ -67,7 +68,7 @@
 	defer e.handling.Done()
 	cw := e.newCallerWriter(w)
 	w = cw
-	defer e.limitBodyTime(cw.ResponseWriter, r)()
+	defer inbound.LimitBodyTime(cw.ResponseWriter, r, e.newProgress())()
 	switch {
 	case r.URL.Path == healthPath:
 		e.serveHealth(w)
--- a/process/entry/timeout.go
+++ b/process/entry/timeout.go
@@ -1,13 +1,14 @@
 package entry
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 )
 
 const (
@@ -15,115 +16,26 @@
 	// backend server is divided by slotHolderFactor, and the rate that it must
 	// sustain is multiplied by it.
 	slotHolderFactor = 8
-	minTimeout       = time.Millisecond
 	// maxWriteBytes is the most that is written under one deadline. With a
 	// larger limit the deadline would not follow the progress of the caller.
 	maxWriteBytes = 8 << 10
 )
 
-// progressTimeout bounds the time that a caller may block the entry in reads or
-// writes: a grace period, plus time for each byte at a minimum rate. Time in
-// which the entry waits for a backend server does not count.
-type progressTimeout struct {
-	grace       time.Duration
-	rate        int64 // bytes per second
-	transferred int64
-	blocked     time.Duration
-}
-
-// next returns the time limit of the next read, or of the next write of n
-// bytes.
-func (p *progressTimeout) next(n int) time.Duration {
-	left := p.grace + p.timeFor(p.transferred) - p.blocked
-	return max(minTimeout, min(p.grace, left)+p.timeFor(int64(n)))
-}
-
-func (p *progressTimeout) timeFor(bytes int64) time.Duration {
-	return time.Duration(float64(bytes) / float64(p.rate) * float64(time.Second))
-}
-
-func (p *progressTimeout) record(n int, took time.Duration) {
-	p.transferred += int64(n)
-	p.blocked += took
-}
-
-// forSlotHolder returns a new, shorter timeout for a caller that holds a slot.
-func (p *progressTimeout) forSlotHolder() *progressTimeout {
-	return &progressTimeout{grace: p.grace / slotHolderFactor, rate: p.rate * slotHolderFactor}
-}
-
-func (e *Entry) newProgressTimeout() *progressTimeout {
-	return &progressTimeout{grace: e.options.CallerGrace, rate: e.options.CallerRate}
-}
-
-// deadlineBody reads a caller's request body under read deadlines.
-type deadlineBody struct {
-	body       io.ReadCloser
-	controller *http.ResponseController
-	progress   *progressTimeout
-
-	mu      sync.Mutex
-	stopped bool
-}
-
-// limitBodyTime sets the first read deadline of a request that has a body. The
-// deadline also applies if the body is never read, as net/http reads the rest
-// of it after the response. The handler calls stop before it returns.
-func (e *Entry) limitBodyTime(w http.ResponseWriter, r *http.Request) (stop func()) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return func() {}
-	}
-	b := &deadlineBody{body: r.Body, controller: http.NewResponseController(w), progress: e.newProgressTimeout()}
-	b.setDeadline(time.Now().Add(b.progress.next(0)))
-	r.Body = b
-	return b.stop
-}
-
-// stop prevents further changes of the connection's read deadline. The
-// transport may read the body after the handler has returned, when the
-// connection already serves the caller's next request.
-func (b *deadlineBody) stop() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.stopped = true
-}
-
-func (b *deadlineBody) setDeadline(at time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !b.stopped {
-		_ = b.controller.SetReadDeadline(at)
-	}
+func (e *Entry) newProgress() *inbound.Progress {
+	return inbound.NewProgress(e.options.CallerGrace, e.options.CallerRate)
 }
 
-// Read implements io.Reader. At the end of the body the deadline is removed, as
-// net/http then reads from the connection to detect that the caller has
-// disconnected.
-func (b *deadlineBody) Read(p []byte) (int, error) {
-	began := time.Now()
-	b.setDeadline(began.Add(b.progress.next(0)))
-	n, err := b.body.Read(p)
-	b.progress.record(n, time.Since(began))
-	if err == io.EOF {
-		b.setDeadline(time.Time{})
-	}
-	return n, err
-}
-
-// Close implements io.Closer.
-func (b *deadlineBody) Close() error { return b.body.Close() }
-
 // callerWriter writes a response under write deadlines.
 type callerWriter struct {
 	http.ResponseWriter
 	controller *http.ResponseController
 
 	mu       sync.Mutex
-	progress *progressTimeout
+	progress *inbound.Progress
 }
 
 func (e *Entry) newCallerWriter(w http.ResponseWriter) *callerWriter {
-	c := &callerWriter{ResponseWriter: w, controller: http.NewResponseController(w), progress: e.newProgressTimeout()}
+	c := &callerWriter{ResponseWriter: w, controller: http.NewResponseController(w), progress: e.newProgress()}
 	// The write deadline of the connection's previous response may have passed.
 	_ = c.controller.SetWriteDeadline(time.Time{})
 	return c
@@ -132,8 +44,8 @@
 // Unwrap returns the original writer for http.ResponseController.
 func (c *callerWriter) Unwrap() http.ResponseWriter { return c.ResponseWriter }
 
-// setProgressTimeout replaces the timeout, from the next write on.
-func (c *callerWriter) setProgressTimeout(p *progressTimeout) {
+// setProgress replaces the timeout, from the next write on.
+func (c *callerWriter) setProgress(p *inbound.Progress) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.progress = p
@@ -147,11 +59,11 @@
 	c.ResponseWriter.WriteHeader(status)
 }
 
-func (c *callerWriter) startWrite(n int) (*progressTimeout, time.Time) {
+func (c *callerWriter) startWrite(n int) (*inbound.Progress, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	_ = c.controller.SetWriteDeadline(now.Add(c.progress.next(n)))
+	_ = c.controller.SetWriteDeadline(now.Add(c.progress.Next(n)))
 	return c.progress, now
 }
 
@@ -173,7 +85,7 @@
 	n, err := c.ResponseWriter.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	progress.record(n, time.Since(began))
+	progress.Record(n, time.Since(began))
 	return n, err
 }
 
@@ -184,7 +96,7 @@
 	err := c.controller.Flush()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	progress.record(0, time.Since(began))
+	progress.Record(0, time.Since(began))
 	return err
 }
 
--- a/process/operator/http.go
+++ b/process/operator/http.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"regexp"
@@ -17,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"marjoramtiller.example/marjoramtiller/connection/httpserver"
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 )
 
 // Upper bounds of a request's size.
@@ -53,15 +53,17 @@
 // readBody returns the request body, or an error if it is larger than limit
 // bytes.
 func readBody(ctx iris.Context, limit int64) ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	data, err := inbound.ReadBody(ctx.ResponseWriter(), ctx.Request(), inbound.BodyLimits{MaxBytes: limit})
+	switch {
+	case err == nil:
+		return data, nil
+	case inbound.StatusOf(err) == http.StatusRequestEntityTooLarge:
 		return nil, bodyTooLarge()
-	}
-	if err != nil {
+	case inbound.StatusOf(err) == http.StatusServiceUnavailable:
+		return nil, &Problem{Type: TypeUnavailable, Title: "no memory is left for the request, which changed nothing", Status: http.StatusServiceUnavailable, Remedy: "send it again shortly"}
+	default:
 		return nil, malformed("the body cannot be read: "+err.Error(), "send it again with the same request id")
 	}
-	return data, nil
 }
 
 // readJSON decodes the body of a small request. It rejects unknown members,
