Add settings for the limits of the daemons' listeners

[limits] request_memory_bytes and listener_connections bound what clients of the listeners for operators, announcements and monitoring can make a daemon hold. The defaults are eight times the largest body and the default of callers' connections.

--- a/process/operator/http.go
+++ b/process/operator/http.go
@@ -23,6 +23,7 @@
 const (
 	MaxBodyBytes      = 32 << 20 // configuration changes: a sheet of sheet.MaxBytes as JSON
 	MaxSmallBodyBytes = 16 << 10 // bodies of all other requests
+	decodedFactor     = 3        // memory of the decoded form for each byte of a body
 )
 
 var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$`)
@@ -53,7 +54,7 @@
 // readBody returns the request body, or an error if it is larger than limit
 // bytes.
 func readBody(ctx iris.Context, limit int64) ([]byte, error) {
-	data, err := inbound.ReadBody(ctx.ResponseWriter(), ctx.Request(), inbound.BodyLimits{MaxBytes: limit})
+	data, err := inbound.ReadBody(ctx.ResponseWriter(), ctx.Request(), inbound.BodyLimits{MaxBytes: limit, DecodedFactor: decodedFactor})
 	switch {
 	case err == nil:
 		return data, nil
@@ -116,6 +117,8 @@
 	Address        netip.AddrPort
 	RequestTimeout time.Duration // for reading a request; writing its response has twice this time
 	IdleTimeout    time.Duration
+	Limits         *inbound.Limits // of what clients send; may be nil
+	Connections    int             // largest number of open connections; 0 means that there is no limit
 	Logger         zerolog.Logger
 }
 
@@ -124,5 +127,6 @@
 	return httpserver.Listen(httpserver.Options{
 		Name: "operators and announcements", Setting: "[listeners]", Address: o.Address,
 		ReadTimeout: o.RequestTimeout, WriteTimeout: 2 * o.RequestTimeout, IdleTimeout: o.IdleTimeout, Logger: o.Logger,
+		Limits: o.Limits, Connections: o.Connections,
 	}, handler)
 }
--- a/process/service/control.go
+++ b/process/service/control.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/process/control"
 	"marjoramtiller.example/marjoramtiller/process/daemon"
 	"marjoramtiller.example/marjoramtiller/process/observe"
@@ -98,7 +99,8 @@
 	if err != nil {
 		return nil, err
 	}
-	operators, err := operator.Listen(listenOptions(s.OperatorsListener, s.Timeouts, log), handler)
+	limits := newLimits(s.Limits, registry, log)
+	operators, err := operator.Listen(listenOptions(s.OperatorsListener, s.Timeouts, s.Limits, limits, log), handler)
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +110,7 @@
 		Dump:    server.Dump,
 		Health:  func() error { return nil },
 		Logger:  log,
+		Limits:  limits, Connections: s.ListenerConnections,
 	})
 	if err != nil {
 		closeServers(s.Timeouts, operators)
@@ -116,8 +119,17 @@
 	return func() { closeServers(s.Timeouts, operators, observer) }, nil
 }
 
-func listenOptions(address netip.AddrPort, t settings.Timeouts, log zerolog.Logger) operator.ListenOptions {
-	return operator.ListenOptions{Address: address, RequestTimeout: t.Request, IdleTimeout: t.Idle, Logger: log}
+func listenOptions(address netip.AddrPort, t settings.Timeouts, l settings.Limits, limits *inbound.Limits, log zerolog.Logger) operator.ListenOptions {
+	return operator.ListenOptions{Address: address, RequestTimeout: t.Request, IdleTimeout: t.Idle,
+		Limits: limits, Connections: l.ListenerConnections, Logger: log}
+}
+
+// newLimits returns the limits of a daemon's listeners for operators, announcements and
+// monitoring, and registers their metrics.
+func newLimits(l settings.Limits, registry *prometheus.Registry, log zerolog.Logger) *inbound.Limits {
+	limits := inbound.New(inbound.Options{Name: "requests", BudgetBytes: int64(l.RequestMemoryBytes), Logger: log})
+	registry.MustRegister(limits.Collectors()...)
+	return limits
 }
 
 type closer interface {
--- a/process/service/entry.go
+++ b/process/service/entry.go
@@ -108,11 +108,12 @@
 	if err != nil {
 		return nil, err
 	}
-	announcements, err := operator.Listen(listenOptions(s.AnnouncementsListener, s.Timeouts, env.Logger), handler)
+	registry := observe.NewRegistry()
+	limits := newLimits(s.Limits, registry, env.Logger)
+	announcements, err := operator.Listen(listenOptions(s.AnnouncementsListener, s.Timeouts, s.Limits, limits, env.Logger), handler)
 	if err != nil {
 		return nil, err
 	}
-	registry := observe.NewRegistry()
 	registry.MustRegister(entry.NewCollector(server))
 	observer, err := observe.Listen(observe.Options{
 		Address: s.ObserveListener,
@@ -120,6 +121,7 @@
 		Dump:    func(context.Context) ([]byte, error) { return json.Marshal(server.Dump()) },
 		Health:  server.Health,
 		Logger:  env.Logger,
+		Limits:  limits, Connections: s.ListenerConnections,
 	})
 	if err != nil {
 		closeServers(s.Timeouts, announcements)
--- a/process/settings/keys.go
+++ b/process/settings/keys.go
@@ -89,6 +89,8 @@
 		{"queue", "per_service", "4096", false, EntryProgram, "Maximum number of waiting requests for one service.", "use 1 to 1048576, and at least per_caller", integerBetween(1, 1048576)},
 		{"queue", "short_work_percent", "25", false, EntryProgram, "Percentage of slots reserved for short work in a pool that declares none.", "use 0 to 90", integerBetween(0, 90)},
 		{"queue", "default_deadline", "30s", false, EntryProgram, "Deadline of a request where neither the request nor the pool has one. Requests of a pool that may wait get no default deadline; they stay queued for up to a day.", "use a duration from 10ms to 1h, such as 30s", durationBetween("10ms", "1h")},
+		{"limits", "request_memory_bytes", "268435456", false, daemonPrograms, "Total memory for requests of operators, announcements and monitoring, decoded forms included. A quarter of it is kept for small requests. A request without room is answered with 503 and changes nothing.", "use 1048576 to 17179869184", integerBetween(1<<20, 16<<30)},
+		{"limits", "listener_connections", "8192", false, daemonPrograms, "Maximum number of open connections of each of these listeners. At the limit the connection that has gone longest without progress is closed in favour of a new one.", "use 8 to 1048576", integerBetween(8, 1048576)},
 		{"retry", "budget_percent", "10", false, EntryProgram, "Retries as a percentage of requests.", "use 0 to 100", integerBetween(0, 100)},
 	}
 }
--- a/process/settings/programs.go
+++ b/process/settings/programs.go
@@ -12,6 +12,7 @@
 	v := parseFile(data, ControlProgram)
 	control := &Control{
 		Identity:          v.identity(),
+		Limits:            v.limits(),
 		PeersListener:     parsedValue[netip.AddrPort](v, "listeners", "peers"),
 		OperatorsListener: parsedValue[netip.AddrPort](v, "listeners", "operators"),
 		ObserveListener:   parsedValue[netip.AddrPort](v, "listeners", "observe"),
@@ -59,6 +60,7 @@
 	v := parseFile(data, EntryProgram)
 	entry := &Entry{
 		Identity:              v.identity(),
+		Limits:                v.limits(),
 		PeersListener:         parsedValue[netip.AddrPort](v, "listeners", "peers"),
 		CallersListener:       parsedValue[netip.AddrPort](v, "listeners", "callers"),
 		AnnouncementsListener: parsedValue[netip.AddrPort](v, "listeners", "announcements"),
@@ -116,3 +118,10 @@
 	}
 	return client, nil
 }
+
+func (v *values) limits() Limits {
+	return Limits{
+		RequestMemoryBytes:  parsedValue[int](v, "limits", "request_memory_bytes"),
+		ListenerConnections: parsedValue[int](v, "limits", "listener_connections"),
+	}
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -51,6 +51,7 @@
 // Control holds the settings of marjoramtiller-control.
 type Control struct {
 	Identity
+	Limits
 	PeersListener     netip.AddrPort
 	OperatorsListener netip.AddrPort
 	ObserveListener   netip.AddrPort
@@ -70,6 +71,7 @@
 // Entry holds the settings of marjoramtiller-entry.
 type Entry struct {
 	Identity
+	Limits
 	PeersListener         netip.AddrPort
 	CallersListener       netip.AddrPort
 	AnnouncementsListener netip.AddrPort
@@ -89,6 +91,13 @@
 	BodyBytes             int           // maximum size of the body of a non-idempotent request
 }
 
+// Limits bound what clients of the listeners for operators, announcements and monitoring can
+// make a process hold; 0 means that there is no limit.
+type Limits struct {
+	RequestMemoryBytes  int
+	ListenerConnections int // of each listener
+}
+
 // Client holds the settings of the command-line tool.
 type Client struct {
 	Cluster      string
