--- a/connection/wire/server.go
+++ b/connection/wire/server.go
@@ -224,6 +224,12 @@
 		if err != nil {
 			return
 		}
+		// A stream that the server has closed holds what the peer still sends on it, up to
+		// its window, until the peer closes it as well.
+		if session.NumStreams() > 2*maxStreams {
+			_ = session.Close()
+			return
+		}
 		select {
 		case slots <- struct{}{}:
 		default:
