--- a/connection/inbound/limits_test.go
+++ b/connection/inbound/limits_test.go
@@ -230,3 +230,15 @@
 		return s.limits.memory.budget.used == 0 && s.limits.memory.incoming.Len() == 0
 	})
 }
+
+// Guards against a log line for each refused request.
+func TestRefusalsAreLoggedOnceASecond(t *testing.T) {
+	is := is.New(t)
+	var log strings.Builder
+	l := New(Options{Logger: zerolog.New(&log)})
+	for range 1000 {
+		l.metrics.refused(refusedFull)
+	}
+	is.True(strings.Count(log.String(), "\n") <= 2) // the second may have changed
+	is.True(strings.Contains(log.String(), `"refused_full":1`))
+}
