Bound the answers that clients ask for and do not read

Each request for a configuration, a dump or a view made an answer of up to 16 MiB, and a crowd that reads none of them made a process hold all. Two answers are made at the same time, and each holds memory of the budget until it was sent.

--- a/connection/inbound/limits.go
+++ b/connection/inbound/limits.go
@@ -26,6 +26,12 @@
 	bodyRate  = 64 << 10 // bytes per second
 )
 
+// Limits of BuildAnswer.
+const (
+	maxBuilding = 2
+	buildWait   = 2 * time.Second
+)
+
 // Options are the parameters of the limits of a process.
 type Options struct {
 	// BudgetBytes bounds what is held for requests; 0 means that there is no limit.
@@ -36,13 +42,14 @@
 
 // Limits are the limits of a process for what its peers send.
 type Limits struct {
-	memory  *memory
-	metrics *metrics
+	memory   *memory
+	metrics  *metrics
+	building chan struct{} // one element for each answer that BuildAnswer makes
 }
 
 // New returns limits.
 func New(o Options) *Limits {
-	l := &Limits{memory: newMemory(o.BudgetBytes)}
+	l := &Limits{memory: newMemory(o.BudgetBytes), building: make(chan struct{}, maxBuilding)}
 	l.metrics = newMetrics(l.memory, o.Name, o.Logger)
 	return l
 }
@@ -95,13 +102,30 @@
 	return server.Serve(l.listen(listener, o))
 }
 
-// ReserveAnswer reserves memory for an answer of n bytes until the handler returns.
-func ReserveAnswer(w http.ResponseWriter, r *http.Request, n int64) error {
+// BuildAnswer returns the answer that build makes, and reserves memory for it until the
+// handler returns. Few answers are made at the same time, since their sizes are not known
+// before.
+func BuildAnswer(w http.ResponseWriter, r *http.Request, build func() ([]byte, error)) ([]byte, error) {
 	q := requestOf(r)
-	if q == nil || q.reservation.grow(n, roomWait) {
-		return nil
+	if q == nil {
+		return build()
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), buildWait)
+	defer cancel()
+	select {
+	case q.limits.building <- struct{}{}:
+	case <-ctx.Done():
+		return nil, q.refuse(w, refusedFull)
+	}
+	defer func() { <-q.limits.building }()
+	data, err := build()
+	if err != nil {
+		return nil, err
 	}
-	return q.refuse(w, refusedFull)
+	if !q.reservation.grow(int64(len(data)), roomWait) {
+		return nil, q.refuse(w, refusedFull)
+	}
+	return data, nil
 }
 
 func requestOf(r *http.Request) *request {
@@ -118,8 +142,8 @@
 // Error implements error.
 func (e *RefusedError) Error() string { return e.Reason }
 
-// StatusOf returns the status of the answer to a request for which ReadBody or ReserveAnswer
-// returned an error.
+// StatusOf returns the status of the answer to a request for which ReadBody returned an
+// error.
 func StatusOf(err error) int {
 	var refused *RefusedError
 	if errors.As(err, &refused) {
@@ -127,3 +151,9 @@
 	}
 	return http.StatusBadRequest
 }
+
+// IsRefused reports whether an error is a *RefusedError.
+func IsRefused(err error) bool {
+	var refused *RefusedError
+	return errors.As(err, &refused)
+}
--- a/connection/inbound/limits_test.go
+++ b/connection/inbound/limits_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -242,3 +243,49 @@
 	is.True(strings.Count(log.String(), "\n") <= 2) // the second may have changed
 	is.True(strings.Contains(log.String(), `"refused_full":1`))
 }
+
+// Guards against a crowd of requests for large answers that its clients do not read, and
+// against an answer that holds memory after it was sent.
+func TestUnreadAnswersAreBounded(t *testing.T) {
+	is := is.New(t)
+	l := New(Options{BudgetBytes: 4 << 20, Logger: zerolog.Nop()})
+	handler := l.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		data, err := BuildAnswer(w, r, func() ([]byte, error) { return make([]byte, 1<<20), nil })
+		if err != nil {
+			http.Error(w, err.Error(), StatusOf(err))
+			return
+		}
+		_, _ = w.Write(data)
+	}))
+	release := make(chan struct{})
+	statuses := make(chan int, 10)
+	for range cap(statuses) {
+		go func() {
+			w := &unreadWriter{ResponseRecorder: httptest.NewRecorder(), release: release}
+			handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/", nil))
+			statuses <- w.Code
+		}()
+	}
+	for range cap(statuses) - 3 { // three fit into the part of large requests
+		is.Equal(<-statuses, http.StatusServiceUnavailable)
+	}
+	is.True(l.memory.reserved() <= 4<<20)
+	close(release)
+	for range 3 {
+		is.Equal(<-statuses, http.StatusOK)
+	}
+	is.Equal(l.memory.reserved(), int64(0))
+}
+
+// unreadWriter does not accept a large answer before release is closed.
+type unreadWriter struct {
+	*httptest.ResponseRecorder
+	release chan struct{}
+}
+
+func (w *unreadWriter) Write(data []byte) (int, error) {
+	if len(data) > 1000 {
+		<-w.release
+	}
+	return w.ResponseRecorder.Write(data)
+}
--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -128,6 +128,10 @@
 	if err != nil {
 		panic(err) // can't happen: the bodies consist of strings and numbers
 	}
+	writeData(w, data)
+}
+
+func writeData(w http.ResponseWriter, data []byte) {
 	w.Header().Set("Content-Type", headerMediaType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	_, _ = w.Write(data)
--- a/process/jobs/views.go
+++ b/process/jobs/views.go
@@ -3,11 +3,13 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
 	"time"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/job/state"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
@@ -83,12 +85,22 @@
 		"/v1/machines": (*session).viewMachines, "/v1/waves": (*session).viewWaves,
 	} {
 		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
-			v, err := c.views(r.Context(), fill)
+			data, err := inbound.BuildAnswer(w, r, func() ([]byte, error) {
+				v, err := c.views(r.Context(), fill)
+				if err != nil {
+					return nil, err
+				}
+				return json.Marshal(v)
+			})
+			if inbound.IsRefused(err) {
+				problemOfRefusal(err).Write(w)
+				return
+			}
 			if err != nil {
 				outcome.New(outcome.CauseUnavailable, err.Error()+"; the leader is "+c.replica.Status().Leader).WithRetryAfter(time.Second).Write(w)
 				return
 			}
-			writeAnswer(w, v)
+			writeData(w, data)
 		})
 	}
 	return mux
--- a/process/observe/observe.go
+++ b/process/observe/observe.go
@@ -97,15 +97,11 @@
 		http.Error(w, "this process has no state dump", http.StatusNotFound)
 		return
 	}
-	data, err := o.Dump(r.Context())
+	data, err := inbound.BuildAnswer(w, r, func() ([]byte, error) { return o.Dump(r.Context()) })
 	if err != nil {
 		http.Error(w, "the state cannot be dumped now, retry: "+err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	if err := inbound.ReserveAnswer(w, r, int64(len(data))); err != nil {
-		http.Error(w, err.Error(), inbound.StatusOf(err))
-		return
-	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(data)
 }
