--- a/cmd/marjoramtiller-platform/control.go
+++ b/cmd/marjoramtiller-platform/control.go
@@ -10,13 +10,14 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/platform"
 	"marjoramtiller.example/marjoramtiller/process/jobs"
 	"marjoramtiller.example/marjoramtiller/process/members"
 	"marjoramtiller.example/marjoramtiller/process/replica"
 )
 
-func serveControl(s *platform.Settings, bootID string, log zerolog.Logger, registry *prometheus.Registry, signals <-chan os.Signal) error {
+func serveControl(s *platform.Settings, bootID string, log zerolog.Logger, registry *prometheus.Registry, limits *inbound.Limits, signals <-chan os.Signal) error {
 	name, initialVoters, err := members.LoadOrCreateIdentity(s.Dir, s.Internal, s.SeedsInternal, s.Bootstrap)
 	if err != nil {
 		return err
@@ -28,6 +29,9 @@
 		BootID: bootID, Cluster: cluster, Seed: electionSeed(bootID), Bounds: s.Bounds, Workers: client, Clock: replica.BootClock(), Logger: log,
 		DecodeConfiguration: platform.DecodeConfiguration,
 	}
+	messages := s.NewMessageLimits(log)
+	registry.MustRegister(messages.Collectors()...)
+	options.Internal = jobs.InternalLimits{Calls: limits, Messages: messages, Sessions: s.ConnectionLimits().Internal}
 	if s.MachineService != "" {
 		options.Machines = client
 	}
@@ -39,7 +43,7 @@
 		return err
 	}
 	registry.MustRegister(control.Collectors()...)
-	observer := openObserver(s, log, registry, control.OperatorsHandler(), control.Dump)
+	observer := openObserver(s, log, registry, limits, control.OperatorsHandler(), control.Dump)
 	if observer != nil {
 		defer func() { _ = observer.Close(context.Background()) }()
 	}
@@ -49,7 +53,9 @@
 	}
 	server := newServer((&platform.Control{Process: control, Address: s.ControlPlane, Log: log}).Handler())
 	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
+	go func() {
+		failed <- limits.Serve(server, listener, serveOptions("control-plane", s.ConnectionLimits().ControlPlane))
+	}()
 	select {
 	case err = <-failed:
 	case <-control.Done():
--- a/process/jobs/callers.go
+++ b/process/jobs/callers.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"marjoramtiller.example/marjoramtiller/connection/inbound"
 	"marjoramtiller.example/marjoramtiller/job/access"
 	"marjoramtiller.example/marjoramtiller/job/jobpb"
 	"marjoramtiller.example/marjoramtiller/request/outcome"
@@ -19,6 +20,7 @@
 // Limits of callers' requests.
 const (
 	MaxJobBytes          = 1 << 20         // of the body of a submission
+	decodedFactor        = 4               // memory of a decoded job for each byte of the body
 	defaultCallerTimeout = 3 * time.Second // without Request-Deadline-Ms
 	maxCallerTimeoutMs   = 60_000
 	headerDeadline       = "Request-Deadline-Ms"
@@ -68,9 +70,13 @@
 type callersAPI struct{ forwarder Forwarder }
 
 func (c callersAPI) submit(w http.ResponseWriter, r *http.Request) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxJobBytes))
+	data, err := inbound.ReadBody(w, r, inbound.BodyLimits{MaxBytes: MaxJobBytes, DecodedFactor: decodedFactor})
 	if err != nil {
-		outcome.New(outcome.CauseBodyTooLarge, err.Error()).Write(w)
+		problemOfRefusal(err).Write(w)
+		return
+	}
+	if n := inbound.CountJSON(data).Objects; n > maxSteps+1 {
+		outcome.New(outcome.CauseInvalidRequest, fmt.Sprintf("the job has %d objects; it may have %d steps", n, maxSteps)).Write(w)
 		return
 	}
 	j := &jobpb.Job{}
@@ -122,6 +128,10 @@
 	if err != nil {
 		panic(err) // can't happen: the bodies consist of strings and numbers
 	}
+	writeData(w, data)
+}
+
+func writeData(w http.ResponseWriter, data []byte) {
 	w.Header().Set("Content-Type", headerMediaType)
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	_, _ = w.Write(data)
@@ -135,6 +145,17 @@
 	return time.Duration(min(ms, maxCallerTimeoutMs)) * time.Millisecond
 }
 
+// problemOfRefusal returns the error body for a body that was refused before it was decoded.
+func problemOfRefusal(err error) *outcome.Error {
+	switch inbound.StatusOf(err) {
+	case http.StatusRequestEntityTooLarge:
+		return outcome.New(outcome.CauseBodyTooLarge, err.Error())
+	case http.StatusServiceUnavailable:
+		return outcome.New(outcome.CauseUnavailable, err.Error()).WithRetryAfter(inbound.RetryAfter)
+	}
+	return outcome.New(outcome.CauseInvalidRequest, err.Error())
+}
+
 // problemOf returns the error body for an unsuccessful answer. A job is reported as
 // possibly accepted only if the outcome of its submission is unknown.
 func problemOf(req *jobpb.Request, resp *jobpb.Response) *outcome.Error {
