Let small requests displace those that wait for more room

A small request now displaces a waiting one that is large or holds more, and waiting no longer counts as time without progress of the peer.

--- a/cmd/marjoramtiller-platform/control.go
+++ b/cmd/marjoramtiller-platform/control.go
@@ -46,7 +46,7 @@
 	if observer != nil {
 		defer func() { _ = observer.Close(context.Background()) }()
 	}
-	listener, err := listen(s.ControlPlane)
+	listener, err := listen(s.ControlPlane, inbound.MediumBuffers)
 	if err != nil {
 		return err
 	}
--- a/cmd/marjoramtiller-platform/entry.go
+++ b/cmd/marjoramtiller-platform/entry.go
@@ -26,11 +26,11 @@
 		defer func() { _ = observer.Close(context.Background()) }()
 	}
 	handler := &platform.Entry{Forwarder: entry}
-	callers, err := listen(s.Callers)
+	callers, err := listen(s.Callers, inbound.SmallBuffers)
 	if err != nil {
 		return err
 	}
-	readiness, err := listen(s.Readiness)
+	readiness, err := listen(s.Readiness, inbound.SmallBuffers)
 	if err != nil {
 		return err
 	}
--- a/cmd/marjoramtiller-platform/main.go
+++ b/cmd/marjoramtiller-platform/main.go
@@ -128,9 +128,10 @@
 
 // listen opens a listener whose connections fail when the peer no longer acknowledges
 // data, and whose buffers are limited.
-func listen(address string) (net.Listener, error) {
+func listen(address string, bufferBytes int) (net.Listener, error) {
+	setBuffers := inbound.BufferSizes(bufferBytes)
 	setOptions := func(network, address string, conn syscall.RawConn) error {
-		if err := inbound.SetBufferSizes(network, address, conn); err != nil {
+		if err := setBuffers(network, address, conn); err != nil {
 			return err
 		}
 		return platform.SetTCPUserTimeout(network, address, conn)
--- a/connection/httpserver/httpserver.go
+++ b/connection/httpserver/httpserver.go
@@ -42,7 +42,7 @@
 	if o.Limits == nil {
 		o.Limits = inbound.New(inbound.Options{Logger: o.Logger})
 	}
-	listener, err := (&net.ListenConfig{Control: inbound.SetBufferSizes}).Listen(context.Background(), "tcp", o.Address.String())
+	listener, err := (&net.ListenConfig{Control: inbound.BufferSizes(inbound.MediumBuffers)}).Listen(context.Background(), "tcp", o.Address.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for %s; correct %s in the settings or free the port", o.Name, o.Setting)
 	}
--- a/connection/inbound/limits_test.go
+++ b/connection/inbound/limits_test.go
@@ -32,7 +32,7 @@
 
 func serve(t *testing.T, budget int64, maxConnections int) *served {
 	t.Helper()
-	ln, err := (&net.ListenConfig{Control: SetBufferSizes}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	ln, err := (&net.ListenConfig{Control: BufferSizes(SmallBuffers)}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/connection/inbound/listener.go
+++ b/connection/inbound/listener.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// socketBufferBytes is the size that a listener's connections ask for as receive and send
-	// buffers; the kernel doubles it. Bytes that have arrived and are not read count towards
-	// the memory of a process on some machines.
-	socketBufferBytes = 16 << 10
+	// Sizes of the receive and the send buffer of a connection; the kernel doubles them. Bytes
+	// that have arrived and are not read count towards the memory of a process on some
+	// machines. With a larger buffer large bodies arrive faster over long distances.
+	SmallBuffers  = 16 << 10
+	MediumBuffers = 32 << 10
+
 	// headerLineBytes is the memory of a line of a header, in addition to its bytes.
 	headerLineBytes = 128
 	// writeBytes is written under one time limit.
@@ -32,20 +34,22 @@
 	lingerBytes = 256 << 10
 )
 
-// SetBufferSizes limits the buffers of the connections of a listener. It is a Control
-// function for net.ListenConfig.
-func SetBufferSizes(_, _ string, conn syscall.RawConn) error {
-	var optionErr error
-	err := conn.Control(func(fd uintptr) {
-		optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketBufferBytes)
-		if optionErr == nil {
-			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, socketBufferBytes)
+// BufferSizes returns a Control function for net.ListenConfig that limits the buffers of the
+// connections of a listener.
+func BufferSizes(bytes int) func(network, address string, conn syscall.RawConn) error {
+	return func(_, _ string, conn syscall.RawConn) error {
+		var optionErr error
+		err := conn.Control(func(fd uintptr) {
+			optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
+			if optionErr == nil {
+				optionErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
+			}
+		})
+		if err != nil {
+			return err
 		}
-	})
-	if err != nil {
-		return err
+		return optionErr
 	}
-	return optionErr
 }
 
 // errNoHeaderRoom reports a connection that is closed because there is no memory for the
--- a/connection/inbound/memory.go
+++ b/connection/inbound/memory.go
@@ -42,6 +42,7 @@
 	progress time.Time
 	element  *list.Element // in incoming, nil if the request is not being received
 	waiting  bool          // for room
+	toLarge  bool          // the room that is waited for makes it a large reservation
 	cut      bool
 	ended    bool
 }
@@ -110,6 +111,7 @@
 func (r *reservation) releaseLocked() {
 	m := r.memory
 	r.leaveIncoming()
+	r.waiting = false
 	m.budget.release(r.held)
 	if r.cut {
 		m.leaving -= r.held
@@ -166,12 +168,12 @@
 		return false, nil
 	}
 	if try(m.budget) {
-		r.waiting = false
+		r.endWait(time.Now())
 		m.mu.Unlock()
 		return true, nil
 	}
-	r.waiting = wait
-	victims := m.makeRoom(r, m.budget.missing(r.held, n), time.Now())
+	r.waiting, r.toLarge = wait, m.budget.large(r.held+n) > 0
+	victims := m.makeRoom(r, n, time.Now())
 	released = m.released
 	m.mu.Unlock()
 	for _, victim := range victims {
@@ -180,19 +182,33 @@
 	return false, released
 }
 
+// endWait records that there is room. The time of the wait does not count as time without
+// progress of the peer.
+func (r *reservation) endWait(now time.Time) {
+	if r.waiting && r.element != nil {
+		r.progress, r.began = now, r.began.Add(now.Sub(r.progress))
+		r.memory.incoming.MoveToBack(r.element)
+	}
+	r.waiting = false
+}
+
 // makeRoom chooses the requests that are cut off so that the bytes that are missing for a
 // request are released, those longest without progress first. One that waits for room itself
-// does not count as standing still.
-func (m *memory) makeRoom(forRequest *reservation, missing int64, now time.Time) (victims []*reservation) {
-	missing -= m.leaving
+// does not count as standing still. One that waits, and is large or holds more, gives way to a
+// small one at once, so that a crowd of them does not fill the part of the small ones.
+func (m *memory) makeRoom(forRequest *reservation, n int64, now time.Time) (victims []*reservation) {
+	missing := m.budget.missing(forRequest.held, n) - m.leaving
 	for _, isVictim := range []func(*reservation) bool{
-		func(r *reservation) bool { return now.Sub(r.progress) >= stalledAfter },
-		func(r *reservation) bool { return now.Sub(r.began) >= slowAfter },
+		func(r *reservation) bool {
+			return r.waiting && !forRequest.toLarge && (r.toLarge || r.held > forRequest.held+n)
+		},
+		func(r *reservation) bool { return !r.waiting && now.Sub(r.progress) >= stalledAfter },
+		func(r *reservation) bool { return !r.waiting && now.Sub(r.began) >= slowAfter },
 	} {
 		for e := m.incoming.Front(); e != nil && missing > 0; {
 			r := e.Value.(*reservation)
 			e = e.Next()
-			if r == forRequest || r.held == 0 || r.waiting || !isVictim(r) {
+			if r == forRequest || r.held == 0 || !isVictim(r) {
 				continue
 			}
 			r.leaveIncoming()
