--- a/process/jobs/calls.go
+++ b/process/jobs/calls.go
@@ -16,12 +16,13 @@
 	queue    *jobpb.Queue
 	queueKey string
 	id       string // of the job, empty if the call names the queue itself
-	access   access.Decision
+	decision access.Decision
 	digest   []byte // of the caller's API key, empty without one
 	version  uint64 // of the configuration
 }
 
-// resolveCall resolves a request in a view of the state. It returns the response that refuses
+// resolveCall resolves a request in a view of the state: it finds the queue and checks the caller's
+// API key. It returns the response that refuses
 // the request if the configuration has no queue for it or does not let the caller use it.
 func resolveCall(st *state.Store, r *jobpb.Request) (call resolvedCall, refused *jobpb.Response) {
 	conf := st.Configuration()
@@ -29,14 +30,14 @@
 		return call, noConfiguration()
 	}
 	call.version = conf.Version
-	call.queue, call.id = resolve(conf, r)
+	call.queue, call.id = queueOf(conf, r)
 	if call.queue == nil {
 		return call, &jobpb.Response{Outcome: jobpb.Response_NO_QUEUE, Reason: noQueue}
 	}
 	call.queueKey = state.QueueKey(call.queue.Host, call.queue.Prefix)
 	call.digest = r.KeyDigest
-	call.access = access.Check(st, call.queue, r.KeyDigest)
-	if !call.access.Allowed() {
+	call.decision = access.Check(st, call.queue, r.KeyDigest)
+	if !call.decision.Allowed() {
 		return call, &jobpb.Response{Outcome: jobpb.Response_UNAUTHORIZED, Reason: unauthorized}
 	}
 	return call, nil
@@ -48,7 +49,7 @@
 
 // seesJob reports whether a job is in the call's queue and the caller may see it.
 func (c *resolvedCall) seesJob(j *jobpb.Job) bool {
-	return j != nil && j.Queue == c.queueKey && access.SeesJob(c.access, c.digest, j)
+	return j != nil && j.Queue == c.queueKey && access.SeesJob(c.decision, c.digest, j)
 }
 
 // versionAge holds when a process first had the newest configuration in force.
@@ -74,15 +75,15 @@
 	return now - a.since
 }
 
-// refuse logs and counts a call that the configuration in force refuses and returns the response.
-// A process that no longer leads may have decided with an older configuration, so that it sends
-// the call on to the leader.
+// refuse logs and counts a call that the configuration in force refuses, and returns the response.
+// A process that no longer leads may have decided with an older configuration: it answers
+// NOT_LEADER, so that the entry asks the next leader.
 func (c *Control) refuse(r *jobpb.Request, call resolvedCall, refused *jobpb.Response) *jobpb.Response {
 	if !c.Leads() {
 		return &jobpb.Response{Outcome: jobpb.Response_NOT_LEADER}
 	}
 	if refused.Outcome == jobpb.Response_UNAUTHORIZED {
-		c.metrics.callsUnauthorized.WithLabelValues(string(call.access.Verdict)).Inc()
+		c.metrics.callsUnauthorized.WithLabelValues(string(call.decision.Verdict)).Inc()
 		c.logCall(c.log.Info(), call).Str("kind", r.Kind.String()).Msg("call refused: its API key is not that of a tenant")
 	}
 	return refused
@@ -97,7 +98,7 @@
 func (c *Control) logCall(event *zerolog.Event, call resolvedCall) *zerolog.Event {
 	now := c.o.Clock.Now()
 	c.configured.note(call.version, now)
-	return event.Str("request", call.id[:min(len(call.id), maxLoggedID)]).Str("queue", call.queueKey).Str("key", string(call.access.Verdict)).
-		Str("tenant", call.access.Tenant).Uint64("configuration", call.version).
+	return event.Str("request", call.id[:min(len(call.id), maxLoggedID)]).Str("queue", call.queueKey).Str("key", string(call.decision.Verdict)).
+		Str("tenant", call.decision.Tenant).Uint64("configuration", call.version).
 		Dur("configuration_age", c.configured.age(now))
 }
--- a/process/jobs/entry.go
+++ b/process/jobs/entry.go
@@ -225,7 +225,8 @@
 }
 
 // deniesEarlierAttempt reports whether a response says that a request was not carried out. It
-// does not cover an earlier attempt without a known outcome, which may have been stored.
+// does not cover an earlier attempt without a known outcome, which may have been stored. For a
+// cancellation NO_JOB and NO_QUEUE do: whatever the earlier attempt did, there is no such job.
 func deniesEarlierAttempt(kind jobpb.Request_Kind, outcome jobpb.Response_Outcome) bool {
 	switch kind {
 	case jobpb.Request_SUBMIT:
--- a/process/jobs/reads.go
+++ b/process/jobs/reads.go
@@ -31,9 +31,9 @@
 	return best, path[len(best.Prefix):]
 }
 
-// resolve returns the queue that a request is for, nil if there is none, and the
+// queueOf returns the queue that a request is for, nil if there is none, and the
 // job's id.
-func resolve(conf *jobpb.Configuration, r *jobpb.Request) (*jobpb.Queue, string) {
+func queueOf(conf *jobpb.Configuration, r *jobpb.Request) (*jobpb.Queue, string) {
 	if r.Queue == "" {
 		return findQueue(conf, r.Host, r.Path)
 	}
--- a/process/jobs/submit.go
+++ b/process/jobs/submit.go
@@ -68,14 +68,14 @@
 	}
 }
 
-// resolveCall resolves a request in the applied configuration.
-func (s *session) resolveCall(r *jobpb.Request) (call resolvedCall, refused *jobpb.Response) {
+// resolveInForce resolves a request under the configuration in force.
+func (s *session) resolveInForce(r *jobpb.Request) (call resolvedCall, refused *jobpb.Response) {
 	s.view(func(st *state.Store) { call, refused = resolveCall(st, r) })
 	return call, refused
 }
 
 func (s *session) submit(ctx context.Context, r *jobpb.Request) *jobpb.Response {
-	call, refused := s.resolveCall(r)
+	call, refused := s.resolveInForce(r)
 	if refused != nil {
 		return s.c.refuse(r, call, refused)
 	}
@@ -91,8 +91,8 @@
 	}
 	j := proto.Clone(r.Job).(*jobpb.Job)
 	j.Id, j.Queue, j.Pool, j.MaxAttempts = id, key, call.queue.Pool, call.queue.MaxAttempts
-	if call.access.Tenant != "" {
-		j.Tenant, j.KeyDigest = call.access.Tenant, call.digest
+	if call.decision.Tenant != "" {
+		j.Tenant, j.KeyDigest = call.decision.Tenant, call.digest
 	}
 	j.AcceptedMs = s.nowMs()
 	applied, err := s.proposeChange(ctx, &jobpb.Entry{Change: &jobpb.Entry_Accept{Accept: &jobpb.Accept{Job: j}}})
@@ -148,7 +148,7 @@
 }
 
 func (s *session) cancelJob(ctx context.Context, r *jobpb.Request) *jobpb.Response {
-	call, refused := s.resolveCall(r)
+	call, refused := s.resolveInForce(r)
 	if refused != nil {
 		return s.c.refuse(r, call, refused)
 	}
