--- a/process/jobs/calls.go
+++ b/process/jobs/calls.go
@@ -22,8 +22,8 @@
 }
 
 // resolveCall resolves a request in a view of the state: it finds the queue and checks the caller's
-// API key. It returns the response that refuses
-// the request if the configuration has no queue for it or does not let the caller use it.
+// API key. It returns the response that refuses the request if the configuration has no queue for
+// it or does not let the caller use it.
 func resolveCall(st *state.Store, r *jobpb.Request) (call resolvedCall, refused *jobpb.Response) {
 	conf := st.Configuration()
 	if conf.Version == 0 {
