--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -18,7 +18,8 @@
 }
 
 var cases = map[string]func(w *world) (verdict, error){
-	"replace-core": replaceCore,
+	"entry-without-id": entryWithoutID,
+	"replace-core":     replaceCore,
 }
 
 func main() { os.Exit(run()) }
