--- a/review/rig-3/machines.go
+++ b/review/rig-3/machines.go
@@ -19,7 +19,6 @@
 	list  []*machine
 	extra []json.RawMessage // entries of another writer, in the next list only
 	read  int               // lists answered
-	odd   int               // lists answered with entries of another writer
 }
 
 type machine struct {
@@ -69,13 +68,19 @@
 	m.extra = append(m.extra, json.RawMessage(entry))
 }
 
+// reads returns the number of lists answered.
+func (m *machines) reads() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.read
+}
+
 func (m *machines) serve(w http.ResponseWriter, _ *http.Request) {
 	m.mu.Lock()
 	entries := m.extra
 	m.extra = nil
 	m.read++
 	if len(entries) > 0 {
-		m.odd++
 		for _, e := range entries {
 			m.w.note("platform: this list of machines holds beside the others the entry %s", e)
 		}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -19,8 +19,10 @@
 
 var cases = map[string]func(w *world) (verdict, error){
 	"entry-without-id": entryWithoutID,
+	"foreign-report":   reportOfAnotherWriter,
 	"advice":           adviceForABurst,
 	"gang":             gangInOneRack,
+	"former-life":      formerLife,
 	"replace-core":     replaceCore,
 }
 
