--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 )
 
 const (
@@ -29,6 +30,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// The processes end with the thread that started them.
+	runtime.LockOSThread()
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: rig-3 CASE FOLDER")
 		return couldNot
--- a/review/rig-3/replace_core.go
+++ b/review/rig-3/replace_core.go
@@ -103,7 +103,7 @@
 	time.Sleep(successorAfter)
 	i := slices.Index(w.controls, gone)
 	n := 6 + number
-	w.controls = slices.Delete(slices.Clone(w.controls), i, i+1)
+	w.setCore(slices.Delete(w.core(), i, i+1))
 	next := &proc{name: fmt.Sprintf("core-%d", n), role: "control", ip: fmt.Sprintf("127.%d.1.%d", w.octet, n)}
 	if err := os.Mkdir(filepath.Join(w.dir, next.name), 0o700); err != nil {
 		return err
@@ -112,6 +112,6 @@
 	if err := w.start(next, false); err != nil {
 		return err
 	}
-	w.controls = append(w.controls, next)
+	w.setCore(append(w.core(), next))
 	return nil
 }
--- a/review/rig-3/world.go
+++ b/review/rig-3/world.go
@@ -61,7 +61,7 @@
 	began    time.Time
 	client   *http.Client
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards controls once executors report, and record
 	record  *os.File
 	version int
 	done    chan struct{}
@@ -117,6 +117,20 @@
 	_, _ = fmt.Fprintf(w.record, "%8.3f  %s\n", time.Since(w.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// core returns the control processes that the operator's list names.
+func (w *world) core() []*proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.controls)
+}
+
+// setCore replaces that list.
+func (w *world) setCore(list []*proc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.controls = list
+}
+
 func (w *world) control(p *proc) string { return fmt.Sprintf("%s:%d", p.ip, w.port+17) }
 func (w *world) caller(p *proc) string  { return fmt.Sprintf("%s:%d", p.ip, w.port+18) }
 func (w *world) ready(p *proc) string   { return fmt.Sprintf("%s:%d", p.ip, w.port+19) }
@@ -457,13 +471,13 @@
 
 // reportAll sends the executor's status reports until the case ends.
 func (x *worker) reportAll() {
-	at := rand.IntN(len(x.w.controls))
+	at := rand.IntN(len(x.w.core()))
 	time.Sleep(time.Duration(rand.IntN(200)) * time.Millisecond)
 	for {
 		if e := x.life(); e != nil {
-			body := x.reportBody(e)
-			for range len(x.w.controls) {
-				if code, _ := x.w.call(http.MethodPut, x.w.control(x.w.controls[at%len(x.w.controls)]), "", "/executors/"+x.id, body); code == http.StatusOK {
+			body, core := x.reportBody(e), x.w.core()
+			for range len(core) {
+				if code, _ := x.w.call(http.MethodPut, x.w.control(core[at%len(core)]), "", "/executors/"+x.id, body); code == http.StatusOK {
 					break
 				}
 				at++
