Call the advisor in turn, by the times that its queue states

Cause: four calls were in flight to a service that handles one at a time for each calling machine, and the timeout of 3 s, counted from the sending, ran while a call waited for the three before it. What was given up was made anew at once, behind the others, so that the line never became shorter. The configured times of the advisor were stored and not used. The same cause shows at a call that takes longer than 3 s by itself (30 workers at 85 ms), at tickets whose validity the wait used up, and at steps that lost their turn to newer ones.

Change: job/advice.Line, a core without clock and network, decides when the advisor is called and about which step. The next call is sent when those before it are expected to be done; its timeout counts from its turn and follows from its own time; calls that were given up are expected to be handled all the same; the validity of tickets counts from the earliest time at which the call can have begun; the number of workers named follows from the times; the step that has waited longest comes first. Metrics and a log line show calls in flight, failures and the longest wait.

Three tests read fields of the driver that the line has now (the calls in flight); they check the same.

--- a/process/jobs/advice.go
+++ b/process/jobs/advice.go
@@ -11,36 +11,29 @@
 	"marjoramtiller.example/marjoramtiller/job/state"
 )
 
-// Limits of the calls to the advisor.
 const (
-	adviceMaxWorkers = 30 // workers named in one call
-	adviceMaxCalls   = 4  // calls in flight; the advisor processes them one at a time
-	adviceTimeout    = 3 * time.Second
-	// adviceReuseShare is the share of a ticket's validity in which the ticket is
-	// used for starts; the rest is left for delivery to the worker.
-	adviceReuseShare = 0.7
-	adviceRetryDelay = 200 * time.Millisecond
 	// adviceExtensionDelay is the time for which a step waits, after an answer or a look for
 	// workers that no answer covers, before the next such look.
 	adviceExtensionDelay = 500 * time.Millisecond
+	// adviceRejectionDelay is the time from a rejected ticket to the next call about its step.
+	adviceRejectionDelay = 200 * time.Millisecond
+	// adviceLongWait is the time for which a step waits for advice before that is logged.
+	adviceLongWait    = 3 * time.Second
+	adviceLogInterval = time.Second
 )
 
 // stepAdvice is what the advisor has said about one step.
 type stepAdvice struct {
 	advice.Answers
-	requested bool          // a call is in flight
-	retryAt   time.Duration // earliest next call after a failed one
-	extendAt  time.Duration // when to look for workers that no answer covers next
+	retryAt  time.Duration // earliest next call after a rejected ticket
+	extendAt time.Duration // when to look for workers that no answer covers next
 }
 
 // adviceCall is a call to the advisor about one step.
 type adviceCall struct {
-	key      state.StepKey
-	step     *stepAdvice
-	named    []advice.Process
-	sent     time.Duration
-	validity time.Duration // of the tickets
-	extends  bool          // other workers of the step are covered by answers
+	*advice.Call
+	step  *stepAdvice
+	named []advice.Process
 }
 
 // adviceDriver requests from the advisor the workers that steps may run on, and
@@ -48,24 +41,23 @@
 type adviceDriver struct {
 	s         *session
 	steps     map[state.StepKey]*stepAdvice
-	calls     int  // in flight
-	extending bool // one of them asks about further workers of a step
+	line      *advice.Line
+	nextLogAt time.Duration // of a step that waits long
 }
 
 func newAdviceDriver(s *session) *adviceDriver {
-	return &adviceDriver{s: s, steps: map[state.StepKey]*stepAdvice{}}
+	return &adviceDriver{s: s, steps: map[state.StepKey]*stepAdvice{}, line: advice.NewLine()}
 }
 
-// tickets returns the tickets of the workers that a step may run on. Without a
-// usable answer it returns false and starts a call to the advisor if the limits
-// allow one.
+// tickets returns the tickets of the workers that a step may run on. Without a usable answer
+// it returns false, and the advisor is asked as soon as it is the step's turn.
 func (a *adviceDriver) tickets(key state.StepKey) (map[string]string, bool) {
 	step := a.step(key)
 	tickets, known := step.Tickets(a.s.now(), a.s.tracksProcess)
 	if known {
 		return tickets, true
 	}
-	a.request(key, step, false)
+	a.ask(key, step, false)
 	return nil, false
 }
 
@@ -74,9 +66,9 @@
 // joined since. Such calls take turns, so that they don't hold up the first ones of others.
 func (a *adviceDriver) ticketsOfWaiting(key state.StepKey) (map[string]string, bool) {
 	tickets, known := a.tickets(key)
-	if step := a.step(key); known && !a.extending && a.s.now() >= step.extendAt {
+	if step := a.step(key); known && a.s.now() >= step.extendAt {
 		step.extendAt = a.s.now() + adviceExtensionDelay // the look is a pass over all workers
-		a.request(key, step, true)
+		a.ask(key, step, len(tickets) > 0)
 	}
 	return tickets, known
 }
@@ -96,36 +88,76 @@
 	return w != nil && w.info.BornMs == p.BornMs
 }
 
-// request asks the advisor about workers of the step's pool that no answer covers, if there
-// are any and the limits allow a call. extends reports that other answers cover some.
-func (a *adviceDriver) request(key state.StepKey, step *stepAdvice, extends bool) {
-	if step.requested || a.calls >= adviceMaxCalls || a.s.now() < step.retryAt || a.s.c.o.Advisor == nil {
-		return
-	}
-	// The scheduler calls this from within session.view, so the store can be read directly.
+// ask lets a step wait for its turn to be asked about. extends reports that it has tickets. It
+// is called in a view of the state.
+func (a *adviceDriver) ask(key state.StepKey, step *stepAdvice, extends bool) {
+	now := a.s.now()
 	j := a.s.c.store.Job(key.Job)
-	if j == nil {
+	if a.s.c.o.Advisor == nil || now < step.retryAt || j == nil {
 		return
 	}
-	named := a.uncovered(j.Pool, step)
-	if len(named) == 0 {
+	if a.line.Ask(now, advice.Ask{Key: key, Priority: a.s.queues[j.Queue].GetPriority(), Extends: extends}) {
+		a.callNext(now)
+	}
+}
+
+// round calls the advisor if it is a step's turn, and logs a step that waits long.
+func (a *adviceDriver) round(now time.Duration) {
+	if _, waits := a.line.Next(now); waits {
+		a.s.view(func(*state.Store) { a.callNext(now) })
+	}
+	if now < a.nextLogAt {
 		return
 	}
-	c := &adviceCall{key: key, step: step, named: named, sent: a.s.now(), extends: extends}
-	if q := a.s.queues[j.Queue]; q != nil {
-		c.validity = time.Duration(q.AdviceValidityMs) * time.Millisecond
+	a.nextLogAt = now + adviceLogInterval
+	key, waited := a.line.Oldest(now)
+	a.s.c.metrics.adviceWait.Set(waited.Seconds())
+	if waited >= adviceLongWait {
+		a.s.log.Warn().Str("request", key.Job).Uint32("step", key.Step).Dur("waited", waited).Int("calls", a.line.InFlight()).
+			Msg("step waits for the advisor's answer")
 	}
-	a.send(c)
 }
 
-// uncovered returns processes of workers of a pool that no answer about the step covers, as
-// many as one call may name.
-func (a *adviceDriver) uncovered(pool string, step *stepAdvice) []advice.Process {
+// callNext asks the advisor about the steps whose turn it is. It is called in a view of the
+// state.
+func (a *adviceDriver) callNext(now time.Duration) {
+	for {
+		key, ok := a.line.Next(now)
+		if !ok {
+			return
+		}
+		j, step := a.s.c.store.Job(key.Job), a.step(key)
+		if j == nil {
+			a.line.Forget(key)
+			continue
+		}
+		cost := adviceCost(a.s.queues[j.Queue])
+		named := a.uncovered(j.Pool, step, cost.Workers())
+		if len(named) == 0 {
+			a.line.Forget(key)
+			continue
+		}
+		a.send(&adviceCall{Call: a.line.Send(now, key, cost, len(named)), step: step, named: named})
+	}
+}
+
+// adviceCost returns the cost of the calls about the steps of a queue.
+func adviceCost(q *jobpb.Queue) advice.Cost {
+	return advice.Cost{
+		Decision:  time.Duration(q.GetAdviceMs()) * time.Millisecond,
+		PerWorker: time.Duration(q.GetAdviceWorkerUs()) * time.Microsecond,
+		Validity:  time.Duration(q.GetAdviceValidityMs()) * time.Millisecond,
+	}
+}
+
+// uncovered returns processes of workers of a pool that no answer about the step covers, at
+// most limit.
+func (a *adviceDriver) uncovered(pool string, step *stepAdvice, limit int) []advice.Process {
 	var named []advice.Process
 	now := a.s.now()
 	for id, w := range a.s.workers {
 		p := advice.Process{Worker: id, BornMs: w.info.BornMs}
-		if w.info.Pool == pool && len(named) < adviceMaxWorkers && w.track.RunsListed && !w.draining && !w.silent && !step.Covers(now, p) {
+		if w.info.Pool == pool && len(named) < limit && w.track.RunsListed && !w.draining && !w.silent && !step.Covers(now, p) {
 			named = append(named, p)
 		}
 	}
@@ -133,39 +165,46 @@
 }
 
 func (a *adviceDriver) send(c *adviceCall) {
-	c.step.requested = true
-	a.calls++
-	a.extending = a.extending || c.extends
-	name := fmt.Sprintf("%s.%d.%d", c.key.Job, c.key.Occurrence, c.key.Step)
+	name := fmt.Sprintf("%s.%d.%d", c.Key.Job, c.Key.Occurrence, c.Key.Step)
 	workers := make([]string, len(c.named))
 	for i, p := range c.named {
 		workers[i] = p.Worker
 	}
+	a.s.c.metrics.adviceCalls.Set(float64(a.line.InFlight()))
 	go func() {
-		ctx, cancel := context.WithTimeout(a.s.ctx, adviceTimeout)
+		ctx, cancel := context.WithTimeout(a.s.ctx, c.Timeout)
 		defer cancel()
 		tickets, err := a.s.c.o.Advisor.Advise(ctx, name, workers)
-		a.s.post(func() { a.handleAdvice(c, tickets, err) })
+		gaveUp := ctx.Err() != nil
+		a.s.post(func() { a.handleAdvice(c, tickets, err, gaveUp) })
 	}()
 }
 
-func (a *adviceDriver) handleAdvice(c *adviceCall, tickets map[string]string, err error) {
+func (a *adviceDriver) handleAdvice(c *adviceCall, tickets map[string]string, err error, gaveUp bool) {
 	now := a.s.now()
-	c.step.requested = false
-	a.calls--
-	if c.extends {
-		a.extending = false
-	}
-	a.s.dirty = true
+	defer func() { a.s.c.metrics.adviceCalls.Set(float64(a.line.InFlight())) }()
 	if err != nil {
-		c.step.retryAt = now + adviceRetryDelay
-		a.s.log.Info().Err(err).Str("request", c.key.Job).Uint32("step", c.key.Step).Msg("request to the advisor failed; it is repeated while the step waits")
+		a.line.Failed(now, c.Call, gaveUp)
+		a.s.c.metrics.adviceFailed.Inc()
+		a.s.log.Info().Err(err).Str("request", c.Key.Job).Uint32("step", c.Key.Step).Bool("gave_up", gaveUp).Dur("timeout", c.Timeout).
+			Msg("request to the advisor failed; it is repeated while the step waits")
 		return
 	}
-	c.step.Add(c.named, tickets, c.sent+time.Duration(adviceReuseShare*float64(c.validity)))
+	a.s.dirty = true
+	c.step.Add(c.named, tickets, a.line.Answered(now, c.Call))
 	c.step.extendAt = now + adviceExtensionDelay
-	a.s.log.Info().Str("request", c.key.Job).Uint32("step", c.key.Step).Int("asked", len(c.named)).Int("allowed", len(tickets)).
-		Bool("extends", c.extends).Msg("advice received")
+	a.s.log.Info().Str("request", c.Key.Job).Uint32("step", c.Key.Step).Int("asked", len(c.named)).Int("allowed", len(tickets)).
+		Bool("extends", c.Extends).Msg("advice received")
+}
+
+// warnOfShortTickets logs the queues whose tickets end before they can be used.
+func (s *session) warnOfShortTickets() {
+	for _, q := range s.queues {
+		if cost := adviceCost(q); q.AdviceMs > 0 && cost.TooShort() {
+			s.log.Warn().Str("queue", q.Host+q.Prefix).Dur("decision", cost.Decision).Dur("per_worker", cost.PerWorker).Dur("validity", cost.Validity).
+				Msg("the advisor's tickets end before they can be used: its steps start only where a worker has room at once; lengthen the validity")
+		}
+	}
 }
 
 // discard drops the ticket that a worker has rejected, so that the advisor is asked
@@ -176,7 +215,7 @@
 	if step == nil || !step.Discard(start.Worker, rejected) {
 		return
 	}
-	step.retryAt = a.s.now() + adviceRetryDelay
+	step.retryAt = a.s.now() + adviceRejectionDelay
 	a.s.log.Info().Str("request", key.Job).Uint32("step", key.Step).Str("worker", start.Worker).Msg("ticket rejected by the worker: the advisor is asked again")
 }
 
--- a/process/jobs/advice_test.go
+++ b/process/jobs/advice_test.go
@@ -89,22 +89,22 @@
 	is.Equal(f.handleAnswer(), []string{"w-0"})
 	f.passTime()
 	f.advice.ticketsOfWaiting(f.key)
-	is.Equal(f.advice.calls, 0) // nobody has joined
+	is.Equal(f.advice.line.InFlight(), 0) // nobody has joined
 	f.workers["w-1"] = joined
 	f.advice.ticketsOfWaiting(f.key)
-	is.Equal(f.advice.calls, 0) // it has just looked
+	is.Equal(f.advice.line.InFlight(), 0) // it has just looked
 	f.passTime()
 	f.advice.tickets(f.key)
-	is.Equal(f.advice.calls, 0)
+	is.Equal(f.advice.line.InFlight(), 0)
 	for range 2 {
 		tickets, known := f.advice.ticketsOfWaiting(f.key)
 		is.True(known)
 		is.Equal(tickets, map[string]string{"w-0": "ticket-w-0"})
-		is.Equal(f.advice.calls, 1)
+		is.Equal(f.advice.line.InFlight(), 1)
 	}
-	is.True(f.advice.extending)
+	is.True(f.advice.line.Extending())
 	is.Equal(f.handleAnswer(), []string{"w-1"})
-	is.True(!f.advice.extending)
+	is.True(!f.advice.line.Extending())
 	tickets, _ := f.advice.ticketsOfWaiting(f.key)
 	is.Equal(len(tickets), 2)
 }
@@ -121,3 +121,19 @@
 	is.Equal(len(f.advice.steps), 1)
 	is.True(f.advice.steps[f.key] != nil)
 }
+
+// Guards against calls that wait for each other at the advisor, which handles one at a time,
+// until they are given up (review/14): by its configured times the next call would wait.
+func TestCallsToTheAdvisorDoNotWaitForEachOther(t *testing.T) {
+	is := is.New(t)
+	f := newAdviceFixture(t)
+	f.queues = map[string]*jobpb.Queue{"": {AdviceMs: 450, AdviceWorkerUs: 75_000, AdviceValidityMs: 60_000}}
+	for step := range uint32(6) {
+		f.advice.ticketsOfWaiting(state.StepKey{Job: "job", Step: step})
+	}
+	is.Equal(f.advice.line.InFlight(), 1)
+	f.handleAnswer()
+	is.Equal(f.advice.line.InFlight(), 0)
+	_, known := f.advice.ticketsOfWaiting(f.key)
+	is.True(known) // the step that asked first was served first
+}
--- a/process/jobs/metrics.go
+++ b/process/jobs/metrics.go
@@ -23,6 +23,9 @@
 	unplacedRuns prometheus.Counter
 	// callsUnauthorized counts the calls that were refused for want of a valid API key.
 	callsUnauthorized *prometheus.CounterVec
+	adviceCalls       prometheus.Gauge // calls to the advisor in flight
+	adviceFailed      prometheus.Counter
+	adviceWait        prometheus.Gauge // time for which a step has waited longest for advice
 }
 
 func newControlMetrics() *controlMetrics {
@@ -49,6 +52,12 @@
 			Name: "marjoramtiller_jobs_unplaced_runs_stopped_total", Help: "Stops of runs that a worker lists and the log does not place there."}),
 		callsUnauthorized: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "marjoramtiller_jobs_calls_unauthorized_total", Help: "Calls refused because of their API key: missing, unknown or revoked."}, []string{"key"}),
+		adviceCalls: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "marjoramtiller_jobs_advice_calls", Help: "Calls to the advisor without an answer."}),
+		adviceFailed: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "marjoramtiller_jobs_advice_calls_failed_total", Help: "Calls to the advisor that failed or were given up."}),
+		adviceWait: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "marjoramtiller_jobs_advice_wait_seconds", Help: "Time for which a step without tickets has waited longest for the advisor."}),
 	}
 }
 
@@ -68,5 +77,6 @@
 // Collectors returns the metrics of a control process.
 func (c *Control) Collectors() []prometheus.Collector {
 	return []prometheus.Collector{c.metrics.orders, c.metrics.commitSeconds, c.metrics.startSeconds, c.metrics.workersEnded, c.metrics.runsLost, c.metrics.tasksGivenUp,
-		c.metrics.changesRejected, c.metrics.changesOverBudget, c.metrics.unplacedRuns, c.metrics.callsUnauthorized, c.replica}
+		c.metrics.changesRejected, c.metrics.changesOverBudget, c.metrics.unplacedRuns, c.metrics.callsUnauthorized,
+		c.metrics.adviceCalls, c.metrics.adviceFailed, c.metrics.adviceWait, c.replica}
 }
--- a/process/jobs/session.go
+++ b/process/jobs/session.go
@@ -190,6 +190,7 @@
 		s.log.Warn().Dur("suspended", lasted).Int("workers", len(s.workers)).Msg("this process was suspended: silent workers are asked before they are dropped")
 	}
 	s.maintainWorkers(now)
+	s.advice.round(now)
 	if s.inFlight {
 		return
 	}
@@ -234,6 +235,7 @@
 	for _, q := range conf.Queues {
 		s.queues[state.QueueKey(q.Host, q.Prefix)] = q
 	}
+	s.warnOfShortTickets()
 }
 
 // plan runs the scheduler and puts the starts it returns into the next log entry.
--- a/process/jobs/session_identity_test.go
+++ b/process/jobs/session_identity_test.go
@@ -189,7 +189,7 @@
 		s.advice.tickets(key)
 	}
 	runNextSession(t, newGate(), during, func(is *is.I, earlier, later *session, _ *termLog) {
-		is.True(earlier.advice.steps[key].requested)
+		is.Equal(earlier.advice.line.InFlight(), 1)
 		later.c.o.Advisor.(lateAdvisor).open()
 		time.Sleep(50 * time.Millisecond)
 		is.Equal(len(later.events), 0)
