--- a/job/advice/line.go
+++ b/job/advice/line.go
@@ -26,9 +26,10 @@
 	maxLatency = 100 * time.Millisecond
 	// askLifetime is the time after which a step that no longer asks is forgotten.
 	askLifetime = time.Second
-	// priorityHeadStart is the time by which a step comes before one that has waited as long
-	// on a queue of the next priority. An extension gives this way to a step without tickets.
-	priorityHeadStart = time.Second
+	// precedence is the time by which a step comes before one that has waited as long on a queue
+	// of the next priority, and a step without tickets before one that has some.
+	precedence  = time.Second
+	maxPriority = 7 // greater priorities count as this
 )
 
 // Ask tells that a step waits for advice.
@@ -50,15 +51,13 @@
 
 // rank orders the steps that wait; the least comes first.
 func (w *waiting) rank() time.Duration {
-	rank := w.since + time.Duration(min(w.Priority, maxPriority))*priorityHeadStart
+	rank := w.since + time.Duration(min(w.Priority, maxPriority))*precedence
 	if w.Extends {
-		rank += priorityHeadStart
+		rank += precedence
 	}
 	return rank
 }
 
-const maxPriority = 7 // greater ones count as this
-
 // Call is a call to the advisor.
 type Call struct {
 	Ask
@@ -75,8 +74,7 @@
 // and the time that a call waits for others counts neither against its timeout nor against the
 // validity of its tickets. A call that is given up may still be handled.
 //
-// It answers the load of many steps that begin to wait at once. The zero value is not usable,
-// see NewLine.
+// It answers the load of many steps that begin to wait at once. Create one with NewLine.
 type Line struct {
 	waiting  map[state.StepKey]*waiting
 	inFlight []*Call       // in the order of their sending
--- a/process/consensus/leader.go
+++ b/process/consensus/leader.go
@@ -41,6 +41,7 @@
 	return p.incarnation == m.Incarnation
 }
 
+// acknowledged records that the replica has answered.
 func (p *progress) acknowledged(now time.Duration) { p.lastAck, p.lastHeard = now, now }
 
 func (p *progress) startProbing(next uint64) {
